Lay the foundation: errors, settings, logs, wire and peers

Cause: an empty repository; every slice needs the same errors, settings table, logs and authenticated links between processes. Conclusion: slices can be written against application, wire and config.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, run by `make bench`."""
--- /dev/null
+++ b/jackdawridge/__init__.py
@@ -0,0 +1,1 @@
+"""Jackdawridge: a dispatcher for sub-second tasks."""
--- /dev/null
+++ b/jackdawridge/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Thin command-line modules."""
--- /dev/null
+++ b/jackdawridge/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Versioned configuration records kept in the platform's log."""
--- /dev/null
+++ b/jackdawridge/execution/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, starts, leases and adoption at a side."""
--- /dev/null
+++ b/jackdawridge/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Requests passed on to minions, with retries and limits."""
--- /dev/null
+++ b/jackdawridge/logs.py
@@ -0,0 +1,121 @@
+"""JSON-lines logging on top of logbook."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, TextIO
+
+import logbook
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+#: Keys of a decision line, in the order in which they are written.
+DECISION_CHANNELS = ('placement', 'routing')
+
+_LEVELS = ('debug', 'info', 'notice', 'warning', 'error')
+
+
+class JsonLinesHandler(logbook.Handler):  # type: ignore[misc]
+    """Writes each record as one JSON object on one line.
+
+    :param stream: where the lines go.
+    :param level: the lowest level that is written.
+    :param decision_sampling: one in so many decision lines is written.
+    :param node: the name of this process, written on each line.
+    """
+
+    def __init__(
+        self,
+        stream: TextIO,
+        *,
+        level: str = 'info',
+        decision_sampling: int = 1,
+        node: str = '',
+    ) -> None:
+        """Prepare the handler; logbook's `push_application` activates it."""
+        super().__init__(level=logbook.lookup_level(level.upper()))
+        self.stream = stream
+        self.decision_sampling = decision_sampling
+        self.node = node
+        self.decisions = 0
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write one record.
+
+        :param record: the record that logbook hands over.
+        """
+        if record.channel in DECISION_CHANNELS and not self.is_sampled():
+            return
+        line: dict[str, object] = {
+            'time': record.time.isoformat(timespec='milliseconds'),
+            'level': record.level_name.lower(),
+            'node': self.node,
+            'logger': record.channel,
+            'message': record.message,
+        }
+        line.update(record.kwargs)
+        if record.exc_info:
+            line['exception'] = record.formatted_exception
+        encoded = msgspec.json.encode(line, enc_hook=str)
+        self.stream.write('{0}\n'.format(encoded.decode()))
+
+    def is_sampled(self) -> bool:
+        """Count a decision line and return whether it is written."""
+        self.decisions += 1
+        return self.decisions % self.decision_sampling == 0
+
+
+def get_logger(name: str) -> logbook.Logger:
+    """Return the logger of a module.
+
+    :param name: the channel, shown as `logger` on each line.
+    """
+    return logbook.Logger(name)
+
+
+def install(
+    level: str,
+    decision_sampling: int,
+    node: str,
+    stream: TextIO | None = None,
+) -> JsonLinesHandler:
+    """Send all log records of this process to a stream as JSON lines.
+
+    :param level: one of debug, info, notice, warning and error.
+    :param decision_sampling: one in so many decision lines is written.
+    :param node: the name of this process.
+    :param stream: the target, standard error if it is not given.
+    """
+    handler = JsonLinesHandler(
+        stream or sys.stderr,
+        level=level,
+        decision_sampling=decision_sampling,
+        node=node,
+    )
+    handler.push_application()
+    return handler
+
+
+def log_decision(
+    logger: logbook.Logger,
+    step: str,
+    peer: str,
+    reason: str,
+    identifiers: Mapping[str, object],
+) -> None:
+    """Write the line of one placement or routing decision.
+
+    :param logger: a logger whose name is in `DECISION_CHANNELS`.
+    :param step: what was decided, such as `start` or `refuse`.
+    :param peer: the side or minion that was chosen, or an empty string.
+    :param reason: why.
+    :param identifiers: the ids of the work, such as ticket and index.
+    """
+    logger.info(step, step=step, peer=peer, reason=reason, **identifiers)
+
+
+def level_names() -> tuple[str, ...]:
+    """Return the levels that the settings accept, lowest first."""
+    return _LEVELS
--- /dev/null
+++ b/jackdawridge/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entries and sides there are, and which of them answer."""
--- /dev/null
+++ b/jackdawridge/operations/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for operators, metrics and status."""
--- /dev/null
+++ b/jackdawridge/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which side gets which task, and when."""
--- /dev/null
+++ b/jackdawridge/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform's services, for tests and the demo."""
--- /dev/null
+++ b/jackdawridge/submission/__init__.py
@@ -0,0 +1,1 @@
+"""Tickets, jobs, answers and cancellation at an entry."""
--- /dev/null
+++ b/jackdawridge/util/__init__.py
@@ -0,0 +1,1 @@
+"""Leaf helpers without knowledge of the system."""
--- /dev/null
+++ b/jackdawridge/util/clock.py
@@ -0,0 +1,34 @@
+"""The part of the reactor that tells time, which tests pause and advance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class DelayedCall(Protocol):
+    """A call that waits for its time."""
+
+    def active(self) -> bool:
+        """Return whether the call is still waiting."""
+
+    def cancel(self) -> None:
+        """Give the call up."""
+
+
+class Clock(Protocol):
+    """Twisted's reactor, or `twisted.internet.task.Clock` in tests."""
+
+    def seconds(self) -> float:
+        """Return the time in seconds; only differences have a meaning."""
+
+    def callLater(
+        self,
+        delay: float,
+        function: Callable[..., object],
+        /,
+        *args: object,
+    ) -> DelayedCall:
+        """Call a function after a delay in seconds."""
--- /dev/null
+++ b/jackdawridge/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Framed, authenticated messages between the system's processes."""
--- /dev/null
+++ b/jackdawridge/wire/peers.py
@@ -0,0 +1,280 @@
+"""Known peers and the links to them."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.endpoints import (
+    TCP4ClientEndpoint,
+)
+
+from jackdawridge.logs import get_logger
+from jackdawridge.membership.messages import Introduction
+from jackdawridge.wire.link import AcceptingFactory, DialingFactory, LinkContext
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from jackdawridge.application import Application
+    from jackdawridge.wire.handshake import Identity
+    from jackdawridge.wire.link import Link
+
+logger = get_logger('peers')
+
+#: Shortest and longest wait before a lost link is opened again, in seconds.
+REDIAL_FLOOR = 0.1
+REDIAL_CEILING = 3.0
+#: Time for a connection to be established, in seconds.
+CONNECT_TIMEOUT = 3
+
+
+class Peer:
+    """A process at the other end of a link that has introduced itself.
+
+    :param link: the link.
+    :param introduction: what the peer says about itself.
+    """
+
+    def __init__(self, link: Link, introduction: Introduction) -> None:
+        """Keep both."""
+        self.link = link
+        self.introduction = introduction
+        self.name = introduction.node
+        self.identity = (introduction.node, introduction.incarnation)
+
+    def send(self, message: Any) -> bool:
+        """Send a message and return whether the link could take it.
+
+        :param message: an instance of a registered message type.
+        """
+        return self.link.send(message)
+
+
+class Peers:
+    """All links of one process, with the peers behind them.
+
+    Emits `peer_joined` and `peer_left`, each with the `Peer`. When a peer of
+    the same incarnation opens a second link, the first is closed, so that a
+    peer never has two.
+
+    :param application: the process.
+    :param identity: what all processes of the deployment share.
+    :param introduction: what this process says about itself.
+    """
+
+    def __init__(
+        self,
+        application: Application,
+        identity: Identity,
+        introduction: Introduction,
+    ) -> None:
+        """Prepare without listening or dialling."""
+        self.application = application
+        self.introduction = introduction
+        self.context = LinkContext(
+            identity, application.codec, self, application.clock
+        )
+        #: Peers by link.
+        self.by_link: dict[Link, Peer] = {}
+        #: Peers by node and incarnation.
+        self.by_identity: dict[tuple[str, str], Peer] = {}
+
+    def link_opened(self, link: Link) -> None:
+        """Introduce this process.
+
+        :param link: whose handshake is complete.
+        """
+        link.send(self.introduction)
+
+    def message_received(self, link: Link, message: Any) -> None:
+        """Hand a message to the application, or take an introduction.
+
+        :param link: where it came from.
+        :param message: any registered message.
+        """
+        peer = self.by_link.get(link)
+        if isinstance(message, Introduction):
+            self.introduce(link, message)
+        elif peer is None:
+            link.close('message before the introduction')
+        else:
+            self.application.dispatch(peer, message)
+
+    def introduce(self, link: Link, introduction: Introduction) -> None:
+        """Make a peer of a link, which replaces an older link to the same.
+
+        :param link: where the introduction came from.
+        :param introduction: what the peer says about itself.
+        """
+        if link in self.by_link:
+            link.close('second introduction')
+            return
+        peer = Peer(link, introduction)
+        older = self.by_identity.get(peer.identity)
+        if older is not None:
+            self.remove(older)
+            older.link.close('replaced by a newer link')
+        self.by_link[link] = peer
+        self.by_identity[peer.identity] = peer
+        self.application.events.emit('peer_joined', peer)
+
+    def link_closed(self, link: Link, reason: str) -> None:
+        """Forget the peer of a link.
+
+        :param link: the link that has ended.
+        :param reason: for the log.
+        """
+        peer = self.by_link.get(link)
+        if peer is not None:
+            logger.info('link closed', peer=peer.name, reason=reason)
+            self.remove(peer)
+
+    def remove(self, peer: Peer) -> None:
+        """Forget a peer and say so.
+
+        :param peer: a peer of this process.
+        """
+        self.by_link.pop(peer.link, None)
+        if self.by_identity.get(peer.identity) is peer:
+            self.by_identity.pop(peer.identity)
+        self.application.events.emit('peer_left', peer)
+
+    def of_role(self, role: str) -> list[Peer]:
+        """Return the peers of a role.
+
+        :param role: `entry` or `side`.
+        """
+        return [
+            peer
+            for peer in self.by_link.values()
+            if peer.introduction.role == role
+        ]
+
+
+class Listener:
+    """Accepts links; a component.
+
+    :param reactor: Twisted's reactor.
+    :param peers: gets the links.
+    :param address: `ip:port` to listen on.
+    """
+
+    def __init__(self, reactor: Any, peers: Peers, address: str) -> None:
+        """Keep the parts."""
+        self.reactor = reactor
+        self.peers = peers
+        self.address = address
+        self.port: Any = None
+
+    def start(self) -> None:
+        """Listen."""
+        host, _, port = self.address.rpartition(':')
+        factory = AcceptingFactory(self.peers.context)
+        self.port = self.reactor.listenTCP(int(port), factory, interface=host)
+
+    def stop(self) -> Any:
+        """Stop listening and close all links."""
+        for link in tuple(self.peers.context.links):
+            link.close('process stops')
+        return self.port.stopListening()
+
+
+class Connector:
+    """Keeps one link to each of a changing set of addresses; a component.
+
+    :param reactor: Twisted's reactor.
+    :param peers: gets the links.
+    :param seed: of the jitter between attempts.
+    """
+
+    def __init__(self, reactor: Any, peers: Peers, seed: str = '') -> None:
+        """Start without targets."""
+        self.reactor = reactor
+        self.peers = peers
+        self.random = random.Random(seed)
+        self.targets: dict[str, Dialing] = {}
+
+    def start(self) -> None:
+        """Do nothing until there are targets."""
+
+    def aim(self, addresses: Iterable[str]) -> None:
+        """Replace the set of addresses.
+
+        Links to addresses that are no longer in the set are closed.
+
+        :param addresses: of the form `ip:port`.
+        """
+        wanted = set(addresses)
+        for address in set(self.targets) - wanted:
+            self.targets.pop(address).stop()
+        for address in wanted - set(self.targets):
+            dialing = Dialing(self, address)
+            self.targets[address] = dialing
+            dialing.dial()
+
+    def stop(self) -> None:
+        """Close all links and dial no more."""
+        self.aim(())
+
+
+class Dialing:
+    """Opens the link to one address again whenever it ends.
+
+    :param connector: whose target this is.
+    :param address: `ip:port`.
+    """
+
+    def __init__(self, connector: Connector, address: str) -> None:
+        """Prepare the first attempt."""
+        self.connector = connector
+        self.address = address
+        self.delay = REDIAL_FLOOR
+        self.stopped = False
+        self.link: Link | None = None
+        self.timer: Any = None
+
+    def dial(self) -> None:
+        """Try to connect once."""
+        host, _, port = self.address.rpartition(':')
+        endpoint = TCP4ClientEndpoint(
+            self.connector.reactor, host, int(port), timeout=CONNECT_TIMEOUT
+        )
+        factory: Any = DialingFactory(self.connector.peers.context)
+        attempt = endpoint.connect(factory)
+        attempt.addCallbacks(self.connected, self.failed)
+
+    def connected(self, link: Any) -> None:
+        """Follow the link until it ends.
+
+        :param link: whose handshake is about to begin.
+        """
+        self.link = link
+        link.ended.addCallback(self.failed)
+        link.opened.addCallback(self.reset)
+        if self.stopped:
+            link.close('address is no longer wanted')
+
+    def reset(self, _: object) -> None:
+        """Start over with short waits once a handshake succeeded."""
+        self.delay = REDIAL_FLOOR
+
+    def failed(self, reason: object) -> None:
+        """Wait, with jitter, and try again.
+
+        :param reason: why there is no link.
+        """
+        self.link = None
+        if self.stopped:
+            return
+        wait = self.connector.random.uniform(self.delay / 2, self.delay)
+        self.delay = min(self.delay * 2, REDIAL_CEILING)
+        self.timer = self.connector.reactor.callLater(wait, self.dial)
+
+    def stop(self) -> None:
+        """Close the link and dial no more."""
+        self.stopped = True
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        if self.link is not None:
+            self.link.close('address is no longer wanted')
