--- a/jackdawridge/membership/messages.capnp
+++ b/jackdawridge/membership/messages.capnp
@@ -11,4 +11,50 @@
   memory @7 :Float64;
   accelerators @8 :Int64;
   slots @9 :Int64;
+  generation @10 :Int64;
+  version @11 :UInt32;
+  leaving @12 :Bool;
+}
+
+struct Member {
+  node @0 :Text;
+  generation @1 :Int64;
+  incarnation @2 :Text;
+  version @3 :UInt32;
+  state @4 :UInt32;
+  leaving @5 :Bool;
+  role @6 :Text;
+  failureDomain @7 :Text;
+  address @8 :Text;
+  service @9 :Text;
+}
+
+struct Gossip {
+  members @0 :List(Member);
+}
+
+struct Probe {
+  number @0 :UInt32;
+  digest @1 :UInt64;
+  members @2 :List(Member);
+}
+
+struct ProbeReply {
+  number @0 :UInt32;
+  digest @1 :UInt64;
+  members @2 :List(Member);
+}
+
+struct ProbeRequest {
+  number @0 :UInt32;
+  node @1 :Text;
+}
+
+struct SyncRequest {
+  digest @0 :UInt64;
+}
+
+struct TablePart {
+  content @0 :Data;
+  final @1 :Bool;
 }
--- /dev/null
+++ b/tests/test_membership/test_detector.py
@@ -0,0 +1,73 @@
+"""Tests of the detection of members that do not answer."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jackdawridge.membership.detector import Prober, Watch, is_cut_off
+
+ENTRIES = ('e1', 'e2', 'e3')
+
+
+class TestProber:
+    @given(st.integers(1, 60), st.text(max_size=5))
+    def test_each_is_probed_once_in_a_round(self, size: int, seed: str) -> None:
+        nodes = [f'e{number}' for number in range(size)]
+        prober = Prober(seed)
+        targets = []
+        for _ in nodes:
+            period = prober.advance(nodes)
+            targets.append(period.target)
+            prober.answered(period.number)
+        assert sorted(targets) == sorted(nodes)
+
+    def test_silence_fails_after_indirect_probes(self) -> None:
+        prober = Prober('')
+        first = prober.advance(ENTRIES)
+        second = prober.advance(ENTRIES)
+        assert [node for node, _ in second.indirect] == [first.target]
+        third = prober.advance(ENTRIES)
+        assert third.failed == (first.target,)
+
+    def test_late_answer_clears_the_failure(self) -> None:
+        prober = Prober('')
+        first = prober.advance(ENTRIES)
+        prober.advance(ENTRIES)
+        prober.answered(first.number)
+        assert not prober.advance(ENTRIES).failed
+
+    def test_answer_through_another_clears_the_failure(self) -> None:
+        prober = Prober('')
+        prober.advance(ENTRIES)
+        second = prober.advance(ENTRIES)
+        prober.answered(second.indirect[0][1])
+        assert not prober.advance(ENTRIES).failed
+
+    def test_relayed_answer_goes_to_its_origin(self) -> None:
+        prober = Prober('')
+        number = prober.relay('e2', 17)
+        relay = prober.answered(number)
+        assert relay is not None
+        assert (relay.origin, relay.number) == ('e2', 17)
+        assert prober.answered(number) is None
+
+
+class TestWatch:
+    def test_silent_peer_is_reported(self) -> None:
+        watch = Watch(3)
+        silent = [
+            watch.check({'s1': second, 's2': 5}, second) for second in range(5)
+        ]
+        assert silent == [[], [], [], ['s2'], ['s2']]
+
+    def test_own_pause_counts_for_nobody(self) -> None:
+        watch = Watch(3)
+        watch.check({'s1': 5}, 0)
+        assert not watch.check({'s1': 5}, 100)
+        assert not watch.check({'s1': 5}, 101)
+
+    def test_silence_of_nearly_all_is_blamed_on_oneself(self) -> None:
+        assert is_cut_off(silent=10, watched=10)
+        assert not is_cut_off(silent=5, watched=10)
+        assert not is_cut_off(silent=1, watched=1)
--- /dev/null
+++ b/tests/test_membership/test_state.py
@@ -0,0 +1,235 @@
+"""Tests of the table of members."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jackdawridge.membership.gossip import MAX_QUEUED, GossipQueue
+from jackdawridge.membership.messages import Member, State
+from jackdawridge.membership.state import Table, Timing
+from tests.test_membership.records import make_member
+
+NODES = ('e1', 'e2', 'e3', 'e4')
+TIMING = Timing(suspicion=5, join_grace=30)
+STEPS = st.sampled_from(('gossip', 'suspect', 'expire', 'restart', 'leave'))
+LONG = 1000.0
+
+
+class Network:
+    """Tables that exchange news over a network that loses and reorders."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now = self.random.random()
+        self.births = dict.fromkeys(NODES, 0)
+        self.tables: dict[str, Table] = {}
+        self.wire: list[tuple[str, Member]] = []
+        for node in NODES:
+            self.restart(node)
+
+    def restart(self, node: str) -> None:
+        """Replace a process, whose clock and memory are new and empty."""
+        self.births[node] += 1
+        generation = self.random.randrange(1, 4)
+        incarnation = f'{self.random.randrange(9)}-{self.births[node]}'
+        own = make_member(node, incarnation, generation=generation)
+        self.tables[node] = Table(own, TIMING, self.now)
+        self.join(node)
+
+    def join(self, node: str) -> None:
+        """Introduce a process to another, which tells all that it knows."""
+        others = [name for name in self.tables if name != node]
+        if others:
+            self.sync(node, self.random.choice(others))
+
+    def sync(self, first: str, second: str) -> None:
+        for source, target in ((first, second), (second, first)):
+            for member in tuple(self.tables[source].members.values()):
+                self.tables[target].merge(member, self.now)
+
+    def step(self, kind: str) -> None:
+        self.now += self.random.random()
+        node = self.random.choice(NODES)
+        other = self.random.choice(NODES)
+        table = self.tables[node]
+        if kind == 'restart':
+            self.restart(node)
+        elif kind == 'leave':
+            table.leave(self.now)
+        elif kind == 'expire':
+            self.now += 3
+            table.expire(self.now)
+        elif kind == 'suspect':
+            table.suspect(other, self.now)
+        else:
+            self.gossip(table, other)
+
+    def gossip(self, table: Table, target: str) -> None:
+        for member in table.queue.take(len(NODES)):
+            copies = self.random.randrange(3)
+            self.wire.extend((target, member) for _ in range(copies))
+        self.random.shuffle(self.wire)
+        for _ in range(len(self.wire) // 2):
+            receiver, member = self.wire.pop()
+            self.tables[receiver].merge(member, self.now)
+
+    def settle(self) -> None:
+        """Let everybody exchange what they know until nothing is news."""
+        for _ in range(4):
+            for first in NODES:
+                for second in NODES:
+                    self.sync(first, second)
+
+
+class TestConvergence:
+    @settings(max_examples=150)
+    @given(st.lists(STEPS, max_size=60), st.integers(0, 10**6))
+    def test_tables_agree_on_the_living(
+        self, steps: list[str], seed: int
+    ) -> None:
+        network = Network(seed)
+        for kind in steps:
+            network.step(kind)
+        network.settle()
+        living = {table.own for table in network.tables.values()}
+        for table in network.tables.values():
+            assert not table.superseded
+            assert set(table.members.values()) == living
+            assert table.digest == network.tables['e1'].digest
+
+    @given(st.lists(st.sampled_from(State), max_size=6), st.randoms())
+    def test_order_does_not_matter(
+        self, states: list[State], shuffler: random.Random
+    ) -> None:
+        members = [
+            make_member('e2', run, version=version, state=int(state))
+            for run in ('a', 'b')
+            for version, state in enumerate(states)
+        ]
+        tables = []
+        for _ in range(2):
+            shuffler.shuffle(members)
+            table = Table(make_member('e1'), TIMING, 0)
+            for member in members + members:
+                table.merge(member, 0)
+            tables.append(table)
+        assert tables[0].members == tables[1].members
+        assert tables[0].digest == tables[1].digest
+
+
+class TestTable:
+    def test_older_run_never_comes_back(self) -> None:
+        table = Table(make_member('e1'), TIMING, 0)
+        newer = make_member('e2', 'new', generation=2)
+        table.merge(newer, 0)
+        older = make_member('e2', 'old', version=99)
+        assert table.merge(older, 1) is None
+        left = newer._replace(state=int(State.left), leaving=True)
+        assert table.merge(left, 2) is left
+        assert table.merge(older, 3) is None
+        assert table.merge(newer._replace(version=50), 3) is None
+
+    def test_paused_older_run_finds_itself_superseded(self) -> None:
+        table = Table(make_member('e1', 'old'), TIMING, 0)
+        assert table.merge(make_member('e1', 'new', generation=2), LONG) is None
+        assert table.superseded
+
+    def test_newcomer_outranks_its_earlier_run(self) -> None:
+        table = Table(make_member('e1', 'new'), TIMING, 0)
+        earlier = make_member('e1', 'old', generation=7, state=int(State.dead))
+        own = table.merge(earlier, 1)
+        assert own is not None
+        assert own.precedence() > earlier.precedence()
+        assert own.incarnation == 'new'
+
+    def test_suspect_is_dead_unless_it_refutes(self) -> None:
+        table = Table(make_member('e1'), TIMING, 0)
+        table.merge(make_member('e2'), 0)
+        table.merge(make_member('e3'), 0)
+        table.suspect('e2', 1)
+        table.suspect('e3', 1)
+        table.merge(make_member('e3', version=1), 2)
+        assert [member.node for member in table.expire(6)] == ['e2']
+        table.merge(make_member('e2', version=1), 7)
+        assert table.members['e2'].state == State.alive
+
+    def test_own_suspicion_is_refuted(self) -> None:
+        table = Table(make_member('e1'), TIMING, 0)
+        claim = make_member('e1', version=4, state=int(State.dead))
+        own = table.merge(claim, 0)
+        assert own == make_member('e1', version=5)
+
+    def test_tombstones_are_dropped_in_time(self) -> None:
+        table = Table(make_member('e1'), TIMING, 0)
+        table.merge(make_member('e2', state=int(State.left)), 0)
+        table.expire(TIMING.retention + 1)
+        assert 'e2' not in table.members
+
+    def test_malformed_record_is_dropped(self) -> None:
+        table = Table(make_member('e1'), TIMING, 0)
+        assert table.merge(make_member('e2', role='judge'), 0) is None
+        assert table.merge(make_member('e2', state=9), 0) is None
+        assert table.merge(make_member('e2', service='x' * 999), 0) is None
+
+
+class TestGone:
+    def make_table(self) -> Table:
+        table = Table(make_member('e1'), TIMING, 0)
+        table.merge(make_member('e2', 'old'), 0)
+        return table
+
+    def test_unreachable_run_is_not_gone(self) -> None:
+        table = self.make_table()
+        table.suspect('e2', 1)
+        assert not table.is_gone('127.0.0.1:2', 'old', 5)
+        table.expire(10)
+        assert not table.is_gone('127.0.0.1:2', 'old', 11)
+
+    def test_run_that_is_dead_for_long_is_gone(self) -> None:
+        table = self.make_table()
+        table.suspect('e2', 1)
+        table.expire(10)
+        table.expire(100)
+        assert table.is_gone('127.0.0.1:2', 'old', 100)
+        assert [run.incarnation for run in table.runs.reports] == ['old']
+
+    def test_replaced_run_is_gone(self) -> None:
+        table = self.make_table()
+        table.merge(make_member('e2', 'new', generation=2), 1)
+        assert table.is_gone('127.0.0.1:2', 'old', 1)
+        assert not table.is_gone('127.0.0.1:2', 'new', 1)
+
+    def test_run_that_left_is_gone(self) -> None:
+        table = self.make_table()
+        table.merge(make_member('e2', 'old', state=int(State.left)), 1)
+        assert table.is_gone('127.0.0.1:2', 'old', 1)
+
+    def test_unknown_run_may_be_one_not_heard_of_yet(self) -> None:
+        table = self.make_table()
+        assert not table.is_gone('127.0.0.1:2', 'new', 500)
+        assert not table.is_gone('127.0.0.1:9', 'new', 500)
+        assert table.is_gone('127.0.0.1:2', 'new', 511)
+        assert not table.is_gone('127.0.0.1:9', 'new', 511)
+        assert table.is_gone('127.0.0.1:9', 'new', 561)
+
+
+class TestGossipQueue:
+    @given(st.integers(1, 5000))
+    def test_news_is_passed_on_a_logarithmic_number_of_times(
+        self, population: int
+    ) -> None:
+        queue = GossipQueue()
+        queue.put(make_member('e2'))
+        times = 0
+        while queue.take(population):
+            times += 1
+        assert times <= 3 * (population.bit_length() + 2)
+
+    def test_queue_is_bounded(self) -> None:
+        queue = GossipQueue()
+        for number in range(MAX_QUEUED + 100):
+            queue.put(make_member(f'e{number}'))
+        assert len(queue.members) == len(queue.counts) == MAX_QUEUED
