Add stand-ins for the platform and a fault proxy

Cause: tests, the demo and the benchmarks need workers, minions and a log service that fail on demand, and a record of starts that is not ours.

Each runs in-process or as a process, with faults over HTTP.

--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes for tests."""
--- /dev/null
+++ b/tests/processes/http.py
@@ -0,0 +1,64 @@
+"""Synchronous JSON over HTTP for tests."""
+
+from __future__ import annotations
+
+import http.client
+import json
+from typing import Any, NamedTuple
+
+#: Time after which a test gives an answer up, in seconds.
+TIMEOUT = 30
+
+
+class Reply(NamedTuple):
+    """An answer."""
+
+    status: int
+    #: Parsed JSON, or the text if it is none.
+    body: Any
+    headers: dict[str, str]
+
+
+def request(
+    address: str,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = TIMEOUT,
+) -> Reply:
+    """Send one request on a connection of its own and return the answer.
+
+    :raises OSError: if there is no answer.
+    :raises http.client.HTTPException: if the connection was cut.
+    """
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        return exchange(connection, method, path, body, headers)
+    finally:
+        connection.close()
+
+
+def exchange(
+    connection: http.client.HTTPConnection,
+    method: str,
+    path: str,
+    body: Any,
+    headers: dict[str, str] | None = None,
+) -> Reply:
+    """Send one request on a connection and return the answer."""
+    data = None if body is None else json.dumps(body)
+    fields = {'Content-Type': 'application/json', **(headers or {})}
+    connection.request(method, path, data, fields)
+    response = connection.getresponse()
+    text = response.read()
+    names = {name.lower(): value for name, value in response.getheaders()}
+    return Reply(response.status, parse(text), names)
+
+
+def parse(text: bytes) -> Any:
+    """Return parsed JSON, or the text if it is none."""
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text.decode(errors='replace')
--- /dev/null
+++ b/tests/test_standins/test_services.py
@@ -0,0 +1,232 @@
+"""Tests of the stand-ins as processes, through their interfaces."""
+
+from __future__ import annotations
+
+import base64
+import http.client
+import json
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.processes.http import request
+from tests.processes.process import Process
+
+pytestmark = pytest.mark.processes
+
+Start = Callable[..., dict[str, Any]]
+
+
+@pytest.fixture
+def start(tmp_path: Path) -> Iterator[Start]:
+    processes = []
+
+    def run(*arguments: str) -> dict[str, Any]:
+        process = Process(
+            arguments[0],
+            ['jackdawridge.cmd.standin', 'standin', *arguments],
+            tmp_path / 'log',
+        )
+        processes.append(process)
+        return process.wait_ready()
+
+    yield run
+    for process in processes:
+        process.close()
+
+
+#: Just under the delay of a test, in seconds.
+SHORTEST = 0.19
+
+
+def make_order(name: str, **behaviour: Any) -> dict[str, Any]:
+    payload = base64.b64encode(json.dumps(behaviour).encode()).decode()
+    return {
+        'id': name,
+        'kind': 'k',
+        'payload': payload,
+        'cores': 1,
+        'memory': 1,
+        'accelerators': 0,
+        'lease': 10,
+    }
+
+
+def read_events(address: str, count: int) -> list[dict[str, Any]]:
+    connection = http.client.HTTPConnection(address, timeout=10)
+    connection.request('GET', '/v1/events?after=0')
+    response = connection.getresponse()
+    events: list[dict[str, Any]] = []
+    while len(events) < count:
+        line = response.readline().strip()
+        if line.startswith(b'{"number"'):
+            events.append(json.loads(line))
+    connection.close()
+    return events
+
+
+class TestWorker:
+    def test_tasks_start_end_and_are_forgotten(self, start: Start) -> None:
+        worker = start('worker', '--failure-domain', 'Soweto')['address']
+        orders = [make_order(f't|{task}|1', answer='a') for task in range(3)]
+        reply = request(worker, 'POST', '/v1/tasks', {'tasks': orders})
+        states = [result['state'] for result in reply.body['results']]
+        assert states == ['running', 'running', 'running']
+        events = read_events(worker, 3)
+        assert [event['number'] for event in events] == [1, 2, 3]
+        assert base64.b64decode(events[0]['answer']) == b'a'
+        request(worker, 'POST', '/v1/tasks/forget', {'through': 2})
+        listed = request(worker, 'GET', '/v1/tasks').body
+        assert listed['event'] == 3
+        assert [task['id'] for task in listed['tasks']] == ['t|2|1']
+        record = request(worker, 'GET', '/record').body
+        assert record['failure_domain'] == 'Soweto'
+        assert len(record['starts']) == len(record['ends']) == 3
+
+    def test_lost_answer_after_the_deed(self, start: Start) -> None:
+        worker = start('worker')['address']
+        request(worker, 'POST', '/faults', {'lose_answers': 1})
+        body = {'tasks': [make_order('t|0|1', seconds=9)]}
+        with pytest.raises((OSError, http.client.HTTPException)):
+            request(worker, 'POST', '/v1/tasks', body)
+        request(worker, 'POST', '/faults', {'lose_answers': 0})
+        listed = request(worker, 'GET', '/v1/tasks').body
+        assert [task['state'] for task in listed['tasks']] == ['running']
+
+    def test_killed_worker_keeps_its_record(self, start: Start) -> None:
+        worker = start('worker')['address']
+        body = {'tasks': [make_order('t|0|1', seconds=9)]}
+        request(worker, 'POST', '/v1/tasks', body)
+        request(worker, 'POST', '/faults', {'kill': True})
+        with pytest.raises((OSError, http.client.HTTPException)):
+            request(worker, 'GET', '/v1/tasks')
+        request(worker, 'POST', '/faults', {'kill': False})
+        assert not request(worker, 'GET', '/v1/tasks').body['tasks']
+        record = request(worker, 'GET', '/record').body
+        assert [end['state'] for end in record['ends']] == ['lost']
+
+    def test_unknown_fault_is_refused(self, start: Start) -> None:
+        worker = start('worker')['address']
+        reply = request(worker, 'POST', '/faults', {'lose': 1})
+        assert reply.status == 400
+        assert 'lose_answers' in reply.body['error']
+
+
+class TestLog:
+    def test_append_and_read(self, start: Start) -> None:
+        log = start('log')['address']
+        path = '/v1/streams/s/records'
+        for number in range(3):
+            reply = request(log, 'POST', path, {'n': number})
+            assert reply.body == {'offset': number}
+        body = request(log, 'GET', f'{path}?from=1&limit=1').body
+        assert body['records'] == [{'offset': 1, 'record': {'n': 1}}]
+        assert (body['first'], body['next']) == (0, 3)
+
+    def test_read_waits(self, start: Start) -> None:
+        log = start('log')['address']
+        begin = time.monotonic()
+        path = '/v1/streams/s/records?from=0&wait=0.2'
+        assert not request(log, 'GET', path).body['records']
+        waited = time.monotonic() - begin
+        assert waited > SHORTEST
+
+    def test_outage_refuses(self, start: Start) -> None:
+        log = start('log')['address']
+        request(log, 'POST', '/faults', {'outage': True})
+        path = '/v1/streams/s/records'
+        assert request(log, 'POST', path, {}).status == 503
+        assert request(log, 'GET', path).status == 503
+        request(log, 'POST', '/faults', {'outage': False})
+        assert request(log, 'POST', path, {}).status == 200
+
+    def test_body_that_is_no_json_is_refused(self, start: Start) -> None:
+        log = start('log')['address']
+        connection = http.client.HTTPConnection(log, timeout=10)
+        connection.request('POST', '/v1/streams/s/records', b'{')
+        assert connection.getresponse().status == 400
+        connection.close()
+
+
+class TestMinion:
+    def test_answers_and_records(self, start: Start) -> None:
+        minion = start('minion')['address']
+        headers = {'X-Request-Id': 'r1'}
+        reply = request(
+            minion, 'POST', '/any', {'answer': 'yes'}, headers=headers
+        )
+        assert (reply.status, reply.body) == (200, 'yes')
+        assert reply.headers['x-request-id'] == 'r1'
+        reply = request(minion, 'GET', '/?seconds=0.01&answer=no&size=4')
+        assert reply.body == 'nono'
+        record = request(minion, 'GET', '/record').body
+        assert [begun['id'] for begun in record['starts']] == ['r1', '']
+
+    def test_failing_minion(self, start: Start) -> None:
+        minion = start('minion')['address']
+        request(minion, 'POST', '/faults', {'fail': 1})
+        assert request(minion, 'GET', '/').status == 500
+
+
+class TestProxy:
+    @pytest.fixture
+    def proxied(self, start: Start) -> tuple[str, str]:
+        minion = start('minion')['address']
+        proxy = start('proxy', minion)
+        return proxy['address'], proxy['control']
+
+    def test_passes(self, proxied: tuple[str, str]) -> None:
+        address, _ = proxied
+        reply = request(address, 'GET', '/?answer=yes')
+        assert reply.body == 'yes'
+
+    def test_delay(self, proxied: tuple[str, str]) -> None:
+        address, control = proxied
+        request(control, 'POST', '/faults', {'delay': 0.1})
+        begin = time.monotonic()
+        assert request(address, 'GET', '/?answer=yes').body == 'yes'
+        waited = time.monotonic() - begin
+        assert waited > SHORTEST
+
+    @pytest.mark.parametrize('mode', ['freeze', 'refuse'])
+    def test_nothing_passes(self, proxied: tuple[str, str], mode: str) -> None:
+        address, control = proxied
+        request(control, 'POST', '/faults', {'mode': mode})
+        with pytest.raises((OSError, http.client.HTTPException)):
+            request(address, 'GET', '/', timeout=0.3)
+        request(control, 'POST', '/faults', {})
+        assert request(address, 'GET', '/').status == 200
+
+    @pytest.mark.parametrize(('direction', 'starts'), [('up', 0), ('down', 1)])
+    def test_one_direction_is_lost(
+        self, proxied: tuple[str, str], direction: str, starts: int
+    ) -> None:
+        address, control = proxied
+        request(control, 'POST', '/faults', {'drop': direction})
+        with pytest.raises(OSError, match='timed out'):
+            request(address, 'GET', '/', timeout=0.3)
+        request(control, 'POST', '/faults', {})
+        record = request(address, 'GET', '/record').body
+        assert len(record['starts']) == starts
+
+    def test_cut_after_bytes(self, proxied: tuple[str, str]) -> None:
+        address, control = proxied
+        request(control, 'POST', '/faults', {'cut_after': 10})
+        with pytest.raises((OSError, http.client.HTTPException)):
+            request(address, 'GET', '/')
+        request(control, 'POST', '/faults', {})
+        record = request(address, 'GET', '/record').body
+        assert not record['starts']
+
+    def test_frozen_connection_goes_on(self, proxied: tuple[str, str]) -> None:
+        address, control = proxied
+        connection = http.client.HTTPConnection(address, timeout=10)
+        connection.request('GET', '/?seconds=0.2&answer=late')
+        request(control, 'POST', '/faults', {'mode': 'freeze'})
+        time.sleep(0.3)
+        request(control, 'POST', '/faults', {})
+        assert connection.getresponse().read() == b'late'
+        connection.close()
