Place queued tasks by known room, fair share and health

Cause: an entry needs a decision about each queued task that can be tested without processes.

Change: a pure Placer that takes the time as an argument. Teams share by weight and within quotas; jobs of a team are ordered by arrival plus twice their ideal time, so that a short job is not held up by a long one; sizes and run times are learned per kind, as values or as factors of what is declared, whichever varies less; sides that fail, lag or return get a smaller part. Random, round-robin and least-known-load stand behind the same Protocol.

Conclusion: property tests hold for room, quota, work conservation, cancellation and the bound on limited sides.

--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -329,6 +329,12 @@
     number_row('heartbeat', _BOTH, 1.0, (0.05, 10), 'seconds'),
     number_row('send_window', _SIDE, 3.0, (0.2, 60), 'seconds'),
     number_row('task_lease', _BOTH, 6.0, (0.5, 120), 'seconds'),
+    text_row(
+        'policy',
+        _ENTRY,
+        default='room',
+        choices=('room', 'random', 'round-robin', 'least-load'),
+    ),
     number_row('answer_retention', _ENTRY, 600.0, (1, 86400), 'seconds'),
     number_row('answer_limit', _ENTRY, 20000, (1, 10000000), 'answers'),
     number_row('job_limit', _ENTRY, 20000, (1, 10000000), 'open jobs'),
--- /dev/null
+++ b/jackdawridge/placement/fleet.py
@@ -0,0 +1,218 @@
+"""The sides of an entry, and what changes their part of the work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jackdawridge.placement.health import FleetHealth
+from jackdawridge.placement.view import NOTHING, Amount, Side, SideInfo
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from jackdawridge.execution.messages import Offer, Room
+    from jackdawridge.placement.learning import Need
+    from jackdawridge.placement.request import Request
+
+#: Wait after a refusal that is not for lack of room, in seconds.
+REFUSAL_WAIT = 0.2
+
+
+class Fleet:
+    """Keeps the view of each side current."""
+
+    def __init__(self) -> None:
+        """Begin without sides."""
+        self.sides: dict[str, Side] = {}
+        self.open_sides: list[Side] = []
+        self.out_of_service: set[str] = set()
+        self.draining: set[str] = set()
+        self.health = FleetHealth()
+        #: What the open sides have together.
+        self.capacity = NOTHING
+        #: One side for each size of worker that was ever known.
+        self.shapes: list[SideInfo] = []
+
+    def side_joined(self, side_id: str, info: SideInfo, now: float) -> None:
+        """Take in a side; it gets no work until it reports room.
+
+        :param side_id: identifies the side, anew after it restarted.
+        :param info: what the side says about itself.
+        :param now: the time.
+        """
+        side = Side(side_id, info)
+        side.ramp_from = now
+        self.sides[side_id] = side
+        if all(info[1:] != shape[1:] for shape in self.shapes):
+            self.shapes.append(info)
+        self.refresh()
+
+    def side_left(self, side_id: str) -> None:
+        """Forget a side whose link has ended.
+
+        What was placed there stays reserved until it is reported as ended,
+        refused or lost.
+
+        :param side_id: identifies the side.
+        """
+        self.sides.pop(side_id, None)
+        self.draining.discard(side_id)
+        self.health.forget(side_id)
+        self.refresh()
+
+    def side_draining(self, side_id: str) -> None:
+        """Send no more work to a side that is leaving.
+
+        :param side_id: identifies the side.
+        """
+        if side_id not in self.draining:
+            self.draining.add(side_id)
+            self.refresh()
+
+    def side_reported(
+        self, side_id: str, room: Room, processed: int, now: float
+    ) -> None:
+        """Take in the room that a side reports.
+
+        :param side_id: identifies the side.
+        :param room: as of the last batch that the side has handled.
+        :param processed: number of that batch.
+        :param now: the time.
+        """
+        side = self.sides.get(side_id)
+        if side is not None:
+            side.report(room, processed, now)
+
+    def domain_changed(
+        self, failure_domain: str, in_service: bool, now: float
+    ) -> None:
+        """Take a failure domain out of service, or back in with a ramp.
+
+        :param failure_domain: its name.
+        :param in_service: whether work may be placed there.
+        :param now: the time.
+        """
+        was_in_service = failure_domain not in self.out_of_service
+        if in_service == was_in_service:
+            return
+        if in_service:
+            self.out_of_service.discard(failure_domain)
+            self.ramp_up(failure_domain, now)
+        else:
+            self.out_of_service.add(failure_domain)
+        self.refresh()
+
+    def ramp_up(self, failure_domain: str, now: float) -> None:
+        """Begin the ramp of the sides of a failure domain.
+
+        :param failure_domain: its name.
+        :param now: the time.
+        """
+        for side in self.sides.values():
+            if side.info.failure_domain == failure_domain:
+                side.ramp_from = now
+                side.closed_until = float('-inf')
+
+    def offer_received(self, side_id: str, offer: Offer, now: float) -> None:
+        """Take in room that a side holds for this entry.
+
+        :param side_id: identifies the side.
+        :param offer: what is held.
+        :param now: the time.
+        """
+        side = self.sides.get(side_id)
+        if side is not None:
+            side.offered(offer)
+            side.reported_at = now
+
+    def refresh(self) -> None:
+        """Decide again which sides take work."""
+        for side in self.sides.values():
+            side.is_open = self.may_open(side)
+        self.open_sides = list(filter(is_open, self.sides.values()))
+        self.capacity = sum_of(usable.info for usable in self.open_sides)
+
+    def may_open(self, side: Side) -> bool:
+        """Return whether a side stays and its failure domain is in service.
+
+        :param side: the side.
+        """
+        if side.side_id in self.draining:
+            return False
+        return side.info.failure_domain not in self.out_of_service
+
+    def dominant_share(self, need: Need) -> float:
+        """Return the largest part of the room that a task takes.
+
+        :param need: the estimate for the task.
+        """
+        cores, memory, accelerators = self.capacity
+        return max(
+            need.cores / max(cores, 1),
+            need.memory / max(memory, 1),
+            need.accelerators / max(accelerators, 1),
+        )
+
+    def judge(self, side_id: str) -> None:
+        """Apply the health of a side to its part of the work.
+
+        :param side_id: identifies the side.
+        """
+        side = self.sides.get(side_id)
+        if side is None:
+            return
+        verdict = self.health.judge(side_id, len(self.open_sides))
+        if side.is_limited and not verdict.is_limited:
+            side.closed_until = float('-inf')
+        side.is_limited = verdict.is_limited
+        side.slowness = verdict.slowness
+        side.closed_until = max(side.closed_until, verdict.closed_until)
+
+    def ever_fits(self, need: Need) -> bool:
+        """Return whether a task fits any worker that was ever known.
+
+        :param need: the estimate for the task.
+        """
+        return any(
+            need.cores <= info.cores
+            and need.memory <= info.memory
+            and need.accelerators <= info.accelerators
+            for info in self.shapes
+        )
+
+    def cap(self, need: Need, request: Request) -> Need:
+        """Limit an estimate to a worker that fits what was declared.
+
+        :param need: the estimate for the task.
+        :param request: the task.
+        """
+        if not self.shapes or self.ever_fits(need):
+            return need
+        for info in self.shapes:
+            if request.accelerators <= info.accelerators and (
+                request.cores <= info.cores and request.memory <= info.memory
+            ):
+                return need._replace(
+                    cores=min(need.cores, info.cores),
+                    memory=min(need.memory, info.memory),
+                )
+        return need
+
+
+def is_open(side: Side) -> bool:
+    """Return whether a side takes new work.
+
+    :param side: the side.
+    """
+    return side.is_open
+
+
+def sum_of(infos: Iterable[SideInfo]) -> Amount:
+    """Return what workers have together.
+
+    :param infos: what their sides say about them.
+    """
+    amount = NOTHING
+    for info in infos:
+        amount = amount.plus(Amount(info.cores, info.memory, info.accelerators))
+    return amount
--- /dev/null
+++ b/jackdawridge/placement/learning.py
@@ -0,0 +1,198 @@
+"""Sizes and run times of tasks, learned for each kind of task."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+from jackdawridge.placement.sketch import SMALLEST, Sketch
+
+if TYPE_CHECKING:
+    from jackdawridge.placement.request import Request
+
+#: Kinds that are remembered; the least recently observed is forgotten.
+MAX_KINDS = 2000
+
+#: Observations between two evaluations of a sketch.
+REFRESH = 8
+
+#: Part that is added to a high value from a single observation.
+SMALL_SAMPLE_MARGIN = 0.3
+
+#: Quantile of the memory that is reserved.
+MEMORY_QUANTILE = 0.9
+
+#: Quantile of the run time after which a task counts as late.
+LATE_QUANTILE = 0.95
+
+#: Smallest amount of cores that is reserved.
+MIN_CORES = 0.01
+
+
+class Usage(NamedTuple):
+    """What a task that has ended was seen to use; 0 where nothing was seen."""
+
+    cores: float
+    #: In MB.
+    memory: float
+    #: In seconds.
+    run_time: float
+
+
+class Need(NamedTuple):
+    """Estimate of what a task will use."""
+
+    cores: float
+    #: In MB.
+    memory: float
+    accelerators: int
+    #: Mean run time in seconds.
+    run_time: float
+    #: Run time in seconds that few tasks exceed.
+    late: float
+
+
+class Estimate(NamedTuple):
+    """An evaluated sketch."""
+
+    #: Whether the values are factors of what is declared.
+    is_ratio: bool
+    typical: float
+    high: float
+
+    def scale(self, declared: float) -> tuple[float, float]:
+        """Return the typical and the high value for a task.
+
+        :param declared: what the caller declared.
+        """
+        if self.is_ratio:
+            base = max(declared, SMALLEST)
+            return self.typical * base, self.high * base
+        return self.typical, self.high
+
+
+class Measure:
+    """Learns one quantity of one kind of task.
+
+    Callers' declarations may be useless, off by a constant factor, or right.
+    So both the value and its ratio to the declared value are kept, and the
+    one that varies less is used.
+
+    :param high: quantile that is reported as the high value.
+    """
+
+    def __init__(self, high: float) -> None:
+        """Start without observations."""
+        self.high = high
+        self.count = 0
+        self.values = Sketch()
+        self.ratios = Sketch()
+        self.estimate: Estimate | None = None
+
+    def observe(self, declared: float, used: float) -> None:
+        """Learn from a task that has ended.
+
+        :param declared: what the caller declared.
+        :param used: what the task used.
+        """
+        self.count += 1
+        self.values.observe(used)
+        self.ratios.observe(used / max(declared, SMALLEST))
+        if self.count < REFRESH or self.count % REFRESH == 0:
+            self.estimate = self.evaluate()
+
+    def evaluate(self) -> Estimate:
+        """Return the estimate from what has been observed."""
+        is_ratio = self.ratios.spread() < self.values.spread()
+        sketch = self.ratios if is_ratio else self.values
+        margin = 1 + SMALL_SAMPLE_MARGIN / math.sqrt(self.count)
+        high = sketch.quantile(self.high) * margin
+        typical = sketch.mean()
+        return Estimate(is_ratio, typical, max(typical, high))
+
+    def scale(self, declared: float) -> tuple[float, float]:
+        """Return the typical and the high value for a task.
+
+        :param declared: what the caller declared; used until there are
+            observations.
+        """
+        if self.estimate is None:
+            return declared, declared
+        return self.estimate.scale(declared)
+
+
+class Kind:
+    """What is known about one kind of task."""
+
+    def __init__(self) -> None:
+        """Start without observations."""
+        self.cores = Measure(MEMORY_QUANTILE)
+        self.memory = Measure(MEMORY_QUANTILE)
+        self.run_time = Measure(LATE_QUANTILE)
+
+    def observe(self, request: Request, usage: Usage) -> None:
+        """Learn from a task that has ended.
+
+        :param request: what was asked for.
+        :param usage: what was used.
+        """
+        if usage.cores > 0:
+            self.cores.observe(request.cores, usage.cores)
+        if usage.memory > 0:
+            self.memory.observe(request.memory, usage.memory)
+        if usage.run_time > 0:
+            self.run_time.observe(request.run_time, usage.run_time)
+
+
+class Learner:
+    """Estimates the need of tasks."""
+
+    def __init__(self) -> None:
+        """Start without any kind."""
+        self.kinds: dict[str, Kind] = {}
+
+    def observe(self, request: Request, usage: Usage) -> None:
+        """Learn from a task that has ended.
+
+        :param request: what was asked for.
+        :param usage: what was used.
+        """
+        kind = self.kinds.get(request.kind)
+        if kind is None:
+            kind = Kind()
+            self.kinds[request.kind] = kind
+            if len(self.kinds) > MAX_KINDS:
+                self.kinds.pop(next(iter(self.kinds)))
+        kind.observe(request, usage)
+
+    def need(self, request: Request) -> Need:
+        """Return the estimate for a task.
+
+        :param request: what is asked for.
+        """
+        kind = self.kinds.get(request.kind)
+        if kind is None:
+            return Need(
+                max(request.cores, MIN_CORES),
+                request.memory,
+                request.accelerators,
+                request.run_time,
+                request.run_time,
+            )
+        cores, _ = kind.cores.scale(request.cores)
+        _, memory = kind.memory.scale(request.memory)
+        run_time, late = kind.run_time.scale(request.run_time)
+        return Need(
+            max(cores, MIN_CORES),
+            memory,
+            request.accelerators,
+            run_time,
+            late,
+        )
+
+    def knows(self, kind: str) -> bool:
+        """Return whether tasks of a kind have been observed.
+
+        :param kind: the kind of task.
+        """
+        return kind in self.kinds
--- /dev/null
+++ b/jackdawridge/placement/placer.py
@@ -0,0 +1,214 @@
+"""Decides which queued task starts at which side, and when."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from jackdawridge.placement.admission import QueueBounds
+from jackdawridge.placement.policies import POLICIES, Policy
+from jackdawridge.placement.queues import Job, Standing, TeamLimits
+from jackdawridge.placement.request import Impossible, Key, Overload
+from jackdawridge.placement.rounds import Asking, Round
+from jackdawridge.placement.tracking import Tracking
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from jackdawridge.config import Settings
+    from jackdawridge.execution.messages import Offer
+    from jackdawridge.placement.request import Placement, Request
+
+#: Response time over the ideal that the order of jobs aims at.
+TARGET_SLOWDOWN = 2.0
+
+#: Wait after which a task that fits no worker fails, in seconds.
+IMPOSSIBLE_AFTER = 3.0
+
+#: Time between two looks at the tasks that run, in seconds.
+LOOK_INTERVAL = 0.25
+
+#: Time between two passes while tasks wait, in seconds.
+QUEUE_INTERVAL = 0.05
+
+
+class Placer(Tracking):
+    """Holds the queues and the view of the sides, and joins them.
+
+    :param policy: chooses the side of a task.
+    :param bounds: of the queues.
+    """
+
+    def __init__(self, policy: Policy, bounds: QueueBounds) -> None:
+        """Begin without sides and tasks."""
+        super().__init__(policy, bounds)
+        self.looked_at = float('-inf')
+        #: Tickets of jobs with a task that fits no worker.
+        self.doubtful: dict[str, float] = {}
+        #: Sides that offered room, with the task that waits for it.
+        self.offers: list[tuple[str, Key]] = []
+        self.asking = Asking()
+
+    @classmethod
+    def from_config(cls, settings: Settings, seed: str = '') -> Placer:
+        """Make a placer as the settings ask.
+
+        :param settings: of an entry.
+        :param seed: of random choices.
+        """
+        policy = POLICIES[settings.text('policy')](seed)
+        return cls(policy, QueueBounds(settings.integer('queue_limit')))
+
+    def set_limits(self, team: str, limits: TeamLimits) -> None:
+        """Change what a team is granted.
+
+        :param team: its name.
+        :param limits: its weight and quota.
+        """
+        self.queues.team(team).limits = limits
+
+    def entries_changed(self, entries: int, others: dict[str, float]) -> None:
+        """Split quotas anew among the entries.
+
+        :param entries: number of live entries, this one included.
+        :param others: for each team its demand at the other entries.
+        """
+        self.queues.split(max(entries, 1), others)
+
+    def enqueue(
+        self, requests: Sequence[Request], now: float
+    ) -> Result[int, Overload]:
+        """Queue all tasks of a job, or none of them.
+
+        :param requests: at least one, all of one job and team.
+        :param now: the time.
+        """
+        first = requests[0]
+        team = self.queues.team(first.team)
+        overload = self.bounds.check(self.queues, team, len(requests))
+        if overload is not None:
+            return Err(overload)
+        job = self.queues.make_job(requests)
+        if any(self.why_never(group.sample) for group in job.groups.values()):
+            self.doubtful[first.ticket] = now
+        deadline = now + TARGET_SLOWDOWN * self.ideal_time(job)
+        self.queues.insert(job, Standing(deadline, now))
+        return Ok(len(requests))
+
+    def ideal_time(self, job: Job) -> float:
+        """Return the run time of a job that has the whole room.
+
+        :param job: none of whose tasks has been placed.
+        """
+        longest: float = 0
+        work: float = 0
+        for group in job.groups.values():
+            need = self.need(group.sample)
+            longest = max(longest, need.run_time)
+            share = self.dominant_share(need)
+            work += share * need.run_time * len(group.requests)
+        return max(longest, work)
+
+    def cancel(self, ticket: str) -> int:
+        """Drop the queued tasks of a job and return how many there were.
+
+        :param ticket: of the job.
+        """
+        self.doubtful.pop(ticket, None)
+        return self.queues.cancel(ticket)
+
+    def place(self, now: float) -> tuple[Placement, ...]:
+        """Place as many queued tasks as there is known room for.
+
+        The placements are reserved at once. The caller sends them and reports
+        the numbers of their batches by `sent`.
+
+        :param now: the time.
+        """
+        if now - self.looked_at >= LOOK_INTERVAL:
+            self.looked_at = now
+            self.look(now)
+        if not self.queues.queued:
+            return ()
+        current = Round(self, now)
+        for side_id, key in self.offers:
+            current.place_offered(side_id, key)
+        self.offers.clear()
+        current.run()
+        if self.queues.queued and self.policy.knows_room:
+            self.asking.run(current)
+        return tuple(current.placements)
+
+    def offer_received(self, side_id: str, offer: Offer, now: float) -> None:
+        """Take in room that a side holds for this entry.
+
+        :param side_id: identifies the side.
+        :param offer: what is held.
+        :param now: the time.
+        """
+        super().offer_received(side_id, offer, now)
+        waiting = self.asking.answered(side_id)
+        if waiting is not None:
+            self.offers.append((side_id, waiting))
+
+    def expire(self, now: float) -> tuple[Impossible, ...]:
+        """Return the tasks that no known worker can run; the caller cancels.
+
+        :param now: the time.
+        """
+        impossible: list[Impossible] = []
+        for ticket, since in tuple(self.doubtful.items()):
+            if now - since < IMPOSSIBLE_AFTER or not self.shapes:
+                continue
+            self.doubtful.pop(ticket)
+            job = self.queues.jobs.get(ticket)
+            if job is not None:
+                impossible.extend(self.never_fitting(job))
+        return tuple(impossible)
+
+    def never_fitting(self, job: Job) -> list[Impossible]:
+        """Return a task of each group that no known worker can run.
+
+        :param job: with tasks that wait.
+        """
+        reasons = [
+            (group, self.why_never(group.sample))
+            for group in job.groups.values()
+            if group.requests
+        ]
+        return [
+            Impossible(group.requests[0], reason)
+            for group, reason in reasons
+            if reason
+        ]
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Return when `place` and `expire` have something to do, or None.
+
+        :param now: the time.
+        """
+        if self.queues.queued:
+            return now + QUEUE_INTERVAL
+        if self.assignments:
+            return now + LOOK_INTERVAL
+        return None
+
+    def why_never(self, request: Request) -> str:
+        """Return why a task can never run, or an empty text.
+
+        :param request: the task.
+        """
+        need = self.need(request)
+        quota = self.queues.team(request.team).limits.quota
+        if need.cores > quota:
+            return (
+                f'needs {need.cores:g} cores; team {request.team!r} has'
+                f' a quota of {quota:g}'
+            )
+        if self.ever_fits(need):
+            return ''
+        return (
+            f'needs {need.cores:g} cores, {need.memory:g} MB and'
+            f' {need.accelerators} accelerators; no worker has that much'
+        )
--- /dev/null
+++ b/jackdawridge/placement/policies.py
@@ -0,0 +1,174 @@
+"""Ways to choose the side that a task is sent to."""
+
+from __future__ import annotations
+
+import random
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
+    from jackdawridge.placement.learning import Need
+    from jackdawridge.placement.view import Side
+
+#: Sides that are compared for each task.
+CHOICES = 3
+
+
+class Policy(Protocol):
+    """Chooses the side of a task."""
+
+    #: Whether a side is chosen only if the task fits by the entry's view.
+    knows_room: bool
+
+    def choose(
+        self, need: Need, sides: Sequence[Side], now: float
+    ) -> Side | None:
+        """Return the side for a task, or None if it has to wait.
+
+        :param need: the estimate for the task.
+        :param sides: all sides that are known.
+        :param now: the time.
+        """
+
+
+class RoomPolicy:
+    """Compares a few random sides and takes the one with most room.
+
+    All sides are looked at if the task fits none of the random ones, so that
+    no task waits while there is known room for it.
+
+    :param seed: of the random choices.
+    """
+
+    knows_room = True
+
+    def __init__(self, seed: str = '') -> None:
+        """Seed the random choices."""
+        self.random = random.Random(seed)
+
+    def choose(
+        self, need: Need, sides: Sequence[Side], now: float
+    ) -> Side | None:
+        """Return the side for a task, or None if it has to wait.
+
+        :param need: the estimate for the task.
+        :param sides: all sides that are known.
+        :param now: the time.
+        """
+        best = None
+        if len(sides) > CHOICES:
+            sample = self.random.choices(sides, k=CHOICES)
+            best = most_room(need, sample, now)
+        return best or most_room(need, sides, now)
+
+
+class LeastLoadPolicy:
+    """Takes the side with most known room; all entries take the same."""
+
+    knows_room = True
+
+    def __init__(self, seed: str = '') -> None:
+        """Do without random choices."""
+
+    def choose(
+        self, need: Need, sides: Sequence[Side], now: float
+    ) -> Side | None:
+        """Return the side for a task, or None if it has to wait.
+
+        :param need: the estimate for the task.
+        :param sides: all sides that are known.
+        :param now: the time.
+        """
+        return most_room(need, sides, now)
+
+
+class RandomPolicy:
+    """Takes any side that takes work, whatever its room.
+
+    :param seed: of the random choices.
+    """
+
+    knows_room = False
+
+    def __init__(self, seed: str = '') -> None:
+        """Seed the random choices."""
+        self.random = random.Random(seed)
+
+    def choose(
+        self, need: Need, sides: Sequence[Side], now: float
+    ) -> Side | None:
+        """Return the side for a task, or None if it has to wait.
+
+        :param need: the estimate for the task.
+        :param sides: all sides that are known.
+        :param now: the time.
+        """
+        usable = [side for side in sides if may_try(side, need, now)]
+        return self.random.choice(usable) if usable else None
+
+
+class RoundRobinPolicy:
+    """Takes one side after the other, whatever their room."""
+
+    knows_room = False
+
+    def __init__(self, seed: str = '') -> None:
+        """Begin at the first side."""
+        self.turn = 0
+
+    def choose(
+        self, need: Need, sides: Sequence[Side], now: float
+    ) -> Side | None:
+        """Return the side for a task, or None if it has to wait.
+
+        :param need: the estimate for the task.
+        :param sides: all sides that are known.
+        :param now: the time.
+        """
+        for _ in sides:
+            self.turn = (self.turn + 1) % len(sides)
+            side = sides[self.turn]
+            if may_try(side, need, now):
+                return side
+        return None
+
+
+def may_try(side: Side, need: Need, now: float) -> bool:
+    """Return whether a task may be sent to a side whatever its room.
+
+    :param side: the side.
+    :param need: the estimate for the task.
+    :param now: the time.
+    """
+    return side.takes_work(now) and side.could_fit(need)
+
+
+def most_room(need: Need, sides: Sequence[Side], now: float) -> Side | None:
+    """Return the side with most room among those that fit a task.
+
+    :param need: the estimate for the task.
+    :param sides: that are compared.
+    :param now: the time.
+    """
+    best = None
+    best_score = float('-inf')
+    for side in sides:
+        if side.fits(need, now):
+            score = side.score()
+            if score > best_score:
+                best = side
+                best_score = score
+    return best
+
+
+#: Policies by the name that the settings use.
+POLICIES: Mapping[str, Callable[[str], Policy]] = MappingProxyType(
+    {
+        'room': RoomPolicy,
+        'random': RandomPolicy,
+        'round-robin': RoundRobinPolicy,
+        'least-load': LeastLoadPolicy,
+    }
+)
--- /dev/null
+++ b/jackdawridge/placement/queues.py
@@ -0,0 +1,314 @@
+"""Tasks that wait, by team and job, with fair share and quotas."""
+
+from __future__ import annotations
+
+import bisect
+import itertools
+from collections import deque
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+    from jackdawridge.placement.learning import Learner, Need
+    from jackdawridge.placement.request import Key, Request
+
+#: Part of a quota that is split evenly; the rest follows demand.
+EVEN_PART = 0.5
+
+#: Used for a team without a record of its own.
+NO_QUOTA = float('inf')
+
+#: Response time over the ideal that the order of jobs aims at.
+TARGET_SLOWDOWN = 2.0
+
+
+class TeamLimits(NamedTuple):
+    """What operators grant a team."""
+
+    #: Share of the room when teams compete, relative to other teams.
+    weight: float = 1.0
+    #: Cores that may run at once, over all entries.
+    quota: float = NO_QUOTA
+
+
+class Standing(NamedTuple):
+    """Where a job stands in the order of its team."""
+
+    deadline: float
+    #: When the job was queued first.
+    queued_at: float
+
+
+class Group(NamedTuple):
+    """Tasks of a job that are declared alike."""
+
+    sample: Request
+    requests: deque[Request]
+
+
+class Job:
+    """The tasks of one job that wait.
+
+    :param requests: at least one.
+    :param sequence: breaks ties in the order of arrival.
+    """
+
+    def __init__(self, requests: Sequence[Request], sequence: int) -> None:
+        """Group tasks that are declared alike."""
+        self.team = requests[0].team
+        self.ticket = requests[0].ticket
+        self.sequence = sequence
+        self.standing = Standing(0, 0)
+        self.groups: dict[tuple[object, ...], Group] = {}
+        self.queued = 0
+        for request in requests:
+            self.group(request).requests.append(request)
+            self.queued += 1
+
+    def order(self) -> tuple[float, int]:
+        """Return where the job stands among those of its team."""
+        return (self.standing.deadline, self.sequence)
+
+    def group(self, request: Request) -> Group:
+        """Return the group of a task.
+
+        :param request: a task of this job.
+        """
+        alike = request[3:]
+        group = self.groups.get(alike)
+        if group is None:
+            group = Group(request, deque())
+            self.groups[alike] = group
+        return group
+
+    def longest_first(self, learner: Learner) -> list[Group]:
+        """Return the groups, those with the longest tasks first.
+
+        :param learner: estimates run times.
+        """
+        groups = [group for group in self.groups.values() if group.requests]
+        if len(groups) > 1:
+            groups.sort(key=lambda group: -learner.need(group.sample).run_time)
+        return groups
+
+
+class Team:
+    """The jobs of one team that wait, and what of it runs.
+
+    :param name: of the team.
+    """
+
+    def __init__(self, name: str) -> None:
+        """Begin with nothing queued."""
+        self.name = name
+        self.limits = TeamLimits()
+        #: Work done over weight; the team with the least goes first.
+        self.virtual_time: float = 0
+        #: Cores that are reserved for running tasks.
+        self.running: float = 0
+        #: Tasks that run.
+        self.outstanding = 0
+        #: Part of the quota that this entry may use.
+        self.part = 1.0
+        self.queued = 0
+        self.jobs: list[tuple[tuple[float, int], Job]] = []
+
+    def within_quota(self, need: Need) -> bool:
+        """Return whether one more task stays within the quota.
+
+        A task that exceeds this entry's part but not the quota runs alone.
+
+        :param need: the estimate for the task.
+        """
+        quota = self.limits.quota
+        if self.running + need.cores <= quota * self.part:
+            return True
+        return not self.outstanding and need.cores <= quota
+
+    def candidates(self, learner: Learner) -> Iterator[tuple[Job, Group]]:
+        """Yield groups in the order in which they should be placed.
+
+        :param learner: estimates run times.
+        """
+        for _, job in tuple(self.jobs):
+            for group in job.longest_first(learner):
+                yield job, group
+
+    def add(self, job: Job) -> None:
+        """Put a job into the order.
+
+        :param job: with tasks that wait.
+        """
+        bisect.insort(self.jobs, (job.order(), job), key=lambda entry: entry[0])
+
+    def remove(self, job: Job) -> None:
+        """Take a job out of the order.
+
+        :param job: one of this team.
+        """
+        place = bisect.bisect_left(
+            self.jobs, job.order(), key=lambda entry: entry[0]
+        )
+        if place < len(self.jobs) and self.jobs[place][1] is job:
+            self.jobs.pop(place)
+
+
+class Queues:
+    """All tasks that wait at an entry."""
+
+    def __init__(self) -> None:
+        """Begin with nothing queued."""
+        self.teams: dict[str, Team] = {}
+        self.jobs: dict[str, Job] = {}
+        self.queued = 0
+        #: Virtual time of the team that was served last.
+        self.virtual_time: float = 0
+        self.sequence = itertools.count()
+
+    def team(self, name: str) -> Team:
+        """Return a team, which need not have been seen before.
+
+        :param name: of the team.
+        """
+        team = self.teams.get(name)
+        if team is None:
+            team = Team(name)
+            self.teams[name] = team
+        return team
+
+    def make_job(self, requests: Sequence[Request]) -> Job:
+        """Make a job that is not queued yet.
+
+        :param requests: at least one, all of one job.
+        """
+        return Job(requests, next(self.sequence))
+
+    def insert(self, job: Job, standing: Standing) -> None:
+        """Queue a job.
+
+        :param job: with tasks that wait.
+        :param standing: where the job stands in the order of its team.
+        """
+        job.standing = standing
+        self.jobs[job.ticket] = job
+        team = self.team(job.team)
+        if not team.queued:
+            # A team does not save up shares while it has nothing to run.
+            team.virtual_time = max(team.virtual_time, self.virtual_time)
+        team.add(job)
+        team.queued += job.queued
+        self.queued += job.queued
+
+    def put_back(self, request: Request, standing: Standing) -> None:
+        """Queue a task again, before the others of its job.
+
+        :param request: a task that was not started.
+        :param standing: used if no other task of the job waits.
+        """
+        job = self.jobs.get(request.ticket)
+        if job is None:
+            self.insert(self.make_job((request,)), standing)
+            return
+        job.group(request).requests.appendleft(request)
+        self.count(job, 1)
+
+    def take(self, job: Job, group: Group) -> Request:
+        """Take the first task out of a group.
+
+        :param job: that the group belongs to.
+        :param group: with at least one task.
+        """
+        request = group.requests.popleft()
+        self.count(job, -1)
+        if not job.queued:
+            self.forget(job)
+        return request
+
+    def count(self, job: Job, change: int) -> None:
+        """Change the number of tasks that wait.
+
+        :param job: whose tasks they are.
+        :param change: by how many.
+        """
+        job.queued += change
+        self.team(job.team).queued += change
+        self.queued += change
+
+    def forget(self, job: Job) -> None:
+        """Drop a job.
+
+        :param job: one that is queued.
+        """
+        self.jobs.pop(job.ticket)
+        self.team(job.team).remove(job)
+
+    def cancel(self, ticket: str) -> int:
+        """Drop the tasks of a job and return how many there were.
+
+        :param ticket: of the job.
+        """
+        job = self.jobs.get(ticket)
+        if job is None:
+            return 0
+        dropped = job.queued
+        self.count(job, -dropped)
+        self.forget(job)
+        return dropped
+
+    def find(self, key: Key) -> tuple[Job, Group, Request] | None:
+        """Return a task that is queued, with where it is.
+
+        :param key: of the task.
+        """
+        job = self.jobs.get(key[0])
+        if job is None:
+            return None
+        for group in job.groups.values():
+            for request in group.requests:
+                if request.task == key[1]:
+                    return job, group, request
+        return None
+
+    def extract(self, key: Key) -> tuple[Job, Request] | None:
+        """Take a task out of the queue, wherever it stands.
+
+        :param key: of the task.
+        """
+        found = self.find(key)
+        if found is None:
+            return None
+        job, group, request = found
+        group.requests.remove(request)
+        self.count(job, -1)
+        if not job.queued:
+            self.forget(job)
+        return job, request
+
+    def demand(self) -> dict[str, float]:
+        """Return for each team with work the tasks that wait or run."""
+        return {
+            team.name: float(team.queued + team.outstanding)
+            for team in self.teams.values()
+            if team.queued or team.outstanding
+        }
+
+    def split(self, entries: int, others: dict[str, float]) -> None:
+        """Set this entry's part of each quota.
+
+        Half of a quota is split evenly among the entries. The other half
+        follows demand, as far as the demand at the other entries is known.
+        The parts add up to the quota once all entries know the same.
+
+        :param entries: number of live entries, this one included.
+        :param others: for each team its demand at the other entries.
+        """
+        own = self.demand()
+        for team in self.teams.values():
+            here = own.get(team.name, 0)
+            everywhere = here + others.get(team.name, 0)
+            by_demand = 1 / entries
+            if others and everywhere:
+                by_demand = here / everywhere
+            even = EVEN_PART / entries
+            team.part = even + (1 - EVEN_PART) * by_demand
--- /dev/null
+++ b/jackdawridge/placement/rounds.py
@@ -0,0 +1,270 @@
+"""One pass over the queues that places what there is room for."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from jackdawridge.placement.tracking import Assignment
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from jackdawridge.placement.learning import Need
+    from jackdawridge.placement.placer import Placer
+    from jackdawridge.placement.queues import Group, Job, Team
+    from jackdawridge.placement.request import Key, Placement, Request
+    from jackdawridge.placement.view import Side
+
+#: Wait of a task before room is asked for at a silent side, in seconds.
+ASK_AFTER = 0.1
+
+#: Wait of a task before room is asked for at any side, in seconds.
+STARVED_AFTER = 1.0
+
+#: Time after which a request for room is made again, in seconds.
+ASK_TIME = 2.0
+
+#: Sides at which room is asked for at a time.
+MAX_ASKED = 2
+
+#: Groups of tasks that are tried in vain for each team in one pass.
+LOOKAHEAD = 64
+
+
+class Walk:
+    """Goes through the groups of one team's tasks.
+
+    Room only shrinks during a pass, so that a group that did not fit is not
+    tried again.
+
+    :param team: whose tasks are placed.
+    :param candidates: its groups, the most urgent first.
+    """
+
+    def __init__(
+        self, team: Team, candidates: Iterator[tuple[Job, Group]]
+    ) -> None:
+        """Begin at the most urgent group."""
+        self.team = team
+        self.candidates = candidates
+        self.current = next(candidates, None)
+        self.skipped = 0
+
+    def advance(self) -> None:
+        """Go on to the next group that has tasks."""
+        self.current = next(self.candidates, None)
+
+    def skip(self) -> None:
+        """Leave a group that does not fit."""
+        self.skipped += 1
+        if self.skipped < LOOKAHEAD:
+            self.advance()
+        else:
+            self.current = None
+
+
+class Round:
+    """One pass, which serves the team that had least for its weight.
+
+    :param placer: whose queues and sides are joined.
+    :param now: the time.
+    """
+
+    def __init__(self, placer: Placer, now: float) -> None:
+        """Begin with all teams that have queued tasks."""
+        self.placer = placer
+        self.now = now
+        self.placements: list[Placement] = []
+        #: Needs that no side fits.
+        self.misfits: list[Need] = []
+
+    def run(self) -> list[Placement]:
+        """Place tasks until none fits."""
+        learner = self.placer.learner
+        heap = [
+            (team.virtual_time, team.name, Walk(team, team.candidates(learner)))
+            for team in self.placer.queues.teams.values()
+            if team.queued
+        ]
+        heapq.heapify(heap)
+        while heap:
+            walk = heap[0][2]
+            self.serve(walk)
+            if walk.current is None:
+                heapq.heappop(heap)
+            else:
+                team = walk.team
+                heapq.heapreplace(heap, (team.virtual_time, team.name, walk))
+        return self.placements
+
+    def serve(self, walk: Walk) -> None:
+        """Place one task of a team, or skip a group.
+
+        :param walk: of the team.
+        """
+        if walk.current is None:
+            return
+        job, group = walk.current
+        need = self.placer.need(group.sample)
+        if self.is_hopeless(need) or not walk.team.within_quota(need):
+            walk.skip()
+            return
+        policy = self.placer.policy
+        side = policy.choose(need, self.placer.open_sides, self.now)
+        if side is None:
+            self.misfits.append(need)
+            walk.skip()
+            return
+        request = self.placer.queues.take(job, group)
+        self.placer.queues.virtual_time = walk.team.virtual_time
+        self.assign(job, request, side, 'most room')
+        if not group.requests:
+            walk.advance()
+
+    def assign(
+        self, job: Job, request: Request, side: Side, reason: str
+    ) -> None:
+        """Place a task that has left the queue.
+
+        :param job: which it is part of.
+        :param request: the task.
+        :param side: where it goes.
+        :param reason: why it goes there.
+        """
+        placer = self.placer
+        assignment = Assignment(
+            side.side_id,
+            request,
+            placer.need(request),
+            placer.placed,
+            self.now,
+            job.standing,
+        )
+        self.placements.append(placer.assign(assignment, side, reason))
+
+    def place_offered(self, side_id: str, key: Key) -> None:
+        """Place the task for which a side offered room.
+
+        :param side_id: of the side.
+        :param key: of the task that waits.
+        """
+        placer = self.placer
+        found = placer.queues.find(key)
+        side = placer.sides.get(side_id)
+        if found is None or side is None:
+            return
+        job, _, request = found
+        need = placer.need(request)
+        team = placer.queues.team(job.team)
+        if side.fits(need, self.now) and team.within_quota(need):
+            placer.queues.extract(key)
+            self.assign(job, request, side, 'offered')
+
+    def is_hopeless(self, need: Need) -> bool:
+        """Return whether a smaller need was found not to fit.
+
+        :param need: the estimate for a task.
+        """
+        return any(
+            need.cores >= misfit.cores
+            and need.memory >= misfit.memory
+            and need.accelerators >= misfit.accelerators
+            for misfit in self.misfits
+        )
+
+
+class Asking:
+    """Asks for room by starts that may be refused.
+
+    A side remembers an entry that it refused and offers it the next room.
+    That helps an entry that hears little from a side, because others use it,
+    and a task so large that its room has to be kept free for it.
+    """
+
+    def __init__(self) -> None:
+        """Begin with nothing asked."""
+        #: For each side the task, and when it is forgotten.
+        self.asked: dict[str, tuple[Key, float]] = {}
+
+    def answered(self, side_id: str) -> Key | None:
+        """Return the task for which room was asked at a side, and forget it.
+
+        :param side_id: of the side.
+        """
+        asked = self.asked.pop(side_id, None)
+        return asked[0] if asked else None
+
+    def run(self, current: Round) -> None:
+        """Ask for room for the most urgent task, if it has waited.
+
+        :param current: a pass that has placed what it could.
+        """
+        now = current.now
+        for side_id, (_, until) in tuple(self.asked.items()):
+            if until <= now:
+                self.asked.pop(side_id)
+        if len(self.asked) >= MAX_ASKED:
+            return
+        job = most_urgent(current.placer)
+        if job is None:
+            return
+        waited = now - job.standing.queued_at
+        side = self.choose_side(current, job, waited)
+        if side is None:
+            return
+        group = job.longest_first(current.placer.learner)[0]
+        request = current.placer.queues.take(job, group)
+        self.asked[side.side_id] = (request.key, now + ASK_TIME)
+        current.assign(job, request, side, 'asks for room')
+
+    def choose_side(
+        self, current: Round, job: Job, waited: float
+    ) -> Side | None:
+        """Return the side that has been silent longest, or None.
+
+        :param current: a pass that has placed what it could.
+        :param job: whose task waits.
+        :param waited: how long it has waited, in seconds.
+        """
+        placer = current.placer
+        need = placer.need(job.longest_first(placer.learner)[0].sample)
+        sides = [
+            side
+            for side in placer.open_sides
+            if side.side_id not in self.asked
+            and side.could_fit(need)
+            and side.takes_work(current.now)
+        ]
+        if waited < ASK_AFTER or not sides:
+            return None
+        side = min(sides, key=reported_at)
+        silent = current.now - side.reported_at
+        is_due = silent >= ASK_AFTER or waited >= STARVED_AFTER
+        return side if is_due else None
+
+
+def reported_at(side: Side) -> float:
+    """Return when a side reported last.
+
+    :param side: the side.
+    """
+    return side.reported_at
+
+
+def most_urgent(placer: Placer) -> Job | None:
+    """Return the job that has waited most for its place in the order.
+
+    :param placer: whose queues are looked at.
+    """
+    heads = [
+        team.jobs[0][1]
+        for team in placer.queues.teams.values()
+        if team.jobs
+        and team.within_quota(
+            placer.need(next(iter(team.jobs[0][1].groups.values())).sample)
+        )
+    ]
+    if not heads:
+        return None
+    return min(heads, key=lambda job: job.order())
--- /dev/null
+++ b/jackdawridge/placement/tracking.py
@@ -0,0 +1,203 @@
+"""What was placed, and what is learned from how it ends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from jackdawridge.placement.admission import QueueBounds
+from jackdawridge.placement.fleet import REFUSAL_WAIT, Fleet
+from jackdawridge.placement.learning import Learner, Need, Usage
+from jackdawridge.placement.queues import Queues, Standing
+from jackdawridge.placement.request import Key, Placement, Request
+from jackdawridge.placement.view import Side, total
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from jackdawridge.placement.policies import Policy
+
+#: Run time over the late estimate from which a running task counts as late.
+LATE_FACTOR = 2.0
+
+#: Run time that is never late, in seconds.
+MIN_LATE = 0.25
+
+#: Smallest run time that others are compared with, in seconds.
+MIN_RUN_TIME = 0.005
+
+#: Reason of a refusal for lack of room, which registers for an offer.
+NO_ROOM = 'no room'
+
+#: Wait after a refusal under a policy that ignores room, in seconds.
+BLIND_WAIT = 0.02
+
+
+class Assignment(NamedTuple):
+    """A task that was placed and has not ended."""
+
+    side_id: str
+    request: Request
+    need: Need
+    #: Counts placements.
+    number: int
+    placed_at: float
+    standing: Standing
+
+
+class Tracking(Fleet):
+    """Keeps the tasks that were placed until they end.
+
+    :param policy: chooses the side of a task.
+    :param bounds: of the queues.
+    """
+
+    def __init__(self, policy: Policy, bounds: QueueBounds) -> None:
+        """Begin without sides and tasks."""
+        super().__init__()
+        self.policy = policy
+        self.bounds = bounds
+        self.queues = Queues()
+        self.learner = Learner()
+        self.assignments: dict[Key, Assignment] = {}
+        self.placed = 0
+
+    def need(self, request: Request) -> Need:
+        """Return the estimate for a task, within what a worker has.
+
+        :param request: the task.
+        """
+        return self.cap(self.learner.need(request), request)
+
+    def assign(
+        self, assignment: Assignment, side: Side, reason: str
+    ) -> Placement:
+        """Reserve room for a task.
+
+        :param assignment: the task and where it goes.
+        :param side: the same side.
+        :param reason: why it goes there.
+        """
+        need, request = assignment.need, assignment.request
+        self.placed += 1
+        side.reserve(need)
+        self.assignments[request.key] = assignment
+        team = self.queues.team(request.team)
+        team.running += need.cores
+        team.outstanding += 1
+        work = self.dominant_share(need) * need.run_time
+        team.virtual_time += work / team.limits.weight
+        return Placement(
+            side.side_id,
+            request,
+            need.cores,
+            need.memory,
+            need.run_time,
+            reason,
+        )
+
+    def release(self, key: Key) -> Assignment | None:
+        """Free what a task reserved and return its assignment, if any.
+
+        The room of the side is left as it is: the side reports it.
+
+        :param key: of the task.
+        """
+        assignment = self.assignments.pop(key, None)
+        if assignment is None:
+            return None
+        team = self.queues.team(assignment.request.team)
+        team.outstanding -= 1
+        team.running -= assignment.need.cores
+        if not team.outstanding:
+            team.running = 0
+        side = self.sides.get(assignment.side_id)
+        if side is not None:
+            side.outstanding -= 1
+        return assignment
+
+    def sent(
+        self, side_id: str, number: int, placements: Sequence[Placement]
+    ) -> None:
+        """Note in which batch placements were sent.
+
+        :param side_id: where they were sent.
+        :param number: of the batch.
+        :param placements: all that are in it.
+        """
+        side = self.sides.get(side_id)
+        if side is not None:
+            side.sent(number, total(placements))
+
+    def refused(self, key: Key, side_id: str, reason: str, now: float) -> None:
+        """Queue a task again that a side did not start.
+
+        :param key: of the task.
+        :param side_id: which refused it.
+        :param reason: that the side gave.
+        :param now: the time.
+        """
+        assignment = self.release(key)
+        if assignment is None:
+            return
+        self.queues.put_back(assignment.request, assignment.standing)
+        side = self.sides.get(side_id)
+        if side is None:
+            return
+        if reason != NO_ROOM:
+            side.closed_until = max(side.closed_until, now + REFUSAL_WAIT)
+        elif not self.policy.knows_room:
+            side.closed_until = max(side.closed_until, now + BLIND_WAIT)
+
+    def ended(
+        self, key: Key, side_id: str, outcome: str, usage: Usage, now: float
+    ) -> None:
+        """Learn from a task that has ended.
+
+        :param key: of the task.
+        :param side_id: where it ran.
+        :param outcome: `succeeded`, `failed` or `stopped`.
+        :param usage: what it was seen to use.
+        :param now: the time.
+        """
+        assignment = self.release(key)
+        if assignment is None:
+            return
+        self.bounds.count_ended(now)
+        request, need = assignment.request, assignment.need
+        if outcome == 'succeeded':
+            self.learner.observe(request, usage)
+            took = usage.run_time or now - assignment.placed_at
+            factor = took / max(need.run_time, MIN_RUN_TIME)
+            self.health.succeeded(
+                side_id, request.kind, assignment.number, factor
+            )
+            team = self.queues.team(request.team)
+            excess = (took - need.run_time) * self.dominant_share(need)
+            team.virtual_time += excess / team.limits.weight
+        elif outcome == 'failed':
+            self.learner.observe(request, usage._replace(run_time=0))
+            self.health.failed(side_id, request.kind, assignment.number, now)
+        self.judge(side_id)
+
+    def lost(self, key: Key) -> None:
+        """Free what a task reserved whose end will not be known.
+
+        :param key: of the task.
+        """
+        self.release(key)
+
+    def look(self, now: float) -> None:
+        """Find sides whose running tasks are far over their estimates.
+
+        :param now: the time.
+        """
+        late: dict[str, int] = {}
+        for assignment in self.assignments.values():
+            limit = max(assignment.need.late * LATE_FACTOR, MIN_LATE)
+            if now - assignment.placed_at > limit:
+                side_id = assignment.side_id
+                late[side_id] = late.get(side_id, 0) + 1
+        for side_id, side in self.sides.items():
+            count = late.get(side_id, 0)
+            self.health.late_tasks(side_id, count, side.outstanding)
+            self.judge(side_id)
