--- /dev/null
+++ b/jackdawridge/__main__.py
@@ -0,0 +1,9 @@
+"""Runs the command line by `python -m jackdawridge`."""
+
+from __future__ import annotations
+
+import sys
+
+from jackdawridge.cmd.main import main
+
+sys.exit(main())
--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -327,7 +327,7 @@
     number_row('minion_slots', _SIDE, 8, (1, 4096), 'slots'),
     number_row('minion_connections', _SIDE, 64, (1, 4096), 'connections'),
     number_row('heartbeat', _BOTH, 1.0, (0.05, 10), 'seconds'),
-    number_row('send_window', _SIDE, 3.0, (0.2, 60), 'seconds'),
+    number_row('send_window', _BOTH, 3.0, (0.2, 60), 'seconds'),
     number_row('task_lease', _BOTH, 6.0, (0.5, 120), 'seconds'),
     text_row(
         'policy',
--- /dev/null
+++ b/jackdawridge/daemon.py
@@ -0,0 +1,102 @@
+"""What the daemons of both roles share."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from jackdawridge.application import Application
+from jackdawridge.execution import messages as execution_messages
+from jackdawridge.membership import messages as membership_messages
+from jackdawridge.operations.doors import Door
+from jackdawridge.operations.metrics import make_registry
+from jackdawridge.operations.resource import OperatorResource
+from jackdawridge.operations.router import Router
+from jackdawridge.submission import messages as submission_messages
+from jackdawridge.wire.handshake import Identity
+from jackdawridge.wire.peers import Connector, Peers
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+
+    from jackdawridge.config import Settings
+
+_INCARNATION_BYTES = 6
+
+#: Schemas and messages of all slices.
+SLICES = (
+    execution_messages,
+    membership_messages,
+    submission_messages,
+)
+
+
+class Daemon(NamedTuple):
+    """The parts of a process that the slices are wired to."""
+
+    reactor: Any
+    application: Application
+    peers: Peers
+    connector: Connector
+    #: Serves operators.
+    operators: Router
+    registry: CollectorRegistry
+    resource: OperatorResource
+
+    @classmethod
+    def from_config(cls, settings: Settings, reactor: Any) -> Daemon:
+        """Return the parts of a process without any slice.
+
+        :param settings: of the process.
+        :param reactor: Twisted's reactor.
+        """
+        incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        application = Application(settings, reactor, incarnation)
+        for messages in SLICES:
+            application.codec.register(messages.SCHEMA, messages.MESSAGES)
+        identity = Identity(
+            settings.text('deployment'), settings.text('shared_key')
+        )
+        peers = Peers(application, identity, introduce(settings, incarnation))
+        registry = make_registry()
+        resource = OperatorResource(application, registry)
+        operators = Router()
+        for prefix in ('/healthz', '/metrics', '/v1/status'):
+            operators.mount_klein(prefix, resource.app)
+        return cls(
+            reactor,
+            application,
+            peers,
+            Connector(reactor, peers, incarnation),
+            operators,
+            registry,
+            resource,
+        )
+
+    def add_operator_door(self) -> None:
+        """Serve operators at the address of the settings."""
+        address = self.application.settings.text('operator_address')
+        self.application.add(Door(self.reactor, address, self.operators))
+
+
+def introduce(
+    settings: Settings, incarnation: str
+) -> membership_messages.Introduction:
+    """Return what a process says about itself.
+
+    :param settings: of the process.
+    :param incarnation: random id of this run.
+    """
+    is_entry = settings.role == 'entry'
+    return membership_messages.Introduction(
+        settings.role,
+        settings.text('node'),
+        incarnation,
+        settings.text('failure_domain'),
+        settings.text('peer_address') if is_entry else '',
+        '' if is_entry else settings.text('service'),
+        0 if is_entry else settings.number('cores'),
+        0 if is_entry else settings.number('memory'),
+        0 if is_entry else settings.integer('accelerators'),
+        0 if is_entry else settings.integer('minion_slots'),
+    )
--- /dev/null
+++ b/jackdawridge/entry.py
@@ -0,0 +1,68 @@
+"""Wires an entry: it takes work from callers and places it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from jackdawridge.daemon import Daemon
+from jackdawridge.operations.doors import Door
+from jackdawridge.operations.metrics import JobMetrics, add_gauge
+from jackdawridge.operations.router import Router
+from jackdawridge.submission.component import EntrySubmission
+from jackdawridge.submission.resource import JobResource
+from jackdawridge.submission.status import describe_engine
+from jackdawridge.wire.peers import Listener
+
+if TYPE_CHECKING:
+    from jackdawridge.application import Application
+    from jackdawridge.config import Settings
+
+
+def build_entry(settings: Settings, reactor: Any) -> Application:
+    """Return an entry that is ready to be started.
+
+    :param settings: of the entry.
+    :param reactor: Twisted's reactor.
+    """
+    daemon = Daemon.from_config(settings, reactor)
+    application = daemon.application
+    submission = EntrySubmission.from_application(application, daemon.peers)
+    callers = Router()
+    jobs = JobResource(application, submission.desk, submission.relay)
+    for prefix in ('/v1/tickets', '/v1/jobs'):
+        callers.mount_klein(prefix, jobs.app)
+    callers.mount_klein('/healthz', daemon.resource.app)
+    watch_jobs(daemon, submission)
+    # The doors close last, so that open requests get their answers.
+    daemon.add_operator_door()
+    application.add(Door(reactor, settings.text('caller_address'), callers))
+    application.add(
+        Listener(reactor, daemon.peers, settings.text('peer_address'))
+    )
+    application.add(daemon.connector)
+    application.add(submission)
+    return application
+
+
+def watch_jobs(daemon: Daemon, submission: EntrySubmission) -> None:
+    """Show the jobs of an entry in its metrics and status.
+
+    :param daemon: the process.
+    :param submission: owns the jobs.
+    """
+    engine = submission.engine
+    metrics = JobMetrics(daemon.registry)
+    daemon.application.events.connect('job_finished', metrics.count)
+    add_gauge(
+        daemon.registry,
+        'open_jobs',
+        'Jobs without an answer',
+        lambda: len(engine.jobs),
+    )
+    add_gauge(
+        daemon.registry,
+        'linked_sides',
+        'Sides in touch',
+        lambda: len(describe_engine(engine).sides),
+    )
+    daemon.resource.sections['jobs'] = lambda: describe_engine(engine)
--- /dev/null
+++ b/jackdawridge/execution/component.py
@@ -0,0 +1,262 @@
+"""The only starter of tasks on a worker."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import LoopingCall
+
+from jackdawridge.execution.heart import Heart
+from jackdawridge.execution.messages import (
+    CancelBatch,
+    HeartbeatReply,
+    Resolve,
+    Room,
+    StartBatch,
+)
+from jackdawridge.execution.outcomes import OutcomeSender
+from jackdawridge.execution.reservations import Reservations
+from jackdawridge.execution.sessions import Sessions
+from jackdawridge.execution.state import OpenGate, SideState
+from jackdawridge.execution.watch import WorkerWatch
+from jackdawridge.execution.windows import SendWindows
+from jackdawridge.logs import get_logger, log_decision
+
+if TYPE_CHECKING:
+    from jackdawridge.application import Application
+    from jackdawridge.execution.state import StartGate
+    from jackdawridge.execution.worker import Worker
+    from jackdawridge.wire.peers import Peer, Peers
+
+decisions = get_logger('placement')
+
+#: Interval at which lapsed leases are looked for, in seconds.
+SWEEP_INTERVAL = 0.25
+
+
+class ExecutionStatus(NamedTuple):
+    """What operators see of the tasks of a side."""
+
+    running: int
+    free: Room
+    #: Incarnations of the entries that it works for.
+    entries: list[str]
+
+
+class SideExecution:
+    """Takes starts from entries and passes outcomes back; a component.
+
+    :param application: the process.
+    :param peers: of the process.
+    :param worker: beside this side.
+    :param state: what is decided and kept.
+    """
+
+    def __init__(
+        self,
+        application: Application,
+        peers: Peers,
+        worker: Worker,
+        state: SideState,
+    ) -> None:
+        """Register for messages and events."""
+        self.application = application
+        self.clock = application.clock
+        self.state = state
+        self.sender = OutcomeSender(self.clock, peers, state)
+        self.watch = WorkerWatch(application, worker, state, self.sender)
+        self.heart = Heart(application, peers, state)
+        self.sweeper = LoopingCall(self.sweep)
+        self.keeper = LoopingCall(self.watch.keep)
+        self.ready = False
+        self.drained: Deferred[None] | None = None
+        application.events.connect('peer_joined', self.peer_joined)
+        application.events.connect('peer_left', self.peer_left)
+        application.events.connect('draining', self.drain)
+        application.on_message(StartBatch, self.starts_received)
+        application.on_message(HeartbeatReply, self.reply_received)
+        application.on_message(CancelBatch, self.cancel_received)
+        application.on_message(Resolve, self.resolve_received)
+
+    @classmethod
+    def from_application(
+        cls,
+        application: Application,
+        peers: Peers,
+        worker: Worker,
+        gate: StartGate | None = None,
+    ) -> SideExecution:
+        """Return the component of a side.
+
+        :param application: the process.
+        :param peers: of the process.
+        :param worker: beside the side.
+        :param gate: says whether anything may start; everything by default.
+        """
+        settings = application.settings
+        windows = SendWindows(settings.number('send_window'))
+        size = Room(
+            settings.number('cores'),
+            settings.number('memory'),
+            settings.integer('accelerators'),
+            0,
+        )
+        state = SideState(
+            Sessions(windows, settings.number('task_lease')),
+            Reservations(size),
+            gate or OpenGate(),
+        )
+        return cls(application, peers, worker, state)
+
+    def start(self) -> None:
+        """Take over what the worker runs, then work."""
+        ensureDeferred(self.adopt())
+
+    async def adopt(self) -> None:
+        """Begin once the worker has told what it runs."""
+        await self.watch.adopt()
+        self.ready = True
+        self.heart.start()
+        self.sweeper.start(SWEEP_INTERVAL)
+        self.keeper.start(self.application.settings.number('task_lease'))
+        self.application.events.emit('side_ready')
+
+    def stop(self) -> Deferred[None]:
+        """Return a `Deferred` that fires when nothing is left to do."""
+        self.drained = Deferred()
+        self.sender.listeners.append(self.heart.beat)
+        limit = self.application.settings.number('drain')
+        self.clock.callLater(limit, self.finish)
+        self.finish_if_idle()
+        return self.drained.addCallback(self.shut)
+
+    def shut(self, _: object) -> None:
+        """Stop the loops and let go of the worker."""
+        self.heart.stop()
+        for loop in (self.sweeper, self.keeper):
+            if loop.running:
+                loop.stop()
+        self.watch.worker.close()
+
+    def drain(self) -> None:
+        """Take no new work and say so."""
+        self.state.draining = True
+        if self.ready:
+            self.heart.beat()
+
+    def finish(self) -> None:
+        """End the draining."""
+        if self.drained is not None and not self.drained.called:
+            self.drained.callback(None)
+
+    def finish_if_idle(self) -> None:
+        """End the draining if every outcome has been received."""
+        if self.drained is None or self.state.tasks:
+            return
+        records = self.state.sessions.entries.values()
+        if all(record.outbox.is_empty() for record in records):
+            self.finish()
+
+    def peer_joined(self, peer: Peer) -> None:
+        """Begin a session with an entry.
+
+        :param peer: any peer.
+        """
+        if peer.introduction.role != 'entry':
+            return
+        now = self.clock.seconds()
+        incarnation = peer.introduction.incarnation
+        self.state.sessions.open(incarnation, now)
+        record = self.state.sessions.entry(incarnation, now)
+        for kept in record.outbox.kept:
+            peer.send(kept.batch)
+        self.heart.greet(peer)
+
+    def peer_left(self, peer: Peer) -> None:
+        """End the session with an entry.
+
+        :param peer: any peer.
+        """
+        self.state.sessions.close(peer.introduction.incarnation)
+
+    def sweep(self) -> None:
+        """Stop orphans."""
+        self.watch.stop_tasks(self.state.sweep(self.clock.seconds()))
+        self.finish_if_idle()
+
+    def starts_received(self, peer: Peer, batch: StartBatch) -> None:
+        """Admit or refuse the starts of a batch.
+
+        :param peer: the entry.
+        :param batch: of starts.
+        """
+        incarnation = peer.introduction.incarnation
+        admitted = self.state.admit(incarnation, batch, self.clock.seconds())
+        self.watch.starter.add(admitted)
+        if len(admitted) < len(batch.starts):
+            self.log_refusals(peer, incarnation)
+            self.sender.flush_soon()
+
+    def log_refusals(self, peer: Peer, incarnation: str) -> None:
+        """Write a line for each refusal that is about to be sent.
+
+        :param peer: the entry.
+        :param incarnation: of the entry.
+        """
+        record = self.state.sessions.entry(incarnation, self.clock.seconds())
+        for refusal in record.outbox.refusals:
+            log_decision(
+                decisions,
+                'refuse',
+                peer.name,
+                refusal.reason,
+                refusal.key._asdict(),
+            )
+
+    def reply_received(self, peer: Peer, reply: HeartbeatReply) -> None:
+        """Renew leases and forget what the entry has received.
+
+        :param peer: the entry.
+        :param reply: to a heartbeat.
+        """
+        incarnation = peer.introduction.incarnation
+        now = self.clock.seconds()
+        self.state.sessions.renew(incarnation, reply.window, now)
+        record = self.state.sessions.entry(incarnation, now)
+        self.watch.ledger.passed_on(record.outbox.acknowledge(reply.received))
+        self.finish_if_idle()
+
+    def cancel_received(self, peer: Peer, batch: CancelBatch) -> None:
+        """Stop the tasks of jobs that have ended.
+
+        :param peer: the entry.
+        :param batch: of tickets.
+        """
+        keys = self.state.cancel(
+            peer.introduction.incarnation, batch.tickets, 'cancelled'
+        )
+        self.watch.stop_tasks(keys)
+
+    def resolve_received(self, peer: Peer, resolve: Resolve) -> None:
+        """Tell an entry what became of its starts.
+
+        :param peer: the entry.
+        :param resolve: with the keys of the starts.
+        """
+        resolution = self.state.resolve(
+            peer.introduction.incarnation,
+            resolve.keys,
+            knows_all=resolve.incarnation == self.application.incarnation,
+            now=self.clock.seconds(),
+        )
+        self.sender.flush()
+        peer.send(resolution)
+
+    def describe(self) -> ExecutionStatus:
+        """Return what operators see of the tasks."""
+        return ExecutionStatus(
+            len(self.state.tasks),
+            self.state.room.free,
+            sorted(self.state.sessions.entries),
+        )
--- /dev/null
+++ b/jackdawridge/execution/forgetting.py
@@ -0,0 +1,39 @@
+"""Which events the worker may forget."""
+
+from __future__ import annotations
+
+
+class EventLedger:
+    """Finds the number up to which all events have been passed on."""
+
+    def __init__(self) -> None:
+        """Start before the first event."""
+        self.last = 0
+        self.forgotten = 0
+        self.outstanding: set[int] = set()
+
+    def seen(self, event: int) -> None:
+        """Note an event whose task's entry has not received it.
+
+        :param event: its number, 0 if the end came without an event.
+        """
+        if event:
+            self.last = max(self.last, event)
+            self.outstanding.add(event)
+
+    def passed_on(self, events: tuple[int, ...]) -> None:
+        """Note events whose endings have been received.
+
+        :param events: their numbers.
+        """
+        self.outstanding.difference_update(events)
+
+    def forgettable(self) -> int:
+        """Return the newest number to forget, 0 if there is nothing new."""
+        through = self.last
+        if self.outstanding:
+            through = min(self.outstanding) - 1
+        if through <= self.forgotten:
+            return 0
+        self.forgotten = through
+        return through
--- /dev/null
+++ b/jackdawridge/execution/http_worker.py
@@ -0,0 +1,225 @@
+"""A worker behind HTTP."""
+
+from __future__ import annotations
+
+import base64
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import treq
+from twisted.internet.error import (
+    ConnectError,
+)
+from twisted.internet.error import (
+    ConnectionRefusedError as RefusedError,
+)
+from twisted.internet.error import (
+    TimeoutError as ConnectTimeoutError,
+)
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+
+from jackdawridge.execution.worker import (
+    AnswerLostError,
+    NotSentError,
+    StartAnswer,
+    TaskList,
+)
+from jackdawridge.execution.worker_events import EventStream, TaskEvent
+
+if TYPE_CHECKING:
+    from jackdawridge.execution.worker import WorkerListener, WorkerTask
+
+#: Time for an answer from the worker, in seconds.
+CALL_TIMEOUT = 5.0
+#: Connections to the worker that are kept open.
+MAX_CONNECTIONS = 8
+
+_OK = 200
+_HEADERS = Headers({'Content-Type': ['application/json']})
+
+
+class _List(msgspec.Struct):
+    """All tasks in the worker's JSON."""
+
+    event: int
+    tasks: tuple[TaskEvent, ...]
+
+
+class _StartAnswer(msgspec.Struct):
+    """The answer to one start in the worker's JSON."""
+
+    id: str
+    state: str
+    reason: str = ''
+
+
+class _StartAnswers(msgspec.Struct):
+    """The answer to a batch of starts in the worker's JSON."""
+
+    results: tuple[_StartAnswer, ...]
+
+
+class HttpWorker:
+    """Calls the worker with JSON over HTTP.
+
+    :param reactor: Twisted's reactor.
+    :param address: `ip:port` of the worker.
+    """
+
+    def __init__(self, reactor: Any, address: str) -> None:
+        """Prepare without connecting."""
+        self.reactor = reactor
+        self.address = address
+        self.base = f'http://{address}/v1'
+        pool: Any = HTTPConnectionPool(reactor)
+        pool.maxPersistentPerHost = MAX_CONNECTIONS
+        # A retried POST could start a task twice.
+        pool.retryAutomatically = False
+        self.pool = pool
+        # Twisted's client has no types.
+        make_agent: Any = Agent
+        self.agent: Any = make_agent(
+            reactor, pool=pool, connectTimeout=CALL_TIMEOUT
+        )
+        self.events: EventStream | None = None
+
+    @classmethod
+    def from_config(cls, reactor: Any, address: str) -> HttpWorker:
+        """Return the worker of a side.
+
+        :param reactor: Twisted's reactor.
+        :param address: `ip:port` of the worker.
+        """
+        return cls(reactor, address)
+
+    async def call(self, path: str, document: object = None) -> bytes:
+        """Return the body of the worker's answer.
+
+        :param path: below `/v1`.
+        :param document: sent as JSON by POST; GET if it is None.
+        :raises NotSentError: if the worker has certainly not received it.
+        :raises AnswerLostError: if it may have acted on it.
+        """
+        try:
+            return await self.request(path, document)
+        except (RefusedError, ConnectError, ConnectTimeoutError) as error:
+            raise NotSentError(
+                str(error), step=f'call {path}', peer=self.address
+            ) from error
+        except AnswerLostError:
+            raise
+        except Exception as error:
+            raise AnswerLostError(
+                f'{type(error).__name__}: {error}',
+                step=f'call {path}',
+                peer=self.address,
+            ) from error
+
+    async def request(self, path: str, document: object) -> bytes:
+        """Send one request and return the body of the answer.
+
+        :param path: below `/v1`.
+        :param document: sent as JSON by POST; GET if it is None.
+        """
+        method = 'GET' if document is None else 'POST'
+        body = None if document is None else msgspec.json.encode(document)
+        response = await treq.request(
+            method,
+            f'{self.base}{path}',
+            data=body,
+            headers=_HEADERS,
+            agent=self.agent,
+            timeout=CALL_TIMEOUT,
+        )
+        content: bytes = await treq.content(response)
+        if response.code != _OK:
+            raise AnswerLostError(
+                f'status {response.code}',
+                step=f'call {path}',
+                peer=self.address,
+            )
+        return content
+
+    async def start(
+        self, tasks: tuple[WorkerTask, ...]
+    ) -> tuple[StartAnswer, ...]:
+        """Start tasks.
+
+        :param tasks: to start.
+        """
+        document = {'tasks': [_task_document(task) for task in tasks]}
+        content = await self.call('/tasks', document)
+        answers = msgspec.json.decode(content, type=_StartAnswers)
+        return tuple(
+            StartAnswer(answer.id, answer.state == 'running', answer.reason)
+            for answer in answers.results
+        )
+
+    async def list(self) -> TaskList:
+        """Return what the worker runs."""
+        content = await self.call('/tasks')
+        listed = msgspec.json.decode(content, type=_List)
+        return TaskList(
+            listed.event, tuple(status.convert() for status in listed.tasks)
+        )
+
+    async def stop(self, ids: tuple[str, ...]) -> None:
+        """Stop tasks.
+
+        :param ids: of the tasks.
+        """
+        await self.call('/tasks/stop', {'ids': ids})
+
+    async def throttle(self, ids: tuple[str, ...], share: float) -> None:
+        """Let tasks use a share of their cores.
+
+        :param ids: of the tasks.
+        :param share: 0 to 1.
+        """
+        await self.call('/tasks/throttle', {'ids': ids, 'share': share})
+
+    async def checkpoint(self, ids: tuple[str, ...]) -> None:
+        """Move the memory of tasks out of the way.
+
+        :param ids: of the tasks.
+        """
+        await self.call('/tasks/checkpoint', {'ids': ids})
+
+    async def renew(self, lease: float) -> None:
+        """Renew the leases of all running tasks.
+
+        :param lease: in seconds from now.
+        """
+        await self.call('/tasks/renew', {'all': True, 'lease': lease})
+
+    async def forget(self, event: int) -> None:
+        """Forget all tasks that ended up to an event.
+
+        :param event: number of the event.
+        """
+        await self.call('/tasks/forget', {'through': event})
+
+    def follow(self, event: int, listener: WorkerListener) -> None:
+        """Report all events after a number, until `close`.
+
+        :param event: number of the last known event.
+        :param listener: told of the events.
+        """
+        self.events = EventStream(
+            self.reactor, self.agent, self.base, event, listener
+        )
+        self.events.open()
+
+    def close(self) -> None:
+        """Stop reporting and close the connections."""
+        if self.events is not None:
+            self.events.close()
+        self.pool.closeCachedConnections()
+
+
+def _task_document(task: WorkerTask) -> dict[str, object]:
+    """Return a task as the worker's JSON has it."""
+    document = task._asdict()
+    document['payload'] = base64.b64encode(task.payload).decode()
+    return document
--- a/jackdawridge/execution/messages.capnp
+++ b/jackdawridge/execution/messages.capnp
@@ -63,7 +63,8 @@
 }
 
 struct Resolve {
-  keys @0 :List(TaskKey);
+  incarnation @0 :Text;
+  keys @1 :List(TaskKey);
 }
 
 struct Resolution {
--- a/jackdawridge/execution/messages.py
+++ b/jackdawridge/execution/messages.py
@@ -116,6 +116,8 @@
 class Resolve(NamedTuple):
     """Asks a side what became of starts; sent first on a new link."""
 
+    #: Run of the side that the starts were sent to.
+    incarnation: str
     keys: tuple[TaskKey, ...]
 
 
--- /dev/null
+++ b/jackdawridge/execution/outbox.py
@@ -0,0 +1,97 @@
+"""Outcomes that a side keeps until the entry has received them."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, NamedTuple
+
+from jackdawridge.execution.messages import OutcomeBatch
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from jackdawridge.execution.messages import Ending, Refusal, Room, TaskKey
+
+
+class Kept(NamedTuple):
+    """A batch that was not acknowledged yet."""
+
+    batch: OutcomeBatch
+    #: Numbers of the worker's events behind the endings.
+    events: tuple[int, ...]
+
+
+class Outbox:
+    """Numbers the outcomes for one incarnation of an entry.
+
+    :param numbers: of batches; ascending.
+    """
+
+    def __init__(self, numbers: Iterator[int]) -> None:
+        """Start empty."""
+        self.numbers = numbers
+        self.refusals: list[Refusal] = []
+        self.endings: list[Ending] = []
+        self.events: list[int] = []
+        self.kept: deque[Kept] = deque()
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Add a refusal to the next batch.
+
+        :param refusal: of a start.
+        """
+        self.refusals.append(refusal)
+
+    def end(self, ending: Ending, event: int) -> None:
+        """Add an ending to the next batch.
+
+        :param ending: of a task.
+        :param event: number of the worker's event, 0 if there is none.
+        """
+        self.endings.append(ending)
+        if event:
+            self.events.append(event)
+
+    def flush(self, processed: int, room: Room) -> OutcomeBatch | None:
+        """Return the next batch, None if there is nothing to say.
+
+        :param processed: number of the last start batch that was handled.
+        :param room: of the worker.
+        """
+        if not self.refusals and not self.endings:
+            return None
+        batch = OutcomeBatch(
+            next(self.numbers),
+            processed,
+            room,
+            tuple(self.refusals),
+            tuple(self.endings),
+        )
+        self.kept.append(Kept(batch, tuple(self.events)))
+        self.refusals.clear()
+        self.endings.clear()
+        self.events.clear()
+        return batch
+
+    def acknowledge(self, received: int) -> tuple[int, ...]:
+        """Forget batches and return the worker's events behind them.
+
+        :param received: number of the last batch that the entry has handled.
+        """
+        events: list[int] = []
+        while self.kept and self.kept[0].batch.number <= received:
+            events.extend(self.kept.popleft().events)
+        return tuple(events)
+
+    def is_empty(self) -> bool:
+        """Return whether the entry has received everything."""
+        return not (self.refusals or self.endings or self.kept)
+
+    def keys(self) -> set[TaskKey]:
+        """Return the keys of all outcomes that are kept."""
+        keys = {refusal.key for refusal in self.refusals}
+        keys.update(ending.key for ending in self.endings)
+        for batch, _ in self.kept:
+            keys.update(refusal.key for refusal in batch.refusals)
+            keys.update(ending.key for ending in batch.endings)
+        return keys
--- /dev/null
+++ b/jackdawridge/execution/outcomes.py
@@ -0,0 +1,51 @@
+"""Sending of outcomes to the entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jackdawridge.execution.state import SideState
+    from jackdawridge.util.clock import Clock
+    from jackdawridge.wire.peers import Peers
+
+
+class OutcomeSender:
+    """Gathers outcomes for one turn of the loop and sends them.
+
+    :param clock: the reactor.
+    :param peers: of the process.
+    :param state: of the side.
+    """
+
+    def __init__(self, clock: Clock, peers: Peers, state: SideState) -> None:
+        """Start with nothing to send."""
+        self.clock = clock
+        self.peers = peers
+        self.state = state
+        self.flushing = False
+        #: Called after each sending.
+        self.listeners: list[Callable[[], None]] = []
+
+    def flush_soon(self) -> None:
+        """Send outcomes at the end of this turn of the loop."""
+        if not self.flushing:
+            self.flushing = True
+            self.clock.callLater(0, self.flush)
+
+    def flush(self) -> None:
+        """Send the outcomes that have gathered."""
+        self.flushing = False
+        links = {
+            peer.introduction.incarnation: peer
+            for peer in self.peers.of_role('entry')
+        }
+        for record in tuple(self.state.sessions.entries.values()):
+            batch = record.outbox.flush(record.processed, self.state.room.free)
+            peer = links.get(record.incarnation)
+            if batch is not None and peer is not None:
+                peer.send(batch)
+        for listener in self.listeners:
+            listener()
--- /dev/null
+++ b/jackdawridge/execution/starter.py
@@ -0,0 +1,228 @@
+"""Hands admitted starts to the worker in batches."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from jackdawridge.errors import JackdawridgeError
+from jackdawridge.execution.messages import TaskKey
+from jackdawridge.execution.worker import (
+    AnswerLostError,
+    NotSentError,
+    WorkerTask,
+)
+from jackdawridge.logs import get_logger
+
+if TYPE_CHECKING:
+    from jackdawridge.execution.messages import Start
+    from jackdawridge.execution.worker import StartAnswer, TaskList, Worker
+    from jackdawridge.util.clock import Clock
+
+logger = get_logger('execution')
+
+#: Calls to the worker that may be under way at a time.
+MAX_CALLS = 4
+#: Most starts in one call.
+MAX_STARTS = 256
+#: Wait between questions after a lost answer, in seconds.
+QUESTION_INTERVAL = 0.3
+#: Questions in which a start must be absent to be called lost.
+QUESTIONS = 3
+
+_SEPARATOR = '|'
+
+
+class StartListener(Protocol):
+    """Receives what became of starts."""
+
+    def started(self, keys: tuple[TaskKey, ...]) -> None:
+        """Take note of tasks that the worker runs."""
+
+    def not_started(self, key: TaskKey, reason: str) -> None:
+        """Take note of a task that the worker never got or has refused."""
+
+    def start_lost(self, key: TaskKey, reason: str) -> None:
+        """Take note of a task of which nobody knows whether it started."""
+
+
+def write_id(key: TaskKey) -> str:
+    """Return the text by which the worker knows a task.
+
+    :param key: of the task.
+    """
+    return _SEPARATOR.join((key.ticket, str(key.task), str(key.lease)))
+
+
+def read_id(text: str) -> TaskKey | None:
+    """Return the key in a worker's id, None if it is not one of ours.
+
+    :param text: from the worker.
+    """
+    parts = text.split(_SEPARATOR)
+    if len(parts) != len(TaskKey._fields):
+        return None
+    ticket, task, lease = parts
+    if not (task.isdecimal() and lease.isdecimal()):
+        return None
+    return TaskKey(ticket, int(task), int(lease))
+
+
+class Starter:
+    """Calls the worker and finds out what became of lost calls.
+
+    :param worker: to call.
+    :param clock: the reactor.
+    :param listener: told what became of the starts.
+    :param lease: time for which the worker may run tasks without renewal,
+        in seconds.
+    """
+
+    def __init__(
+        self,
+        worker: Worker,
+        clock: Clock,
+        listener: StartListener,
+        lease: float,
+    ) -> None:
+        """Start with nothing to do."""
+        self.worker = worker
+        self.clock = clock
+        self.listener = listener
+        self.lease = lease
+        self.waiting: list[Start] = []
+        self.calls = 0
+
+    def add(self, starts: tuple[Start, ...]) -> None:
+        """Hand starts to the worker as soon as a call is free.
+
+        :param starts: that were admitted.
+        """
+        self.waiting.extend(starts)
+        self.pump()
+
+    def pump(self) -> None:
+        """Use the free calls."""
+        while self.waiting and self.calls < MAX_CALLS:
+            batch = tuple(self.waiting[:MAX_STARTS])
+            self.waiting = self.waiting[MAX_STARTS:]
+            self.calls += 1
+            call = ensureDeferred(self.call(batch))
+            call.addBoth(self.finished)
+
+    def finished(self, _: object) -> None:
+        """Free a call.
+
+        :param _: the call's result.
+        """
+        self.calls -= 1
+        self.pump()
+
+    async def call(self, batch: tuple[Start, ...]) -> None:
+        """Start a batch and report what became of it.
+
+        :param batch: of starts.
+        """
+        tasks = tuple(self.task(start) for start in batch)
+        try:
+            answers = await self.worker.start(tasks)
+        except NotSentError as error:
+            reason = f'worker is unreachable: {error.message}'
+            self.refuse(batch, reason)
+        except AnswerLostError as error:
+            logger.warning(error.message, step='start', peer=error.peer)
+            ensureDeferred(self.question({one.key() for one in batch}))
+        else:
+            self.report(batch, answers)
+
+    def refuse(self, batch: tuple[Start, ...], reason: str) -> None:
+        """Report a batch that the worker has certainly not received.
+
+        :param batch: of starts.
+        :param reason: for the entry.
+        """
+        for start in batch:
+            self.listener.not_started(start.key(), reason)
+
+    def task(self, start: Start) -> WorkerTask:
+        """Return a start as the worker knows it.
+
+        :param start: that was admitted.
+        """
+        return WorkerTask(
+            write_id(start.key()),
+            start.kind,
+            start.payload,
+            start.cores,
+            start.memory,
+            start.accelerators,
+            self.lease,
+        )
+
+    def report(
+        self, batch: tuple[Start, ...], answers: tuple[StartAnswer, ...]
+    ) -> None:
+        """Report the worker's answers.
+
+        :param batch: of starts.
+        :param answers: of the worker, in any order.
+        """
+        by_id = {answer.id: answer for answer in answers}
+        running = []
+        for start in batch:
+            key = start.key()
+            answer = by_id.get(write_id(key))
+            if answer is None:
+                self.listener.start_lost(key, 'worker has not answered for it')
+            elif answer.started:
+                running.append(key)
+            else:
+                self.listener.not_started(key, answer.reason)
+        self.listener.started(tuple(running))
+
+    async def question(self, keys: set[TaskKey]) -> None:
+        """Find out what became of starts whose answer was lost.
+
+        The worker may still act on a call after it has listed its tasks, so
+        that absence is never taken for `not run`.
+
+        :param keys: of the starts.
+        """
+        for _ in range(QUESTIONS):
+            await self.pause()
+            listed = await self.list()
+            known = _known(listed) & keys
+            self.listener.started(tuple(known))
+            keys -= known
+            if not keys:
+                return
+        ids = tuple(write_id(key) for key in keys)
+        for key in keys:
+            self.listener.start_lost(key, 'answer of the worker was lost')
+        try:
+            await self.worker.stop(ids)
+        except JackdawridgeError as error:
+            logger.warning(error.message, step='stop', peer=error.peer)
+
+    async def list(self) -> TaskList | None:
+        """Return the worker's tasks, None if it does not answer."""
+        try:
+            return await self.worker.list()
+        except JackdawridgeError as error:
+            logger.warning(error.message, step='list', peer=error.peer)
+            return None
+
+    def pause(self) -> Deferred[None]:
+        """Return a `Deferred` that fires after the interval of questions."""
+        pause: Deferred[None] = Deferred()
+        self.clock.callLater(QUESTION_INTERVAL, pause.callback, None)
+        return pause
+
+
+def _known(listed: TaskList | None) -> set[TaskKey]:
+    """Return the keys in a list of the worker's tasks."""
+    if listed is None:
+        return set()
+    keys = (read_id(status.id) for status in listed.tasks)
+    return {key for key in keys if key is not None}
--- /dev/null
+++ b/jackdawridge/execution/tasks.py
@@ -0,0 +1,91 @@
+"""Life of one task at a side."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from automat import TypeMachineBuilder
+
+if TYPE_CHECKING:
+    from jackdawridge.execution.messages import TaskKey
+
+
+class TaskLife(Protocol):
+    """Inputs of the state machine of a task."""
+
+    def confirm(self) -> bool:
+        """Note that the worker runs it; return whether to stop it now."""
+
+    def stop(self) -> bool:
+        """Ask for its end; return whether to tell the worker now."""
+
+    def is_confirmed(self) -> bool:
+        """Return whether the worker has said that it runs the task."""
+
+
+class TaskRecord:
+    """What a side knows of a task that it has not seen end.
+
+    :param key: of the attempt.
+    :param owner: incarnation of the entry that asked for it.
+    """
+
+    def __init__(self, key: TaskKey, owner: str) -> None:
+        """Make the record of a task that is about to be started."""
+        self.key = key
+        self.owner = owner
+        #: Why it was stopped, or empty.
+        self.stop_reason = ''
+        self.life: TaskLife = _make_life(self)
+
+
+def _confirm(_life: TaskLife, _record: TaskRecord) -> bool:
+    """Take note of a confirmation that asks for nothing more."""
+    return False
+
+
+def _confirm_then_stop(_life: TaskLife, _record: TaskRecord) -> bool:
+    """Say that the worker has to be told to stop."""
+    return True
+
+
+def _stop(_life: TaskLife, _record: TaskRecord) -> bool:
+    """Say that the worker has to be told to stop."""
+    return True
+
+
+def _stop_later(_life: TaskLife, _record: TaskRecord) -> bool:
+    """Wait until the worker can be told."""
+    return False
+
+
+def _yes(_life: TaskLife, _record: TaskRecord) -> bool:
+    """Answer yes."""
+    return True
+
+
+def _no(_life: TaskLife, _record: TaskRecord) -> bool:
+    """Answer no."""
+    return False
+
+
+_builder: TypeMachineBuilder[TaskLife, TaskRecord] = TypeMachineBuilder(
+    TaskLife, TaskRecord
+)
+_starting = _builder.state('starting')
+_running = _builder.state('running')
+_cancelled = _builder.state('cancelled')
+_stopping = _builder.state('stopping')
+_starting.upon(TaskLife.confirm).to(_running)(_confirm)
+_starting.upon(TaskLife.stop).to(_cancelled)(_stop_later)
+_starting.upon(TaskLife.is_confirmed).loop()(_no)
+_running.upon(TaskLife.confirm).loop()(_confirm)
+_running.upon(TaskLife.stop).to(_stopping)(_stop)
+_running.upon(TaskLife.is_confirmed).loop()(_yes)
+_cancelled.upon(TaskLife.confirm).to(_stopping)(_confirm_then_stop)
+_cancelled.upon(TaskLife.stop).loop()(_stop_later)
+_cancelled.upon(TaskLife.is_confirmed).loop()(_no)
+_stopping.upon(TaskLife.confirm).loop()(_confirm)
+_stopping.upon(TaskLife.stop).loop()(_stop_later)
+_stopping.upon(TaskLife.is_confirmed).loop()(_yes)
+_make_life = _builder.build()
--- /dev/null
+++ b/jackdawridge/execution/watch.py
@@ -0,0 +1,197 @@
+"""What a side hears from its worker."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import ensureDeferred
+
+from jackdawridge.errors import JackdawridgeError
+from jackdawridge.execution.forgetting import EventLedger
+from jackdawridge.execution.messages import Ending, Room
+from jackdawridge.execution.starter import Starter, read_id, write_id
+from jackdawridge.execution.state import AdoptedTask
+from jackdawridge.logs import get_logger
+
+if TYPE_CHECKING:
+    from jackdawridge.application import Application
+    from jackdawridge.execution.messages import TaskKey
+    from jackdawridge.execution.outcomes import OutcomeSender
+    from jackdawridge.execution.state import SideState
+    from jackdawridge.execution.worker import (
+        TaskList,
+        TaskStatus,
+        TaskUsage,
+        Worker,
+    )
+
+logger = get_logger('execution')
+
+#: The worker's own lease on tasks, in task leases of the side.
+WORKER_LEASES = 3
+
+
+class WorkerWatch:
+    """Starts and stops tasks and passes on what becomes of them.
+
+    :param application: the process.
+    :param worker: beside this side.
+    :param state: of the side.
+    :param sender: of outcomes.
+    """
+
+    def __init__(
+        self,
+        application: Application,
+        worker: Worker,
+        state: SideState,
+        sender: OutcomeSender,
+    ) -> None:
+        """Prepare without calling the worker."""
+        self.application = application
+        self.clock = application.clock
+        self.worker = worker
+        self.state = state
+        self.sender = sender
+        self.lease = application.settings.number('task_lease') * WORKER_LEASES
+        self.starter = Starter(worker, self.clock, self, self.lease)
+        self.ledger = EventLedger()
+
+    async def adopt(self) -> None:
+        """Take over what the worker runs, as soon as it answers."""
+        listed = None
+        while listed is None:
+            listed = await self.starter.list()
+            if listed is None:
+                await self.starter.pause()
+        adopted = [
+            AdoptedTask(key, Room(status.cores, status.memory, 0, 1))
+            for status in listed.tasks
+            if status.state == 'running'
+            and (key := read_id(status.id)) is not None
+        ]
+        self.state.adopt(adopted, self.clock.seconds())
+        logger.info(f'adopted {len(adopted)} tasks', step='adopt')
+        self.worker.follow(0, self)
+
+    def keep(self) -> None:
+        """Renew the worker's leases and let it forget what was passed on."""
+        if self.state.tasks:
+            self.attempt('renew', self.worker.renew(self.lease))
+        through = self.ledger.forgettable()
+        if through:
+            self.attempt('forget', self.worker.forget(through))
+
+    def attempt(self, step: str, call: object) -> None:
+        """Make a call whose failure only needs a log line.
+
+        :param step: for the log.
+        :param call: a coroutine of the worker.
+        """
+        ensureDeferred(_log_failure(step, call))
+
+    def started(self, keys: tuple[TaskKey, ...]) -> None:
+        """Note tasks that the worker runs.
+
+        :param keys: of the tasks.
+        """
+        self.stop_tasks([key for key in keys if self.state.confirm(key)])
+
+    def not_started(self, key: TaskKey, reason: str) -> None:
+        """Refuse a task that the worker never got.
+
+        :param key: of the task.
+        :param reason: for the entry.
+        """
+        self.state.never_started(key, reason, self.clock.seconds())
+        self.sender.flush_soon()
+
+    def start_lost(self, key: TaskKey, reason: str) -> None:
+        """Report a task of which nobody knows whether it started.
+
+        :param key: of the task.
+        :param reason: for the entry.
+        """
+        if key in self.state.tasks:
+            ending = Ending(key, 'lost', reason, b'', 0, 0, 0)
+            self.state.end(ending, 0, self.clock.seconds())
+            self.sender.flush_soon()
+
+    def task_ended(self, status: TaskStatus) -> None:
+        """Pass on the end of a task.
+
+        :param status: from the worker.
+        """
+        key = read_id(status.id)
+        if key is None:
+            return
+        ending = Ending(
+            key,
+            status.state,
+            status.reason,
+            status.answer,
+            status.cores,
+            status.memory,
+            status.run_time,
+        )
+        self.ledger.seen(status.event)
+        self.state.end(ending, status.event, self.clock.seconds())
+        self.sender.flush_soon()
+
+    def usage_reported(self, usage: tuple[TaskUsage, ...]) -> None:
+        """Take note of what tasks use.
+
+        :param usage: of running tasks.
+        """
+        self.application.events.emit('usage_reported', usage)
+
+    def events_interrupted(self) -> None:
+        """Look for tasks that have vanished with a worker's restart."""
+        confirmed = {
+            key
+            for key, task in self.state.tasks.items()
+            if task.life.is_confirmed()
+        }
+        if confirmed:
+            ensureDeferred(self.reconcile(confirmed))
+
+    async def reconcile(self, confirmed: set[TaskKey]) -> None:
+        """Report running tasks that the worker no longer knows.
+
+        :param confirmed: tasks that the worker ran before it is asked.
+        """
+        listed = await self.starter.list()
+        if listed is None:
+            return
+        known = {status.id for status in listed.tasks}
+        for key in confirmed:
+            if write_id(key) not in known:
+                self.start_lost(key, 'worker has lost the task')
+        self.pass_on_ended(listed)
+
+    def pass_on_ended(self, listed: TaskList) -> None:
+        """Pass on the ends that the event stream would not repeat.
+
+        :param listed: the worker's tasks.
+        """
+        for status in listed.tasks:
+            key = read_id(status.id)
+            if status.state != 'running' and key in self.state.tasks:
+                self.task_ended(status)
+
+    def stop_tasks(self, keys: list[TaskKey]) -> None:
+        """Tell the worker to stop tasks.
+
+        :param keys: of the tasks.
+        """
+        if keys:
+            ids = tuple(write_id(key) for key in keys)
+            self.attempt('stop', self.worker.stop(ids))
+
+
+async def _log_failure(step: str, call: object) -> None:
+    """Await a call and log its failure."""
+    try:
+        await call  # type: ignore[misc]
+    except JackdawridgeError as error:
+        logger.warning(error.message, step=step, peer=error.peer)
--- /dev/null
+++ b/jackdawridge/execution/worker_events.py
@@ -0,0 +1,216 @@
+"""The stream of a worker's events."""
+
+from __future__ import annotations
+
+import base64
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import treq
+from twisted.protocols.basic import LineReceiver
+
+from jackdawridge.execution.worker import TaskStatus, TaskUsage
+from jackdawridge.logs import get_logger
+
+if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
+    from jackdawridge.execution.worker import WorkerListener
+
+logger = get_logger('worker')
+
+#: Time without any line after which the stream is opened again, in seconds.
+EVENTS_TIMEOUT = 5.0
+#: Wait before the stream is opened again, in seconds.
+EVENTS_RETRY = 0.2
+#: Longest line of the stream, in bytes.
+MAX_EVENT_BYTES = 4194304
+
+_OK = 200
+
+
+class UsageItem(msgspec.Struct):
+    """What one task uses, in the worker's JSON."""
+
+    id: str
+    cores: float = 0
+    memory: float = 0
+
+
+class TaskEvent(msgspec.Struct):
+    """A task or a usage report, in the worker's JSON."""
+
+    id: str = ''
+    state: str = ''
+    reason: str = ''
+    answer: str = ''
+    cores: float = 0
+    memory: float = 0
+    run_time: float = 0
+    number: int = 0
+    usage: tuple[UsageItem, ...] = ()
+
+    def convert(self) -> TaskStatus:
+        """Return the status of the task as the side knows it."""
+        return TaskStatus(
+            self.id,
+            self.state,
+            self.reason,
+            base64.b64decode(self.answer),
+            self.cores,
+            self.memory,
+            self.run_time,
+            self.number,
+        )
+
+
+class EventStream:
+    """Follows the worker's events and connects again when they stop.
+
+    :param reactor: Twisted's reactor.
+    :param agent: the HTTP client.
+    :param base: of the worker's URLs.
+    :param event: number of the last known event.
+    :param listener: told of the events.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        agent: Any,
+        base: str,
+        event: int,
+        listener: WorkerListener,
+    ) -> None:
+        """Prepare without connecting."""
+        self.reactor = reactor
+        self.agent = agent
+        self.base = base
+        self.event = event
+        self.listener = listener
+        self.closed = False
+        self.receiver: EventReceiver | None = None
+        self.timer: Any = None
+
+    def open(self) -> None:
+        """Ask for the events."""
+        url = f'{self.base}/events?after={self.event}'
+        asked = treq.get(url, agent=self.agent, unbuffered=True)
+        asked.addTimeout(EVENTS_TIMEOUT, self.reactor)
+        asked.addCallbacks(self.opened, self.failed)
+
+    def opened(self, response: Any) -> None:
+        """Read the body of the answer.
+
+        :param response: of treq.
+        """
+        if response.code != _OK or self.closed:
+            self.failed(response)
+            return
+        self.receiver = EventReceiver(self)
+        self.watch()
+        response.deliverBody(self.receiver)
+
+    def watch(self) -> None:
+        """Start to wait for the next line."""
+        self.unwatch()
+        if not self.closed:
+            self.timer = self.reactor.callLater(EVENTS_TIMEOUT, self.abort)
+
+    def unwatch(self) -> None:
+        """Stop waiting for a line."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+    def abort(self) -> None:
+        """Give up a stream that is silent or malformed."""
+        if self.receiver is not None:
+            self.receiver.abort()
+
+    def line(self, line: bytes) -> None:
+        """Report one event.
+
+        :param line: of JSON, empty to show that the worker lives.
+        """
+        self.watch()
+        if not line.strip():
+            return
+        try:
+            event = msgspec.json.decode(line, type=TaskEvent)
+        except msgspec.MsgspecError as error:
+            logger.warning(str(error), step='events', peer=self.base)
+            return
+        if event.id:
+            self.event = max(self.event, event.number)
+            self.listener.task_ended(event.convert())
+        elif event.usage:
+            usage = tuple(
+                TaskUsage(item.id, item.cores, item.memory)
+                for item in event.usage
+            )
+            self.listener.usage_reported(usage)
+
+    def failed(self, reason: object) -> None:
+        """Connect again after a wait.
+
+        :param reason: why the stream has ended.
+        """
+        self.unwatch()
+        self.receiver = None
+        if self.closed:
+            return
+        self.listener.events_interrupted()
+        self.reactor.callLater(EVENTS_RETRY, self.reopen)
+
+    def reopen(self) -> None:
+        """Connect again unless closed meanwhile."""
+        if not self.closed:
+            self.open()
+
+    def close(self) -> None:
+        """Stop following."""
+        self.closed = True
+        self.unwatch()
+        self.abort()
+
+
+class EventReceiver(LineReceiver):
+    """Splits the event stream into lines.
+
+    :param stream: gets the lines.
+    """
+
+    delimiter = b'\n'
+
+    def __init__(self, stream: EventStream) -> None:
+        """Keep the stream."""
+        self.MAX_LENGTH = MAX_EVENT_BYTES  # noqa: WPS601
+        self.stream = stream
+        self.transport: Any = None
+
+    def lineReceived(self, line: bytes) -> None:
+        """Pass a line on.
+
+        :param line: without its end.
+        """
+        self.stream.line(line)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Give up a stream with too long a line.
+
+        :param line: the beginning.
+        """
+        self.abort()
+
+    def connectionLost(self, reason: Failure | None = None) -> None:
+        """Say that the stream has ended.
+
+        :param reason: of Twisted.
+        """
+        self.stream.failed(reason)
+
+    def abort(self) -> None:
+        """Close the connection."""
+        transport = self.transport
+        if transport is not None:
+            transport.abortConnection()
--- /dev/null
+++ b/jackdawridge/operations/doors.py
@@ -0,0 +1,176 @@
+"""HTTP listeners with bounds on what a peer may send."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.web.http import HTTPChannel
+from twisted.web.server import Request, Site
+
+from jackdawridge.logs import get_logger
+from jackdawridge.wire.link import CONNECTION_DONE
+
+if TYPE_CHECKING:
+    from twisted.internet.interfaces import IAddress, IProtocol
+    from twisted.python.failure import Failure
+    from twisted.web.resource import Resource
+
+logger = get_logger('doors')
+
+#: Longest body of a request, in bytes.
+MAX_BODY_BYTES = 2097152
+#: Time for a request to arrive as a whole, in seconds.
+REQUEST_TIMEOUT = 15.0
+#: Time without a request after which a connection is closed, in seconds.
+IDLE_TIMEOUT = 60
+#: Connections that a door accepts at a time.
+MAX_CONNECTIONS = 1024
+
+_TOO_LARGE = b'HTTP/1.1 413 Content Too Large\r\n'
+_TOO_SLOW = b'HTTP/1.1 408 Request Timeout\r\n'
+_CLOSING = (
+    b'X-Jackdawridge-Outcome: not-run\r\n'
+    b'Content-Length: 0\r\n'
+    b'Connection: close\r\n'
+    b'\r\n'
+)
+
+
+class BoundedRequest(Request):
+    """A request whose body may not be longer than the door allows."""
+
+    def __init__(self, channel: Any, *args: Any, **options: Any) -> None:
+        """Start without content."""
+        super().__init__(channel, *args, **options)
+        self.received = 0
+
+    def gotLength(self, length: int | None) -> None:
+        """Refuse a request that announces too long a body.
+
+        :param length: announced, None for a chunked body.
+        """
+        if length is not None and length > MAX_BODY_BYTES:
+            self.refuse()
+            return
+        super().gotLength(length)
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Take a part of the body.
+
+        :param data: the part.
+        """
+        self.received += len(data)
+        if self.received > MAX_BODY_BYTES:
+            self.refuse()
+            return
+        super().handleContentChunk(data)
+
+    def refuse(self) -> None:
+        """Answer that the body is too long and end the connection."""
+        self.content = None
+        channel: Any = self.channel
+        channel.reject(_TOO_LARGE)
+
+
+class BoundedChannel(HTTPChannel):
+    """A connection on which each request has to arrive in time."""
+
+    requestFactory = BoundedRequest  # noqa: WPS115
+
+    def __init__(self) -> None:
+        """Start without a timer."""
+        super().__init__()
+        self.timer: Any = None
+
+    def dataReceived(self, data: bytes) -> None:
+        """Start the timer of a request with its first byte.
+
+        :param data: from the peer.
+        """
+        if self.timer is None:
+            self.timer = self.callLater(REQUEST_TIMEOUT, self.too_slow)
+        super().dataReceived(data)
+
+    def allContentReceived(self) -> None:
+        """Stop the timer once the request is there."""
+        self.stop_timer()
+        super().allContentReceived()
+
+    def connectionLost(self, reason: Failure = CONNECTION_DONE) -> None:
+        """Stop the timer and count the connection out.
+
+        :param reason: of Twisted.
+        """
+        self.stop_timer()
+        self.factory.connections -= 1
+        super().connectionLost(reason)
+
+    def stop_timer(self) -> None:
+        """Stop the timer of a request."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
+
+    def too_slow(self) -> None:
+        """End a connection whose request does not arrive."""
+        self.timer = None
+        self.reject(_TOO_SLOW)
+
+    def reject(self, status: bytes) -> None:
+        """Answer with an error and end the connection.
+
+        :param status: the first line of the answer.
+        """
+        transport: Any = self.transport
+        if transport is not None:
+            transport.write(status + _CLOSING)
+            transport.loseConnection()
+
+
+class Door(Site):
+    """Listens for HTTP; a component.
+
+    :param reactor: Twisted's reactor.
+    :param address: `ip:port`.
+    :param resource: the root of what is served.
+    """
+
+    protocol = BoundedChannel  # type: ignore[assignment]
+
+    def __init__(self, reactor: Any, address: str, resource: Resource) -> None:
+        """Prepare without listening."""
+        super().__init__(resource, timeout=IDLE_TIMEOUT, reactor=reactor)
+        self.displayTracebacks = False
+        self.door_reactor = reactor
+        self.address = address
+        self.connections = 0
+        self.port: Any = None
+
+    def buildProtocol(self, addr: IAddress | None) -> IProtocol | None:
+        """Return a connection, None to refuse one over the limit.
+
+        :param addr: of the peer.
+        """
+        if self.connections >= MAX_CONNECTIONS:
+            logger.warning(
+                'too many connections', step='accept', peer=str(addr)
+            )
+            return None
+        self.connections += 1
+        protocol: IProtocol | None = super().buildProtocol(addr)
+        return protocol
+
+    def log(self, request: object) -> None:
+        """Write no access log; decisions have lines of their own.
+
+        :param request: that was answered.
+        """
+
+    def start(self) -> None:
+        """Listen."""
+        host, _, port = self.address.rpartition(':')
+        self.port = self.door_reactor.listenTCP(int(port), self, interface=host)
+
+    def stop(self) -> Any:
+        """Stop listening."""
+        return self.port.stopListening()
--- /dev/null
+++ b/jackdawridge/side.py
@@ -0,0 +1,37 @@
+"""Wires a side: it starts tasks on the worker beside it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from jackdawridge.daemon import Daemon
+from jackdawridge.execution.component import SideExecution
+from jackdawridge.execution.http_worker import HttpWorker
+
+if TYPE_CHECKING:
+    from jackdawridge.application import Application
+    from jackdawridge.config import Settings
+
+
+def build_side(settings: Settings, reactor: Any) -> Application:
+    """Return a side that is ready to be started.
+
+    :param settings: of the side.
+    :param reactor: Twisted's reactor.
+    """
+    daemon = Daemon.from_config(settings, reactor)
+    application = daemon.application
+    worker = HttpWorker.from_config(reactor, settings.text('worker'))
+    execution = SideExecution.from_application(
+        application, daemon.peers, worker
+    )
+    daemon.resource.sections['tasks'] = execution.describe
+    # A side announces itself once it knows what its worker runs.
+    application.events.connect(
+        'side_ready',
+        lambda: daemon.connector.aim(settings.texts('entries')),
+    )
+    daemon.add_operator_door()
+    application.add(daemon.connector)
+    application.add(execution)
+    return application
--- a/jackdawridge/standins/proxy.py
+++ b/jackdawridge/standins/proxy.py
@@ -16,7 +16,7 @@
 
     from jackdawridge.standins.faults import ProxyFaults
 
-_DONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
+_DONE = Failure(ConnectionDone())
 #: Direction from the client to the target, and back.
 UP = 'up'
 DOWN = 'down'
--- a/jackdawridge/standins/web.py
+++ b/jackdawridge/standins/web.py
@@ -37,7 +37,7 @@
 
         :param resource: serves all requests.
         """
-        super().__init__(resource)  # type: ignore[no-untyped-call]
+        super().__init__(resource)
         self.displayTracebacks = False
 
     def log(self, request: Any) -> None:
@@ -56,7 +56,7 @@
 
     def __init__(self, stand_in: StandIn, inner: Resource) -> None:
         """Keep both."""
-        super().__init__()  # type: ignore[no-untyped-call]
+        super().__init__()
         self.isLeaf = True
         self.stand_in = stand_in
         self.inner = inner
@@ -69,7 +69,7 @@
         if self.stand_in.is_dead and request.path not in CONTROL_PATHS:
             request.transport.abortConnection()
             return NOT_DONE_YET
-        return self.inner.render(request)  # type: ignore[no-untyped-call]
+        return self.inner.render(request)
 
 
 class LimitedFactory(WrappingFactory[ProtocolWrapper]):
@@ -83,7 +83,7 @@
 
     def __init__(self, site: Site, limit: int | None) -> None:
         """Keep both."""
-        super().__init__(site)  # type: ignore[no-untyped-call]
+        super().__init__(site)
         self.limit = limit
 
     def buildProtocol(self, addr: Any) -> Any:
--- /dev/null
+++ b/jackdawridge/submission/component.py
@@ -0,0 +1,82 @@
+"""The part of an entry that owns jobs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import Deferred, succeed
+
+from jackdawridge.placement.placer import Placer
+from jackdawridge.submission.desk import JobDesk
+from jackdawridge.submission.engine import JobEngine
+from jackdawridge.submission.relay import TicketRelay
+from jackdawridge.submission.tickets import TicketFormat, TicketRegister
+from jackdawridge.submission.tracking import SideTracker
+
+if TYPE_CHECKING:
+    from jackdawridge.application import Application
+    from jackdawridge.wire.peers import Peers
+
+
+class EntrySubmission:
+    """Takes jobs, runs them and answers; a component.
+
+    :param application: the process.
+    :param peers: of the process.
+    :param placer: decides what starts where.
+    """
+
+    def __init__(
+        self, application: Application, peers: Peers, placer: Placer
+    ) -> None:
+        """Wire the parts."""
+        settings = application.settings
+        self.application = application
+        register = TicketRegister(
+            TicketFormat(settings.text('shared_key')),
+            peers.introduction.address,
+            application.incarnation,
+            settings.integer('ticket_limit'),
+        )
+        self.engine = JobEngine(application, placer)
+        self.desk = JobDesk(application, self.engine, register)
+        self.relay = TicketRelay(application, self.desk, peers)
+        self.tracker = SideTracker(application, self.engine)
+
+    @classmethod
+    def from_application(
+        cls, application: Application, peers: Peers
+    ) -> EntrySubmission:
+        """Return the component of an entry.
+
+        :param application: the process.
+        :param peers: of the process.
+        """
+        placer = Placer.from_config(
+            application.settings, application.incarnation
+        )
+        return cls(application, peers, placer)
+
+    def start(self) -> None:
+        """Begin to follow the sides."""
+        self.tracker.start()
+
+    def stop(self) -> Deferred[None]:
+        """Return a `Deferred` that fires when no job is open any more."""
+        if not self.engine.jobs:
+            self.tracker.stop()
+            return succeed(None)
+        idle: Deferred[None] = Deferred()
+        self.engine.idle = idle
+        limit = self.application.settings.number('drain')
+        self.application.clock.callLater(limit, self.end_drain, idle)
+        return idle.addCallback(lambda _: self.tracker.stop())
+
+    def end_drain(self, idle: Deferred[None]) -> None:
+        """Stop waiting for open jobs.
+
+        :param idle: what waits.
+        """
+        if not idle.called:
+            self.engine.idle = None
+            idle.callback(None)
--- /dev/null
+++ b/jackdawridge/submission/jobs.py
@@ -0,0 +1,221 @@
+"""Jobs that an entry owns, and the answers that it keeps."""
+
+from __future__ import annotations
+
+import enum
+from collections import OrderedDict
+from typing import TYPE_CHECKING, NamedTuple
+
+from jackdawridge.submission.life import make_life
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jackdawridge.execution.messages import Ending, TaskKey
+
+
+class Started(enum.Enum):
+    """Whether tasks of a failed job were started."""
+
+    #: No task was started, and none will be.
+    nothing = 'none'
+    #: At least one task was started.
+    some = 'some'
+    #: It is not known whether a task was started.
+    unknown = 'unknown'
+
+
+class TaskSpec(NamedTuple):
+    """A task as the caller has declared it."""
+
+    kind: str
+    cores: float
+    #: In MB.
+    memory: float
+    accelerators: int
+    #: In seconds.
+    run_time: float
+    payload: bytes
+
+
+class JobSpec(NamedTuple):
+    """A job as the caller has declared it."""
+
+    team: str
+    #: Agreement that the tasks are counted under, or empty.
+    agreement: str
+    #: Version of the agreement, 0 for the current one.
+    agreement_version: int
+    tasks: tuple[TaskSpec, ...]
+
+
+class JobAnswer(NamedTuple):
+    """The only answer that a job ever gets."""
+
+    ticket: str
+    #: `complete` or `failed`.
+    state: str
+    #: Answers of all tasks in their order; empty if the job has failed.
+    answers: tuple[bytes, ...]
+    reason: str
+    started: Started
+
+
+class Sent(NamedTuple):
+    """A start that was sent and of which no outcome is known."""
+
+    key: TaskKey
+    #: Node of the side.
+    side: str
+
+
+class Job:
+    """One job with the state of its tasks.
+
+    :param ticket: of the job.
+    :param spec: what the caller has declared.
+    :param digest: of the caller's body, by which a resubmission is known.
+    :param done: called with the answer, once.
+    """
+
+    def __init__(
+        self,
+        ticket: str,
+        spec: JobSpec,
+        digest: bytes,
+        done: Callable[[JobAnswer], None],
+    ) -> None:
+        """Make an open job of which nothing was sent."""
+        self.ticket = ticket
+        self.spec = spec
+        self.digest = digest
+        self.done = done
+        self.answers: dict[int, bytes] = {}
+        #: Starts without a known outcome, by the position of the task.
+        self.sent: dict[int, Sent] = {}
+        self.started = Started.nothing
+        self.reason = ''
+        self.life = make_life(self)
+
+    @property
+    def remaining(self) -> int:
+        """Return the number of tasks without an answer."""
+        return len(self.spec.tasks) - len(self.answers)
+
+    def send(self, key: TaskKey, side: str) -> None:
+        """Note that a start is being sent.
+
+        :param key: of the start.
+        :param side: node that it is sent to.
+        """
+        self.sent[key.task] = Sent(key, side)
+
+    def owns(self, key: TaskKey) -> bool:
+        """Return whether a key is that of a start in doubt.
+
+        An outcome under any other lease is late and must be dropped.
+
+        :param key: of an outcome.
+        """
+        sent = self.sent.get(key.task)
+        return sent is not None and sent.key == key
+
+    def refuse(self, key: TaskKey) -> bool:
+        """Take a start back that was certainly not carried out.
+
+        :param key: of the start, which the job owns.
+        :returns: whether the task may be sent again.
+        """
+        self.sent.pop(key.task)
+        may_repeat = self.life.is_open()
+        self.life.settle()
+        return may_repeat
+
+    def end(self, ending: Ending) -> bool:
+        """Take the outcome of a task that was started.
+
+        :param ending: whose key the job owns.
+        :returns: whether the job has just failed, so that the rest has to be
+            stopped.
+        """
+        key = ending.key
+        self.sent.pop(key.task)
+        if ending.outcome == 'succeeded':
+            self.started = Started.some
+            self.answers[key.task] = ending.answer
+            self.life.settle()
+            return False
+        if ending.outcome != 'lost':
+            self.started = Started.some
+        elif self.started is Started.nothing:
+            self.started = Started.unknown
+        reason = ending.reason or ending.outcome
+        return self.fail(f'task {key.task}: {reason}')
+
+    def fail(self, reason: str) -> bool:
+        """Fail the job; the answer follows once no start is in doubt.
+
+        :param reason: for the caller.
+        :returns: whether this is the first failure.
+        """
+        is_first = self.life.fail(reason)
+        self.life.settle()
+        return is_first
+
+    def finish(self, state: str, reason: str) -> None:
+        """Give the answer.
+
+        :param state: `complete` or `failed`.
+        :param reason: of a failure.
+        """
+        answers: tuple[bytes, ...] = ()
+        if state == 'complete':
+            answers = tuple(
+                self.answers[task] for task in range(len(self.spec.tasks))
+            )
+        self.done(JobAnswer(self.ticket, state, answers, reason, self.started))
+
+
+class KeptAnswer(NamedTuple):
+    """An answer that a resubmission gets instead of a second run."""
+
+    answer: JobAnswer
+    digest: bytes
+    #: Local time at which it is forgotten, in seconds.
+    until: float
+
+
+class AnswerStore:
+    """Answers of jobs that have ended, kept for a while.
+
+    :param limit: most answers; the oldest is forgotten beyond it.
+    :param retention: time for which an answer is kept, in seconds.
+    """
+
+    def __init__(self, limit: int, retention: float) -> None:
+        """Start empty."""
+        self.limit = limit
+        self.retention = retention
+        self.kept: OrderedDict[str, KeptAnswer] = OrderedDict()
+
+    def keep(self, answer: JobAnswer, digest: bytes, now: float) -> None:
+        """Keep an answer.
+
+        :param answer: of a job.
+        :param digest: of the caller's body.
+        :param now: local time in seconds.
+        """
+        until = now + self.retention
+        self.kept[answer.ticket] = KeptAnswer(answer, digest, until)
+        self.expire(now)
+
+    def expire(self, now: float) -> None:
+        """Forget answers that are too old or too many.
+
+        :param now: local time in seconds.
+        """
+        while self.kept:
+            oldest = next(iter(self.kept.values()))
+            if oldest.until >= now and len(self.kept) <= self.limit:
+                return
+            self.kept.popitem(last=False)
--- /dev/null
+++ b/jackdawridge/submission/relay.py
@@ -0,0 +1,256 @@
+"""Passes what callers ask about a ticket to the entry that issued it."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from result import Err
+from twisted.internet.defer import Deferred, succeed
+
+from jackdawridge.logs import get_logger, log_decision
+from jackdawridge.submission.desk import (
+    Reply,
+    issuer_gone,
+    issuer_unreachable,
+    no_ticket,
+    running,
+)
+from jackdawridge.submission.messages import JobCall, JobReply
+
+if TYPE_CHECKING:
+    from jackdawridge.application import Application
+    from jackdawridge.submission.desk import JobDesk
+    from jackdawridge.submission.tickets import Ticket
+    from jackdawridge.wire.peers import Peer, Peers
+
+decisions = get_logger('routing')
+
+#: Longest time that a caller may ask to wait for an answer, in seconds.
+MAX_WAIT = 300.0
+#: Time beyond the caller's wait for the issuer's reply, in seconds.
+REPLY_ALLOWANCE = 2.0
+#: Questions to other entries that may be open at a time.
+MAX_CALLS = 4096
+
+
+class EntryView(Protocol):
+    """What is known of other entries."""
+
+    def is_gone(self, address: str, incarnation: str) -> bool:
+        """Return whether a run of an entry has ended for good."""
+
+
+class Question(NamedTuple):
+    """What a caller asks about a ticket."""
+
+    #: `PUT`, `GET` or `DELETE`.
+    method: str
+    ticket: str
+    #: Time for which the caller waits for the answer, in seconds.
+    wait: float
+    body: bytes
+
+
+class OpenCall(NamedTuple):
+    """A question that another entry has to answer."""
+
+    peer: Peer
+    ticket: str
+    reply: Deferred[Reply]
+
+
+class TicketRelay:
+    """Answers questions here or has the issuer answer them.
+
+    :param application: the process.
+    :param desk: answers for the tickets of this incarnation.
+    :param peers: of the process.
+    """
+
+    def __init__(
+        self, application: Application, desk: JobDesk, peers: Peers
+    ) -> None:
+        """Register for messages and events."""
+        self.application = application
+        self.clock = application.clock
+        self.desk = desk
+        self.peers = peers
+        #: Set by the component that knows the entries.
+        self.entries: EntryView | None = None
+        self.numbers = count(1)
+        self.calls: dict[int, OpenCall] = {}
+        application.on_message(JobCall, self.call_received)
+        application.on_message(JobReply, self.reply_received)
+        application.events.connect('peer_left', self.peer_left)
+
+    def ask(self, question: Question) -> Deferred[Reply]:
+        """Return a `Deferred` that fires with the reply to a caller.
+
+        Cancel it when the caller has gone.
+
+        :param question: of a caller.
+        """
+        read = self.desk.register.format.read(question.ticket)
+        if isinstance(read, Err):
+            return succeed(no_ticket(read.err_value))
+        ticket = read.ok_value
+        if ticket.incarnation == self.application.incarnation:
+            return self.answer(question)
+        return self.pass_on(ticket, question)
+
+    def answer(self, question: Question) -> Deferred[Reply]:
+        """Answer a question about a ticket of this incarnation.
+
+        :param question: of a caller.
+        """
+        reply = self.desk.handle(
+            question.method, question.ticket, question.body
+        )
+        if reply is not None:
+            return succeed(reply)
+        if question.wait <= 0:
+            return succeed(running(question.ticket))
+        return self.await_answer(question)
+
+    def await_answer(self, question: Question) -> Deferred[Reply]:
+        """Wait for the answer of a job that runs.
+
+        :param question: of a caller.
+        """
+        answered: Deferred[Reply] = Deferred(lambda _: waiter.cancel())
+
+        def fire(reply: Reply) -> None:  # noqa: WPS430
+            if not answered.called:
+                answered.callback(reply)
+
+        wait = min(question.wait, MAX_WAIT)
+        waiter = self.desk.wait(question.ticket, wait, fire)
+        return answered
+
+    def pass_on(self, ticket: Ticket, question: Question) -> Deferred[Reply]:
+        """Have the issuer answer, if it is there.
+
+        :param ticket: of another incarnation.
+        :param question: of a caller.
+        """
+        peer = self.find(ticket)
+        if peer is None:
+            return succeed(self.without_issuer(ticket))
+        number = next(self.numbers)
+        reply: Deferred[Reply] = Deferred(lambda _: self.forget(number))
+        call = JobCall(number, *question)
+        if len(self.calls) >= MAX_CALLS or not peer.send(call):
+            return succeed(issuer_unreachable(ticket.text))
+        self.calls[number] = OpenCall(peer, ticket.text, reply)
+        self.clock.callLater(
+            min(question.wait, MAX_WAIT) + REPLY_ALLOWANCE,
+            self.give_up,
+            number,
+        )
+        log_decision(
+            decisions,
+            'pass on',
+            peer.name,
+            'issuer of the ticket',
+            {'ticket': ticket.text},
+        )
+        return reply
+
+    def find(self, ticket: Ticket) -> Peer | None:
+        """Return the link to the issuer of a ticket, None if there is none.
+
+        :param ticket: of another incarnation.
+        """
+        for peer in self.peers.of_role('entry'):
+            if peer.introduction.incarnation == ticket.incarnation:
+                return peer
+        return None
+
+    def without_issuer(self, ticket: Ticket) -> Reply:
+        """Return the reply for a ticket whose issuer is not linked.
+
+        :param ticket: of another incarnation.
+        """
+        gone = self.entries is not None and self.entries.is_gone(
+            ticket.address, ticket.incarnation
+        )
+        if gone:
+            return issuer_gone(ticket.text)
+        return issuer_unreachable(ticket.text)
+
+    def call_received(self, peer: Peer, call: JobCall) -> None:
+        """Answer a question that another entry has passed on.
+
+        :param peer: the entry.
+        :param call: from it.
+        """
+        question = Question(call.method, call.ticket, call.wait, call.body)
+        read = self.desk.register.format.read(call.ticket)
+        ours = read.is_ok() and (
+            read.unwrap().incarnation == self.application.incarnation
+        )
+        if ours:
+            replied = self.answer(question)
+        else:
+            replied = succeed(issuer_gone(call.ticket))
+        replied.addCallback(
+            lambda reply: peer.send(
+                JobReply(
+                    call.number,
+                    reply.status,
+                    reply.outcome,
+                    reply.retry_after,
+                    reply.body,
+                )
+            )
+        )
+
+    def reply_received(self, peer: Peer, reply: JobReply) -> None:
+        """Give a reply to the caller that waits for it.
+
+        :param peer: the issuer.
+        :param reply: from it.
+        """
+        call = self.calls.get(reply.number)
+        if call is None or call.peer is not peer:
+            return
+        self.finish(
+            reply.number,
+            Reply(reply.status, reply.body, reply.outcome, reply.retry_after),
+        )
+
+    def peer_left(self, peer: Peer) -> None:
+        """Answer for an issuer whose link has ended.
+
+        :param peer: any peer.
+        """
+        for number, call in tuple(self.calls.items()):
+            if call.peer is peer:
+                self.give_up(number)
+
+    def give_up(self, number: int) -> None:
+        """Answer a question that the issuer has not answered.
+
+        :param number: of the call.
+        """
+        call = self.calls.get(number)
+        if call is not None:
+            self.finish(number, issuer_unreachable(call.ticket))
+
+    def finish(self, number: int, reply: Reply) -> None:
+        """Answer a question.
+
+        :param number: of the call.
+        :param reply: for the caller.
+        """
+        call = self.calls.pop(number)
+        if not call.reply.called:
+            call.reply.callback(reply)
+
+    def forget(self, number: int) -> None:
+        """Drop a question whose caller has gone.
+
+        :param number: of the call.
+        """
+        self.calls.pop(number, None)
--- /dev/null
+++ b/jackdawridge/submission/status.py
@@ -0,0 +1,31 @@
+"""What operators see of the jobs of an entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from jackdawridge.submission.engine import JobEngine
+
+
+class EngineStatus(NamedTuple):
+    """The jobs and sides of an entry."""
+
+    open_jobs: int
+    kept_answers: int
+    queued_tasks: int
+    #: Nodes of the sides that work may be placed at.
+    sides: list[str]
+
+
+def describe_engine(engine: JobEngine) -> EngineStatus:
+    """Return the status of the jobs.
+
+    :param engine: owns the jobs.
+    """
+    return EngineStatus(
+        len(engine.jobs),
+        len(engine.answers.kept),
+        engine.placer.queues.queued,
+        sorted(record.node for record in engine.sides.values() if record.ready),
+    )
--- /dev/null
+++ b/jackdawridge/submission/tracking.py
@@ -0,0 +1,239 @@
+"""Sessions of an entry with its sides."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.internet.task import LoopingCall
+
+from jackdawridge.execution.messages import (
+    Heartbeat,
+    HeartbeatReply,
+    Offer,
+    OutcomeBatch,
+    Resolution,
+    Resolve,
+)
+from jackdawridge.logs import get_logger
+from jackdawridge.placement.view import SideInfo
+from jackdawridge.submission.sides import SideRecord
+
+if TYPE_CHECKING:
+    from jackdawridge.application import Application
+    from jackdawridge.submission.engine import JobEngine
+    from jackdawridge.wire.peers import Peer
+
+logger = get_logger('submission')
+
+#: Interval at which silent sides are looked for, in seconds.
+SWEEP_INTERVAL = 0.25
+#: Heartbeats that a side may miss before it gets no more work.
+MISSED_HEARTBEATS = 2.5
+#: Allowance for the drift of the clocks over a send window.
+DRIFT = 1.1
+
+
+class SideTracker:
+    """Follows the sides and resolves starts in doubt; a component.
+
+    :param application: the process.
+    :param engine: owns the jobs.
+    """
+
+    def __init__(self, application: Application, engine: JobEngine) -> None:
+        """Register for messages and events."""
+        settings = application.settings
+        self.application = application
+        self.clock = application.clock
+        self.engine = engine
+        self.silence = settings.number('heartbeat') * MISSED_HEARTBEATS
+        self.give_up = SWEEP_INTERVAL + max(
+            settings.number('task_lease'),
+            settings.number('send_window') * DRIFT,
+        )
+        self.swept = self.clock.seconds()
+        self.sweeper = LoopingCall(self.sweep)
+        application.events.connect('peer_joined', self.peer_joined)
+        application.events.connect('peer_left', self.peer_left)
+        application.on_message(Heartbeat, self.heartbeat_received)
+        application.on_message(OutcomeBatch, self.outcomes_received)
+        application.on_message(Resolution, self.resolution_received)
+        application.on_message(Offer, self.offer_received)
+
+    def start(self) -> None:
+        """Begin to look for silent sides."""
+        self.sweeper.start(SWEEP_INTERVAL)
+
+    def stop(self) -> None:
+        """Stop looking."""
+        self.sweeper.stop()
+
+    def peer_joined(self, peer: Peer) -> None:
+        """Begin a session with a side and ask about starts in doubt.
+
+        :param peer: any peer.
+        """
+        if peer.introduction.role != 'side':
+            return
+        now = self.clock.seconds()
+        record = self.engine.sides.get(peer.name)
+        if record is None:
+            record = SideRecord(peer, now)
+            self.engine.sides[peer.name] = record
+        else:
+            self.retire(record)
+            record.join(peer, now)
+        if record.resolving:
+            peer.send(Resolve(record.sent_to, tuple(record.keys)))
+
+    def peer_left(self, peer: Peer) -> None:
+        """End a session with a side.
+
+        :param peer: any peer.
+        """
+        record = self.engine.sides.get(peer.name)
+        if record is not None and record.peer is peer:
+            self.retire(record)
+            record.leave(peer)
+
+    def retire(self, record: SideRecord) -> None:
+        """Place no more work at a side.
+
+        :param record: of the side.
+        """
+        if record.ready:
+            record.ready = False
+            self.engine.placer.side_left(record.node)
+
+    def admit(self, record: SideRecord, peer: Peer) -> None:
+        """Begin to place work at a side.
+
+        :param record: of the side.
+        :param peer: the current link.
+        """
+        told = peer.introduction
+        info = SideInfo(
+            told.failure_domain, told.cores, told.memory, told.accelerators
+        )
+        record.ready = True
+        self.engine.placer.side_joined(record.node, info, self.clock.seconds())
+
+    def current(self, peer: Peer) -> SideRecord | None:
+        """Return the record of a side whose current link this is.
+
+        :param peer: a side.
+        """
+        record = self.engine.sides.get(peer.name)
+        if record is None or record.peer is not peer:
+            return None
+        record.last_heard = self.clock.seconds()
+        return record
+
+    def heartbeat_received(self, peer: Peer, heartbeat: Heartbeat) -> None:
+        """Renew the leases at a side and note its room.
+
+        :param peer: the side.
+        :param heartbeat: from it.
+        """
+        record = self.current(peer)
+        if record is None:
+            return
+        record.window = max(record.window, heartbeat.window)
+        peer.send(
+            HeartbeatReply(
+                heartbeat.window, record.received, self.engine.position, 0
+            )
+        )
+        if heartbeat.draining:
+            self.retire(record)
+        elif not record.ready and not record.resolving:
+            self.admit(record, peer)
+        if record.ready:
+            self.engine.placer.side_reported(
+                record.node,
+                heartbeat.room,
+                heartbeat.processed,
+                self.clock.seconds(),
+            )
+            self.engine.place_soon()
+
+    def outcomes_received(self, peer: Peer, batch: OutcomeBatch) -> None:
+        """Take the outcomes of starts.
+
+        :param peer: the side.
+        :param batch: of outcomes.
+        """
+        record = self.engine.sides.get(peer.name)
+        if record is None or not record.is_newer(peer, batch.number):
+            return
+        if self.current(peer) is not None and record.ready:
+            self.engine.placer.side_reported(
+                record.node, batch.room, batch.processed, self.clock.seconds()
+            )
+        for refusal in batch.refusals:
+            self.engine.refused(record, refusal)
+        for ending in batch.endings:
+            self.engine.ended(record, ending)
+        self.engine.place_soon()
+
+    def resolution_received(self, peer: Peer, resolution: Resolution) -> None:
+        """Settle every start that was in doubt when the session began.
+
+        :param peer: the side.
+        :param resolution: its answer.
+        """
+        record = self.current(peer)
+        if record is None:
+            return
+        for key in resolution.fenced:
+            self.engine.refused_by_resolution(record, key)
+        self.engine.lose(record, record.keys - set(resolution.running))
+        record.resolved()
+        self.engine.place_soon()
+
+    def offer_received(self, peer: Peer, offer: Offer) -> None:
+        """Use room that a side has reserved.
+
+        :param peer: the side.
+        :param offer: of room.
+        """
+        record = self.current(peer)
+        if record is not None and record.ready:
+            now = self.clock.seconds()
+            self.engine.placer.offer_received(record.node, offer, now)
+            self.engine.place_soon()
+
+    def sweep(self) -> None:
+        """Give up silent sides and tasks that can never run.
+
+        After a pause of this process, what the sides sent meanwhile is read
+        first.
+        """
+        now = self.clock.seconds()
+        paused = now - self.swept > 2 * SWEEP_INTERVAL
+        self.swept = now
+        if paused:
+            return
+        for record in tuple(self.engine.sides.values()):
+            silence = now - record.last_heard
+            if silence > self.silence:
+                self.retire(record)
+            if silence > self.give_up:
+                self.drop(record)
+        for impossible in self.engine.placer.expire(now):
+            self.engine.fail(impossible.request.ticket, impossible.reason)
+        self.engine.answers.expire(now)
+        self.engine.place_soon()
+
+    def drop(self, record: SideRecord) -> None:
+        """Forget a side that has been silent for too long.
+
+        Every window that was used there has closed, and the side has stopped
+        what it runs for this entry.
+
+        :param record: of the side.
+        """
+        self.engine.lose(record, record.keys)
+        self.engine.sides.pop(record.node, None)
+        if record.peer is not None:
+            record.peer.link.close('side is silent')
--- a/jackdawridge/wire/link.py
+++ b/jackdawridge/wire/link.py
@@ -35,7 +35,7 @@
 #: A link whose peer does not read is closed after this time, in seconds.
 STALL_TIMEOUT = 10.0
 #: Reason that Twisted gives for an orderly end.
-CONNECTION_DONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
+CONNECTION_DONE = Failure(ConnectionDone())
 
 
 class LinkHandler(Protocol):
