Let processes announce themselves, find each other and leave

Cause: sides and entries know nothing but an address of their settings, which may be a balancer's, and nobody keeps a list of them.

Peers decide between two links to the same peer in the same way at both ends, a process does not link to itself, and a dialler waits longer until a link has lasted.

--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -343,5 +343,5 @@
     number_row('queue_limit', _ENTRY, 50000, (1, 10000000), 'queued tasks'),
     number_row('freshness', _SIDE, 3.0, (0.2, 60), 'seconds'),
     number_row('drain', _BOTH, 20.0, (0.1, 3600), 'seconds'),
-    number_row('entries_per_side', _SIDE, 5, (1, 64), 'entries'),
+    number_row('entries_per_side', _BOTH, 5, (1, 64), 'entries'),
 )
--- a/jackdawridge/wire/link.py
+++ b/jackdawridge/wire/link.py
@@ -91,6 +91,10 @@
         self.ended: Deferred[None] = Deferred()
         self.timer: Any = None
 
+    def is_dialled(self) -> bool:
+        """Return whether this end has opened the connection."""
+        return isinstance(self.handshake, Dialer)
+
     def connectionMade(self) -> None:
         """Start the handshake."""
         self.peer = str(self.transport.getPeer())
--- a/jackdawridge/wire/peers.py
+++ b/jackdawridge/wire/peers.py
@@ -54,9 +54,12 @@
 class Peers:
     """All links of one process, with the peers behind them.
 
-    Emits `peer_joined` and `peer_left`, each with the `Peer`. When a peer of
-    the same incarnation opens a second link, the first is closed, so that a
-    peer never has two.
+    Emits `peer_joined` and `peer_left`, each with the `Peer`. A peer never
+    has two links. The end that dialled introduces itself second, and closes
+    the new link if it already has one to that peer. The end that accepted
+    replaces an older link, which may be dead without its knowledge, except
+    where both have dialled each other: then the link stays that the lower
+    of the two nodes has dialled.
 
     :param application: the process.
     :param identity: what all processes of the deployment share.
@@ -81,11 +84,12 @@
         self.by_identity: dict[tuple[str, str], Peer] = {}
 
     def link_opened(self, link: Link) -> None:
-        """Introduce this process.
+        """Introduce this process, if the peer has dialled.
 
         :param link: whose handshake is complete.
         """
-        link.send(self.introduction)
+        if not link.is_dialled():
+            link.send(self.introduction)
 
     def message_received(self, link: Link, message: Any) -> None:
         """Hand a message to the application, or take an introduction.
@@ -112,6 +116,11 @@
             return
         peer = Peer(link, introduction)
         older = self.by_identity.get(peer.identity)
+        if self.is_redundant(peer, older):
+            link.close('already linked')
+            return
+        if link.is_dialled():
+            link.send(self.introduction)
         if older is not None:
             self.remove(older)
             older.link.close('replaced by a newer link')
@@ -119,6 +128,20 @@
         self.by_identity[peer.identity] = peer
         self.application.events.emit('peer_joined', peer)
 
+    def is_redundant(self, peer: Peer, older: Peer | None) -> bool:
+        """Return whether the new link to a peer is not needed.
+
+        :param peer: the peer behind the new link.
+        :param older: the same peer behind an older link, if any.
+        """
+        if peer.introduction.incarnation == self.introduction.incarnation:
+            return True
+        if older is None:
+            return False
+        if peer.link.is_dialled():
+            return True
+        return older.link.is_dialled() and self.introduction.node < peer.name
+
     def link_closed(self, link: Link, reason: str) -> None:
         """Forget the peer of a link.
 
@@ -230,6 +253,8 @@
         self.connector = connector
         self.address = address
         self.delay = REDIAL_FLOOR
+        #: When the handshake of the link was complete; None before.
+        self.opened: float | None = None
         self.stopped = False
         self.link: Link | None = None
         self.timer: Any = None
@@ -251,13 +276,20 @@
         """
         self.link = link
         link.ended.addCallback(self.failed)
-        link.opened.addCallback(self.reset)
+        link.opened.addCallback(self.note_opened)
         if self.stopped:
             link.close('address is no longer wanted')
 
-    def reset(self, _: object) -> None:
-        """Start over with short waits once a handshake succeeded."""
-        self.delay = REDIAL_FLOOR
+    def note_opened(self, _: object) -> None:
+        """Keep the time at which the handshake was complete."""
+        self.opened = self.connector.reactor.seconds()
+
+    def has_lasted(self) -> bool:
+        """Return whether the last link was of use, and forget it."""
+        opened = self.opened
+        self.opened = None
+        now = self.connector.reactor.seconds()
+        return opened is not None and now - opened >= REDIAL_CEILING
 
     def failed(self, reason: object) -> None:
         """Wait, with jitter, and try again.
@@ -267,6 +299,8 @@
         self.link = None
         if self.stopped:
             return
+        if self.has_lasted():
+            self.delay = REDIAL_FLOOR
         wait = self.connector.random.uniform(self.delay / 2, self.delay)
         self.delay = min(self.delay * 2, REDIAL_CEILING)
         self.timer = self.connector.reactor.callLater(wait, self.dial)
--- /dev/null
+++ b/tests/test_membership/test_component.py
@@ -0,0 +1,273 @@
+"""Tests of several memberships on links in memory."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from jackdawridge.application import Application
+from jackdawridge.config import Settings
+from jackdawridge.execution import messages as execution
+from jackdawridge.membership.component import Membership
+from jackdawridge.membership.messages import (
+    MESSAGES,
+    SCHEMA,
+    Introduction,
+    State,
+)
+from jackdawridge.wire.handshake import Identity
+from jackdawridge.wire.peers import Connector, Listener, Peers
+from tests.test_membership.memory import MemoryNetwork, MemoryReactor
+
+IDENTITY = Identity('test', 'x' * 16)
+SEED = '127.0.0.1:1001'
+HEARTBEAT = execution.Heartbeat(1, 0, execution.Room(1, 1, 0, 0), False, 0)
+
+
+class Process:
+    """An entry or a side."""
+
+    def __init__(
+        self, network: MemoryNetwork, role: str, number: int, run: str = 'a'
+    ) -> None:
+        self.network = network
+        self.role = role
+        self.node = f'{role}-{number}'
+        self.address = f'127.0.0.1:{number}'
+        reactor: Any = MemoryReactor(network, self.address)
+        document = {
+            'heartbeat': 1.0,
+            'entries': [SEED],
+            'entries_per_side': 2,
+        }
+        self.application = Application(
+            Settings(role, document), reactor, f'{self.node}-{run}'
+        )
+        self.application.codec.register(SCHEMA, MESSAGES)
+        self.application.codec.register(execution.SCHEMA, execution.MESSAGES)
+        self.application.on_message(execution.Heartbeat, self.answer)
+        self.application.on_message(execution.HeartbeatReply, _ignore)
+        introduction = Introduction(
+            role=role,
+            node=self.node,
+            incarnation=self.application.incarnation,
+            failure_domain=f'domain-{number % 3}',
+            address=self.address if role == 'entry' else '',
+            service='',
+            cores=1,
+            memory=1,
+            accelerators=0,
+            slots=1,
+        )
+        self.peers = Peers(self.application, IDENTITY, introduction)
+        self.connector = Connector(reactor, self.peers, self.node)
+        self.listener = Listener(reactor, self.peers, self.address)
+        self.membership = Membership.from_application(
+            self.application, self.peers, self.connector
+        )
+        self.joins = 0
+        self.is_running = True
+        self.gone: list[str] = []
+        events = self.application.events
+        events.connect('peer_joined', self.count_join)
+        events.connect('incarnation_gone', self.note_gone)
+        if role == 'entry':
+            self.listener.start()
+        self.membership.start()
+        self.beat()
+
+    def answer(self, peer: Any, heartbeat: execution.Heartbeat) -> None:
+        peer.send(execution.HeartbeatReply(heartbeat.window, 0, 0, 0))
+
+    def beat(self) -> None:
+        if self.is_running:
+            self.network.callLater(1, self.beat)
+        if self.is_running and self.role == 'side':
+            for peer in self.peers.of_role('entry'):
+                peer.send(HEARTBEAT)
+
+    def count_join(self, _: object) -> None:
+        self.joins += 1
+
+    def note_gone(self, _: str, incarnation: str) -> None:
+        self.gone.append(incarnation)
+
+    def leave(self) -> None:
+        self.application.events.emit('draining')
+
+    def kill(self) -> None:
+        self.is_running = False
+        if self.membership.timer is not None:
+            self.membership.timer.cancel()
+        self.connector.stop()
+        self.network.kill(self.address)
+
+    def state_of(self, node: str) -> State:
+        return State(self.membership.table.members[node].state)
+
+    def linked(self, role: str) -> set[str]:
+        return {peer.name for peer in self.peers.of_role(role)}
+
+
+def _ignore(*_: object) -> None:
+    """Do nothing."""
+
+
+class Fleet:
+    """Processes that know nothing but the address of the first entry."""
+
+    def __init__(self, entries: int, sides: int) -> None:
+        self.network = MemoryNetwork()
+        self.entries = [
+            self.start('entry', 1001 + number) for number in range(entries)
+        ]
+        self.sides = [
+            self.start('side', 2001 + number) for number in range(sides)
+        ]
+        self.pass_time(15)
+
+    def start(self, role: str, number: int, run: str = 'a') -> Process:
+        return Process(self.network, role, number, run)
+
+    def pass_time(self, seconds: float) -> None:
+        for _ in range(int(seconds * 50)):
+            self.network.advance(0.02)
+
+    def states(self, node: str) -> set[State]:
+        return {
+            entry.state_of(node)
+            for entry in self.entries
+            if entry.is_running and entry.node != node
+        }
+
+
+class TestJoining:
+    def test_all_know_all_from_one_address(self) -> None:
+        fleet = Fleet(4, 6)
+        nodes = {process.node for process in fleet.entries + fleet.sides}
+        for entry in fleet.entries:
+            members = entry.membership.table.members
+            assert set(members) == nodes
+            assert {member.state for member in members.values()} == {0}
+            assert len(entry.linked('entry')) == 3
+        digests = {entry.membership.table.digest for entry in fleet.entries}
+        assert len(digests) == 1
+
+    def test_sides_link_to_their_share_of_entries(self) -> None:
+        fleet = Fleet(4, 6)
+        assert all(len(side.linked('entry')) == 2 for side in fleet.sides)
+        known = fleet.entries[0].membership.sides_in('domain-0')
+        assert {side.node for side in known} == {'side-2001', 'side-2004'}
+
+    def test_links_are_stable(self) -> None:
+        fleet = Fleet(4, 6)
+        fleet.pass_time(40)
+        before = [entry.joins for entry in fleet.entries]
+        fleet.pass_time(90)
+        assert [entry.joins for entry in fleet.entries] == before
+
+    def test_groups_of_entries_meet(self) -> None:
+        fleet = Fleet(0, 0)
+        numbers = (1002, 1003, 1004, 1005)
+        fleet.network.balanced[SEED] = [
+            f'127.0.0.1:{number}' for number in numbers
+        ]
+        entries = [fleet.start('entry', number) for number in numbers]
+        fleet.pass_time(75)
+        for entry in entries:
+            assert len(entry.linked('entry')) == 3
+
+
+class TestFailing:
+    def test_killed_side_is_dead(self) -> None:
+        fleet = Fleet(3, 3)
+        fleet.sides[0].kill()
+        fleet.pass_time(15)
+        assert fleet.states('side-2001') == {State.dead}
+        assert fleet.states('side-2002') == {State.alive}
+
+    def test_killed_entry_is_dead_and_its_sides_move(self) -> None:
+        fleet = Fleet(4, 6)
+        fleet.entries[3].kill()
+        fleet.pass_time(30)
+        assert fleet.states('entry-1004') == {State.dead}
+        assert all(len(side.linked('entry')) == 2 for side in fleet.sides)
+
+    def test_cut_side_is_suspected_and_comes_back(self) -> None:
+        fleet = Fleet(3, 3)
+        side = fleet.sides[0]
+        fleet.network.cut.add(side.address)
+        fleet.pass_time(5)
+        assert State.alive not in fleet.states(side.node)
+        fleet.pass_time(10)
+        assert fleet.states(side.node) == {State.dead}
+        fleet.network.cut.clear()
+        fleet.pass_time(10)
+        assert fleet.states(side.node) == {State.alive}
+        assert len(side.linked('entry')) == 2
+
+    def test_cut_entry_is_not_gone(self) -> None:
+        fleet = Fleet(3, 3)
+        entry, other = fleet.entries[1], fleet.entries[0]
+        fleet.network.cut.add(entry.address)
+        fleet.pass_time(20)
+        assert fleet.states(entry.node) == {State.dead}
+        run = entry.application.incarnation
+        assert not other.membership.is_gone(entry.address, run)
+        fleet.network.cut.clear()
+        fleet.pass_time(20)
+        assert fleet.states(entry.node) == {State.alive}
+        states = {entry.state_of(side.node) for side in fleet.sides}
+        assert states == {State.alive}
+
+    def test_restarted_entry_supersedes_its_earlier_run(self) -> None:
+        fleet = Fleet(3, 3)
+        entry, other = fleet.entries[1], fleet.entries[0]
+        entry.kill()
+        fleet.pass_time(1)
+        fleet.entries[1] = fleet.start('entry', 1002, 'b')
+        fleet.pass_time(10)
+        run = entry.application.incarnation
+        assert other.membership.is_gone(entry.address, run)
+        assert other.gone == [run]
+        member = other.membership.table.members['entry-1002']
+        assert member.incarnation == 'entry-1002-b'
+        assert member.state == State.alive
+
+
+class TestLeaving:
+    def test_leaving_side_is_known_to_all(self) -> None:
+        fleet = Fleet(3, 3)
+        side = fleet.sides[0]
+        side.leave()
+        fleet.pass_time(3)
+        members = [
+            entry.membership.table.members[side.node] for entry in fleet.entries
+        ]
+        assert all(member.leaving for member in members)
+        side.membership.stop()
+        fleet.pass_time(0.1)
+        side.kill()
+        fleet.pass_time(10)
+        assert fleet.states(side.node) == {State.left}
+
+    def test_all_are_replaced_one_after_another(self) -> None:
+        fleet = Fleet(3, 3)
+        turns = [entry.address for entry in fleet.entries]
+        fleet.network.balanced[SEED] = turns
+        for number in range(3):
+            newer = fleet.start('entry', 1011 + number)
+            fleet.pass_time(5)
+            fleet.entries[0].membership.stop()
+            fleet.pass_time(0.5)
+            fleet.entries[0].kill()
+            turns.remove(fleet.entries[0].address)
+            turns.append(newer.address)
+            fleet.entries = [*fleet.entries[1:], newer]
+            fleet.pass_time(10)
+        fleet.pass_time(40)
+        nodes = {entry.node for entry in fleet.entries}
+        for entry in fleet.entries:
+            assert entry.linked('entry') == nodes - {entry.node}
+            living = {member.node for member in entry.membership.sides()}
+            assert living == {side.node for side in fleet.sides}
+        assert all(len(side.linked('entry')) == 2 for side in fleet.sides)
