Keep the room of a worker with offers and relief of memory

Cause: the side needs one place that says what fits, remembers who was refused, and reacts to tasks that fill the memory.

Change: RoomLedger reserves by estimates until use is measured, holds the next free room for the entry that waits longest, and keeps room together for a task that is too large to find any. MemoryGuard throttles, then checkpoints, and stops a task only when reports keep showing a full memory.

Conclusion: a property test holds that no more is reserved than there is.

--- /dev/null
+++ b/tests/test_execution/test_room.py
@@ -0,0 +1,143 @@
+"""Tests of the room of a worker."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jackdawridge.execution.messages import Room, Start, TaskKey
+from jackdawridge.execution.relief import MemoryGuard, MemoryUse, Step
+from jackdawridge.execution.room import RoomLedger
+
+SIZE = Room(16, 1000, 1, 0)
+
+
+def make_start(task: int, cores: float = 4, memory: float = 10) -> Start:
+    """Return a start of a size."""
+    return Start(
+        't', task, task, 'k', 'team', cores, memory, 0, 0.1, '', 0, b''
+    )
+
+
+def fill(ledger: RoomLedger) -> None:
+    """Let entry a take all cores at time 0."""
+    assert all(ledger.reserve('a', make_start(task), 0) for task in range(4))
+
+
+class TestReservation:
+    """Starts reserve what they ask for."""
+
+    def test_release(self) -> None:
+        """What is released can be reserved again."""
+        ledger = RoomLedger(SIZE)
+        fill(ledger)
+        assert not ledger.reserve('a', make_start(9), 0)
+        ledger.release(make_start(0).key())
+        assert ledger.reserve('a', make_start(9), 0)
+
+    def test_measured_use_counts(self) -> None:
+        """Cores that turn out to be unused are free."""
+        ledger = RoomLedger(SIZE)
+        fill(ledger)
+        ledger.measure(make_start(0).key(), 1, 10)
+        assert ledger.room_for('a', 0).cores == 3
+
+
+class TestOffers:
+    """Refused entries get the next free room."""
+
+    def test_room_is_held(self) -> None:
+        """Only the entry that waited can take what it was offered."""
+        ledger = RoomLedger(SIZE)
+        fill(ledger)
+        assert not ledger.reserve('b', make_start(9), 0)
+        ledger.release(make_start(0).key())
+        assert [made.entry for made in ledger.offers(0)] == ['b']
+        assert not ledger.reserve('a', make_start(8), 0)
+        assert ledger.reserve('b', make_start(9), 0)
+
+    def test_hold_ends(self) -> None:
+        """Room that is offered and not taken is free for others."""
+        ledger = RoomLedger(SIZE)
+        fill(ledger)
+        ledger.reserve('b', make_start(9), 0)
+        ledger.release(make_start(0).key())
+        ledger.offers(0)
+        assert ledger.reserve('a', make_start(8), 1)
+
+    def test_large_task_gets_its_turn(self) -> None:
+        """Small tasks do not keep a large one waiting for ever."""
+        ledger = RoomLedger(SIZE)
+        fill(ledger)
+        ledger.reserve('b', make_start(9, cores=16), 0)
+        for task in range(4):
+            assert not ledger.offers(1)
+            ledger.release(make_start(task).key())
+            assert not ledger.reserve('c', make_start(20 + task), 1)
+        assert ledger.offers(1)[0].offer.cores == 16
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(['a', 'b', 'c']),
+                st.sampled_from([0.5, 2, 9, 16]),
+                st.sampled_from(['start', 'end', 'offer']),
+                st.sampled_from([0, 0.05, 0.6]),
+            ),
+            max_size=60,
+        )
+    )
+    def test_never_over_room(
+        self, events: list[tuple[str, float, str, float]]
+    ) -> None:
+        """Whatever happens, no more is reserved than there is."""
+        ledger = RoomLedger(SIZE)
+        now: float = 0
+        running: list[TaskKey] = []
+        for task, (entry, cores, event, pause) in enumerate(events):
+            now += pause
+            if event == 'start':
+                start = make_start(task, cores)
+                if ledger.reserve(entry, start, now):
+                    running.append(start.key())
+            for key in running[:1] if event == 'end' else ():
+                ledger.release(key)
+                running.remove(key)
+            ledger.offers(now)
+            held = sum(held.room.cores for held in ledger.held.values())
+            assert held <= ledger.free.cores
+        for key in running:
+            ledger.release(key)
+        assert ledger.free == SIZE
+
+
+class TestMemoryGuard:
+    """Tasks that use too much memory are slowed down, then suspended."""
+
+    def decide(self, guard: MemoryGuard, measured: float) -> list[Step]:
+        """Return the steps when the first of two tasks uses some memory."""
+        tasks = {
+            make_start(0).key(): MemoryUse(100, measured),
+            make_start(1).key(): MemoryUse(100, 100),
+        }
+        return [relief.step for relief in guard.decide(tasks)]
+
+    def test_order_of_steps(self) -> None:
+        """A task is throttled, checkpointed, and goes on later."""
+        guard = MemoryGuard(1000)
+        assert not self.decide(guard, 500)
+        assert self.decide(guard, 780) == [Step.throttle]
+        assert self.decide(guard, 850) == [Step.checkpoint]
+        assert not self.decide(guard, 850)
+        guard.suspended[make_start(0).key()] = 500
+        assert self.decide(guard, 500) == [Step.resume]
+
+    def test_stops_last(self) -> None:
+        """A task is stopped once checkpoints have not helped."""
+        guard = MemoryGuard(1000)
+        steps: list[Step] = []
+        for _ in range(4):
+            steps.extend(self.decide(guard, 5000))
+            guard.suspended.clear()
+        assert steps[-1] == Step.stop
+        assert steps.count(Step.stop) == 1
