Decide what becomes of requests to minions: the pure state of both ends

Cause: requests need a minion with room, repeats only where they do no harm, and a refusal whose 'not run' is true, whatever is lost between the processes.

Conclusion: the acting parts can be thin.

--- /dev/null
+++ b/jackdawridge/forwarding/links.py
@@ -0,0 +1,218 @@
+"""What an entry makes of sides that come, go and come back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from jackdawridge.forwarding import entry_effects as effects
+from jackdawridge.forwarding.exchange import Phase
+from jackdawridge.forwarding.messages import ResolveRequests
+from jackdawridge.forwarding.minions import Minion
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from jackdawridge.forwarding.exchange import Attempt
+    from jackdawridge.forwarding.identity import SideId
+    from jackdawridge.forwarding.messages import (
+        Load,
+        RequestsResolved,
+    )
+    from jackdawridge.forwarding.replies import Replies
+
+#: Time to wait for a side whose link broke before its requests count as lost,
+#: in seconds.
+DOUBT_TIME = 3.0
+
+
+class SideFacts(NamedTuple):
+    """What a side says about itself."""
+
+    side: SideId
+    service: str
+    domain: str
+    slots: int
+
+
+class Links:
+    """Follows the links to sides and settles what was open on a broken one.
+
+    :param replies: acts on what became of a request.
+    """
+
+    def __init__(self, replies: Replies) -> None:
+        """Start without sides."""
+        self.replies = replies
+        self.book = replies.book
+        #: Service of each known side.
+        self.services: dict[SideId, str] = {}
+        #: Attempts whose side is not linked, until the alarm.
+        self.doubts: dict[int, float] = {}
+
+    def minion(self, side: SideId) -> Minion | None:
+        """Return the minion of a side, if known.
+
+        :param side: the side.
+        """
+        service = self.services.get(side)
+        if service is None:
+            return None
+        return self.book.pool(service).minions.by_side.get(side)
+
+    def joined(self, facts: SideFacts, now: float) -> None:
+        """Use a side that has a link, perhaps again.
+
+        :param facts: what it says about itself.
+        :param now: in seconds.
+        """
+        minion = self.minion(facts.side)
+        if minion is None:
+            minion = Minion(facts.side, facts.domain, facts.slots)
+            pool = self.book.pool(facts.service)
+            pool.minions.by_side[facts.side] = minion
+            self.services[facts.side] = facts.service
+            self.replace(facts.side, now)
+        minion.connected = True
+        minion.accepting = True
+        open_numbers = tuple(sorted(minion.own))
+        if open_numbers:
+            resolve = ResolveRequests(open_numbers)
+            self.book.outbox.append(effects.Transmit(facts.side, resolve))
+        self.replies.router.dispatch(self.book.pool(facts.service), now)
+
+    def replace(self, side: SideId, now: float) -> None:
+        """Count what was open at earlier runs of a side as lost.
+
+        :param side: its new run.
+        :param now: in seconds.
+        """
+        for older in tuple(self.services):
+            minion = self.minion(older)
+            replaced = older.node == side.node and older != side
+            if minion is not None and replaced:
+                minion.connected = False
+                self.lose(sorted(minion.own), 'the side was replaced', now)
+                self.remove(minion)
+
+    def left(self, side: SideId, now: float) -> None:
+        """Settle what was open at a side whose link has ended.
+
+        What may be repeated is repeated at once; the rest waits for the side
+        to come back and say what became of it.
+
+        :param side: whose link has ended.
+        :param now: in seconds.
+        """
+        minion = self.minion(side)
+        if minion is None:
+            return
+        minion.connected = False
+        for number in sorted(minion.own):
+            self.settle(self.book.attempts[number], now)
+        self.book.alarm(now + DOUBT_TIME, 'doubt', 0)
+
+    def settle(self, attempt: Attempt, now: float) -> None:
+        """Decide about one attempt at a side whose link has ended.
+
+        :param attempt: open at the side.
+        :param now: in seconds.
+        """
+        exchange = attempt.exchange
+        wanted = exchange.phase is Phase.trying
+        pool = self.book.pool(exchange.call.service)
+        repeats = (
+            exchange.call.repeatable
+            and exchange.may_resend(now)
+            and pool.repeats.tokens >= 1
+        )
+        if wanted and not repeats:
+            self.doubts[attempt.number] = now + DOUBT_TIME
+        else:
+            self.lose((attempt.number,), 'the link to the side broke', now)
+
+    def lose(self, numbers: Iterable[int], reason: str, now: float) -> None:
+        """Count attempts as lost.
+
+        :param numbers: of the attempts.
+        :param reason: why there will be no answer.
+        :param now: in seconds.
+        """
+        for number in numbers:
+            self.doubts.pop(number, None)
+            attempt = self.book.release(number)
+            if attempt is None:
+                continue
+            if attempt.exchange.phase is Phase.answering:
+                self.abort(attempt, reason)
+            else:
+                self.replies.may_have_run(attempt, reason, now)
+
+    def abort(self, attempt: Attempt, reason: str) -> None:
+        """Cut off an answer whose rest will not come.
+
+        :param attempt: already released.
+        :param reason: why.
+        """
+        exchange = attempt.exchange
+        self.book.outbox.append(effects.Abort(exchange.key, reason))
+        self.book.finish(exchange)
+
+    def resolved(
+        self, side: SideId, message: RequestsResolved, now: float
+    ) -> None:
+        """Act on what a side says of requests on a broken link.
+
+        :param side: the side.
+        :param message: its answer.
+        :param now: in seconds.
+        """
+        for running in message.running:
+            self.doubts.pop(running, None)
+        for number in message.fenced:
+            self.doubts.pop(number, None)
+            attempt = self.book.release(number)
+            if attempt is not None:
+                reason = 'the request did not arrive'
+                self.replies.not_run(attempt, reason, 0, now)
+        self.lose(message.lost, 'the answer was lost with the link', now)
+
+    def reported(self, side: SideId, load: Load, now: float) -> None:
+        """Learn that a side begins or ceases to take requests.
+
+        :param side: the side.
+        :param load: its load.
+        :param now: in seconds.
+        """
+        minion = self.minion(side)
+        if minion is not None:
+            minion.take_report(load, now)
+            pool = self.book.pool(self.services[side])
+            self.replies.router.dispatch(pool, now)
+
+    def expire_doubts(self, now: float) -> None:
+        """Count requests as lost whose side did not come back in time.
+
+        :param now: in seconds.
+        """
+        late = [number for number, end in self.doubts.items() if end <= now]
+        self.lose(late, 'the side did not come back', now)
+        for side in tuple(self.services):
+            minion = self.minion(side)
+            if minion is not None and not (minion.connected or minion.own):
+                self.remove(minion)
+
+    def remove(self, minion: Minion) -> None:
+        """Forget a side.
+
+        :param minion: the minion beside it.
+        """
+        service = self.services.pop(minion.side)
+        self.book.pool(service).minions.by_side.pop(minion.side)
+
+    def take_out(self, domains: Collection[str]) -> None:
+        """Use no minion in some failure domains.
+
+        :param domains: those that operators have taken out.
+        """
+        for pool in self.book.pools.values():
+            pool.minions.domains_out = frozenset(domains)
--- /dev/null
+++ b/jackdawridge/forwarding/messages.py
@@ -0,0 +1,151 @@
+"""Messages between an entry and a side about requests to a minion."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from pathlib import Path
+from types import MappingProxyType
+from typing import NamedTuple
+
+#: Schema of the messages of this slice.
+SCHEMA = Path(__file__).with_name('messages.capnp')
+
+
+class Header(NamedTuple):
+    """One header of a request or response."""
+
+    name: str
+    value: str
+
+
+class Load(NamedTuple):
+    """How busy a minion is, as its side knows it."""
+
+    #: Requests that the minion works on.
+    in_use: int
+    #: Requests that wait at the side for a slot.
+    waiting: int
+    #: Whether the side takes new requests.
+    accepting: bool
+
+
+class Request(NamedTuple):
+    """Asks a side to pass a request to its minion."""
+
+    #: Number of the attempt, which rises within the entry's incarnation.
+    number: int
+    method: str
+    #: Path and query as the minion is to see them.
+    path: str
+    headers: tuple[Header, ...]
+    #: The body, or its first part.
+    body: bytes
+    #: Whether the body ends here.
+    last: bool
+    #: Time left for the whole request, in seconds.
+    remaining: float
+    #: Whether running the request twice does no harm.
+    repeatable: bool
+
+
+class RequestBody(NamedTuple):
+    """A further part of the body of a request."""
+
+    number: int
+    #: Position of this part in the body.
+    offset: int
+    body: bytes
+    last: bool
+
+
+class Response(NamedTuple):
+    """Answers a request, with the body or its first part."""
+
+    number: int
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    last: bool
+    load: Load
+
+
+class ResponseBody(NamedTuple):
+    """A further part of the body of a response."""
+
+    number: int
+    offset: int
+    body: bytes
+    last: bool
+    #: False if the minion's response broke off.
+    intact: bool
+
+
+class Credit(NamedTuple):
+    """Lets the sender of a body continue up to an offset."""
+
+    number: int
+    offset: int
+
+
+class RequestRefused(NamedTuple):
+    """Says that a request was not run and never will be under its number."""
+
+    number: int
+    reason: str
+    #: Time after which it is worth asking again, in seconds; 0 if at once.
+    retry_after: float
+    load: Load
+
+
+class RequestLost(NamedTuple):
+    """Says that a request was sent to the minion and its answer was lost."""
+
+    number: int
+    reason: str
+    load: Load
+
+
+class CancelRequests(NamedTuple):
+    """Tells a side that nobody waits for some requests any more."""
+
+    numbers: tuple[int, ...]
+
+
+class ResolveRequests(NamedTuple):
+    """Asks a side what became of requests; sent first on a new link."""
+
+    numbers: tuple[int, ...]
+
+
+class RequestsResolved(NamedTuple):
+    """Answers a `ResolveRequests`; kept responses were sent before it."""
+
+    running: tuple[int, ...]
+    #: Requests that had not arrived and are now refused for good.
+    fenced: tuple[int, ...]
+    #: Requests that may have run and whose answer is gone.
+    lost: tuple[int, ...]
+
+
+class LoadReport(NamedTuple):
+    """Tells an entry that a side begins or ceases to take requests."""
+
+    load: Load
+
+
+#: Kind numbers 400 to 499 belong to this slice.
+MESSAGES: Mapping[int, type] = MappingProxyType(
+    {
+        400: Request,
+        401: RequestBody,
+        402: Response,
+        403: ResponseBody,
+        404: Credit,
+        405: RequestRefused,
+        406: RequestLost,
+        407: CancelRequests,
+        408: ResolveRequests,
+        409: RequestsResolved,
+        410: LoadReport,
+    }
+)
--- /dev/null
+++ b/jackdawridge/forwarding/minions.py
@@ -0,0 +1,199 @@
+"""What an entry knows of the minions of a service, and the choice of one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Collection, Iterable
+
+    from jackdawridge.forwarding.identity import SideId
+    from jackdawridge.forwarding.messages import Load
+
+#: Requests that may be under way to a minion beyond its slots, which hides
+#: the round trip between a response and the next request.
+OVERCOMMIT = 1
+#: Time after which half of a report about other entries counts, in seconds.
+REPORT_HALF_LIFE = 0.2
+#: Minions that are compared for one request.
+CHOICES = 16
+#: Failures in a row after which a minion is ejected.
+EJECT_AFTER = 5
+#: Time for which a minion is ejected at first and at most, in seconds.
+EJECT_FLOOR = 1.0
+EJECT_CEILING = 30.0
+#: Share of a service's minions that may be ejected at a time.
+EJECT_FRACTION = 0.34
+#: Weight of the newest latency in a minion's average.
+LATENCY_WEIGHT = 0.1
+#: A minion slower than its service by this factor is chosen less often.
+SLOW_FACTOR = 1.5
+#: The most that slowness counts for.
+SLOW_CEILING = 8.0
+
+
+class Minion:
+    """One minion as an entry sees it through its side.
+
+    :param side: the side beside it.
+    :param domain: its failure domain.
+    :param slots: requests that it takes at a time.
+    """
+
+    def __init__(self, side: SideId, domain: str, slots: int) -> None:
+        """Start with an idle minion."""
+        self.side = side
+        self.domain = domain
+        self.slots = max(slots, 1)
+        #: Requests of this entry that are under way.
+        self.own: set[int] = set()
+        #: Requests of other entries at the time of the last report.
+        self.others = 0
+        self.reported_at: float = 0
+        #: Whether the side takes requests.
+        self.accepting = True
+        #: Whether there is a link to the side.
+        self.connected = True
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until: float = 0
+        self.latency: float = 0
+
+    def take_report(self, load: Load, now: float) -> None:
+        """Learn from the load that a reply carries.
+
+        :param load: as the side knows it.
+        :param now: in seconds.
+        """
+        total = load.in_use + load.waiting
+        self.others = max(total - len(self.own), 0)
+        self.reported_at = now
+        self.accepting = load.accepting
+
+    def load(self, now: float) -> float:
+        """Return the requests that the minion is thought to have.
+
+        :param now: in seconds.
+        """
+        age = max(now - self.reported_at, 0)
+        return len(self.own) + self.others / 2 ** (age / REPORT_HALF_LIFE)
+
+    def has_room(self, now: float) -> bool:
+        """Return whether another request is worth sending.
+
+        :param now: in seconds.
+        """
+        return self.load(now) < self.slots + OVERCOMMIT
+
+    def learn(self, latency: float) -> None:
+        """Count an answer.
+
+        :param latency: in seconds.
+        """
+        self.failures = 0
+        self.ejections = 0
+        weight = LATENCY_WEIGHT if self.latency else 1
+        self.latency += (latency - self.latency) * weight
+
+
+class MinionSet:
+    """The minions of one service.
+
+    :param domain: failure domain of the entry, preferred among equals.
+    :param choices: draws the minions that are compared.
+    """
+
+    def __init__(self, domain: str, choices: random.Random) -> None:
+        """Start without minions."""
+        self.domain = domain
+        self.choices = choices
+        self.by_side: dict[SideId, Minion] = {}
+        #: Failure domains that operators have taken out.
+        self.domains_out: Collection[str] = frozenset()
+
+    def choose(
+        self, now: float, excluded: Collection[SideId] = ()
+    ) -> Minion | None:
+        """Return the minion with the shortest expected wait, if any has room.
+
+        :param now: in seconds.
+        :param excluded: sides that are not to be chosen.
+        """
+        fitting = [
+            minion
+            for minion in self.usable(now)
+            if minion.side not in excluded and minion.has_room(now)
+        ]
+        if len(fitting) > CHOICES:
+            fitting = self.choices.sample(fitting, CHOICES)
+        if not fitting:
+            return None
+        usual = self.usual_latency()
+        return min(fitting, key=lambda minion: self.cost(minion, usual, now))
+
+    def cost(
+        self, minion: Minion, usual: float, now: float
+    ) -> tuple[float, bool, float]:
+        """Return what a minion is compared by; the lowest is chosen.
+
+        :param minion: a candidate.
+        :param usual: the usual latency of the service.
+        :param now: in seconds.
+        """
+        share = (minion.load(now) + 1) / minion.slots
+        if usual and minion.latency > SLOW_FACTOR * usual:
+            share *= min(minion.latency / usual, SLOW_CEILING)
+        far = minion.domain != self.domain
+        return (round(share, 1), far, self.choices.random())
+
+    def usable(self, now: float) -> list[Minion]:
+        """Return the minions that may be sent requests.
+
+        :param now: in seconds.
+        """
+        return [
+            minion
+            for minion in self.by_side.values()
+            if minion.connected
+            and minion.accepting
+            and minion.ejected_until <= now
+            and minion.domain not in self.domains_out
+        ]
+
+    def usual_latency(self) -> float:
+        """Return the median of the minions' average latencies."""
+        known = sorted(_known_latencies(self.by_side.values()))
+        return known[len(known) // 2] if known else 0
+
+    def count_failure(self, minion: Minion, now: float) -> bool:
+        """Count a failed request and return whether the minion is ejected.
+
+        :param minion: where it failed.
+        :param now: in seconds.
+        """
+        minion.failures += 1
+        if minion.failures < EJECT_AFTER or not self.may_eject(now):
+            return False
+        minion.failures = 0
+        wait = EJECT_FLOOR * 2**minion.ejections
+        minion.ejected_until = now + min(wait, EJECT_CEILING)
+        minion.ejections = min(minion.ejections + 1, EJECT_AFTER)
+        return True
+
+    def may_eject(self, now: float) -> bool:
+        """Return whether one more minion may be ejected.
+
+        :param now: in seconds.
+        """
+        ejected = [
+            minion
+            for minion in self.by_side.values()
+            if minion.ejected_until > now
+        ]
+        return len(ejected) < int(len(self.by_side) * EJECT_FRACTION)
+
+
+def _known_latencies(minions: Iterable[Minion]) -> list[float]:
+    """Return the latencies of the minions that have answered."""
+    return [minion.latency for minion in minions if minion.latency]
--- /dev/null
+++ b/jackdawridge/forwarding/pool.py
@@ -0,0 +1,77 @@
+"""What an entry keeps for each service."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from jackdawridge.forwarding.budget import LatencyWindow, RepeatBudget
+from jackdawridge.forwarding.minions import MinionSet
+from jackdawridge.forwarding.queues import TeamQueues
+
+if TYPE_CHECKING:
+    import random
+
+    from jackdawridge.forwarding.exchange import Exchange
+
+#: Requests that may be sent again after 'not run', as a fraction of all.
+RESEND_FRACTION = 0.5
+#: Such requests available to a service that has had none yet.
+RESEND_RESERVE = 64
+#: Latency that is expected of a service before its first answer, in seconds.
+UNKNOWN_LATENCY = 0.1
+#: Shortest time after which refused callers are asked to return, in seconds.
+RETRY_FLOOR = 1.0
+#: Longest such time, in seconds.
+RETRY_CEILING = 30.0
+
+
+class Pool:
+    """The minions, waiting requests and budgets of one service.
+
+    :param name: the service.
+    :param domain: failure domain of the entry.
+    :param queue_limit: most requests that wait.
+    :param choices: draws the minions that are compared.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        queue_limit: int,
+        choices: random.Random,
+    ) -> None:
+        """Start without minions and requests."""
+        self.name = name
+        self.minions = MinionSet(domain, choices)
+        self.queues: TeamQueues[Exchange] = TeamQueues(queue_limit)
+        #: Budget of repeats that may run a request twice.
+        self.repeats = RepeatBudget()
+        #: Budget of requests that are sent on after 'not run'.
+        self.resends = RepeatBudget(
+            RESEND_FRACTION, RESEND_RESERVE, 2 * RESEND_RESERVE
+        )
+        self.latencies = LatencyWindow()
+
+    def expected_wait(self, now: float) -> float:
+        """Return how long a new request would wait, infinite if for ever.
+
+        :param now: in seconds.
+        """
+        usable = self.minions.usable(now)
+        if not usable:
+            return math.inf
+        if not self.queues.size:
+            return 0
+        slots = sum(minion.slots for minion in usable)
+        latency = self.latencies.mean or UNKNOWN_LATENCY
+        return self.queues.size * latency / slots
+
+    def retry_after(self, now: float) -> float:
+        """Return when a refused caller may come back, in seconds.
+
+        :param now: in seconds.
+        """
+        wait = self.expected_wait(now)
+        return min(max(wait, RETRY_FLOOR), RETRY_CEILING)
--- /dev/null
+++ b/jackdawridge/forwarding/replies.py
@@ -0,0 +1,261 @@
+"""What an entry makes of the replies of sides."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jackdawridge.forwarding import entry_effects as effects
+from jackdawridge.forwarding.book import BAD_GATEWAY, UNAVAILABLE
+from jackdawridge.forwarding.exchange import Phase
+from jackdawridge.forwarding.messages import CancelRequests
+from jackdawridge.forwarding.policy import RETRYABLE_STATUSES
+
+if TYPE_CHECKING:
+    from jackdawridge.forwarding.exchange import Attempt, Exchange
+    from jackdawridge.forwarding.messages import (
+        Credit,
+        RequestLost,
+        RequestRefused,
+        Response,
+        ResponseBody,
+    )
+    from jackdawridge.forwarding.router import Router
+
+#: Statuses from which on a minion counts as having failed.
+_SERVER_ERROR = 500
+
+
+class Replies:
+    """Passes answers on, and repeats what may be repeated.
+
+    :param router: sends requests on.
+    """
+
+    def __init__(self, router: Router) -> None:
+        """Keep the parts."""
+        self.router = router
+        self.book = router.book
+
+    def refused(self, message: RequestRefused, now: float) -> None:
+        """Act on a true 'not run' of a side.
+
+        :param message: the refusal.
+        :param now: in seconds.
+        """
+        attempt = self.book.release(message.number)
+        if attempt is not None:
+            attempt.minion.take_report(message.load, now)
+            self.not_run(attempt, message.reason, message.retry_after, now)
+
+    def unsent(self, number: int, now: float) -> None:
+        """Take back an attempt whose message no link could take.
+
+        :param number: of the attempt.
+        :param now: in seconds.
+        """
+        attempt = self.book.release(number)
+        if attempt is not None:
+            self.not_run(attempt, 'no link to the side', 0, now)
+
+    def not_run(
+        self, attempt: Attempt, reason: str, retry_after: float, now: float
+    ) -> None:
+        """Send a request on that was not run, or refuse it.
+
+        :param attempt: already released.
+        :param reason: of the refusal.
+        :param retry_after: of the refusal, in seconds.
+        :param now: in seconds.
+        """
+        exchange = attempt.exchange
+        pool = self.book.pool(exchange.call.service)
+        if not self.is_last(attempt):
+            self.router.dispatch(pool, now)
+            return
+        self.book.decide('refused', exchange, reason, attempt)
+        exchange.avoided.add(attempt.minion.side)
+        usable = pool.minions.usable(now)
+        if usable and exchange.may_resend(now) and pool.resends.spend():
+            self.router.requeue(exchange, now)
+            return
+        wait = max(retry_after, pool.retry_after(now))
+        self.book.give_up(exchange, effects.Verdict(UNAVAILABLE, reason, wait))
+
+    def lost(self, message: RequestLost, now: float) -> None:
+        """Act on a request whose answer is lost.
+
+        :param message: of the side.
+        :param now: in seconds.
+        """
+        attempt = self.book.release(message.number)
+        if attempt is not None:
+            attempt.minion.take_report(message.load, now)
+            self.may_have_run(attempt, message.reason, now)
+
+    def may_have_run(self, attempt: Attempt, reason: str, now: float) -> None:
+        """Repeat a request that may have run if it may run twice.
+
+        :param attempt: already released.
+        :param reason: why there is no answer.
+        :param now: in seconds.
+        """
+        exchange = attempt.exchange
+        wanted = exchange.phase is Phase.trying
+        pool = self.book.pool(exchange.call.service)
+        if wanted:
+            pool.minions.count_failure(attempt.minion, now)
+            exchange.doubtful = True
+        if not self.is_last(attempt):
+            self.router.dispatch(pool, now)
+            return
+        self.book.decide('lost', exchange, reason, attempt)
+        exchange.avoided.add(attempt.minion.side)
+        if self.may_repeat(exchange, now):
+            self.router.requeue(exchange, now)
+        else:
+            self.book.give_up(exchange, effects.Verdict(BAD_GATEWAY, reason))
+
+    def may_repeat(self, exchange: Exchange, now: float) -> bool:
+        """Return whether a request is repeated, which takes of the budget.
+
+        :param exchange: a request that may have run.
+        :param now: in seconds.
+        """
+        pool = self.book.pool(exchange.call.service)
+        return (
+            exchange.call.repeatable
+            and exchange.may_resend(now)
+            and bool(pool.minions.usable(now))
+            and pool.repeats.spend()
+        )
+
+    def is_last(self, attempt: Attempt) -> bool:
+        """Return whether a released attempt was the only hope of its request.
+
+        :param attempt: already released.
+        """
+        exchange = attempt.exchange
+        return exchange.phase is Phase.trying and not exchange.attempts
+
+    def responded(self, message: Response, now: float) -> None:
+        """Pass an answer on, or drop it if nobody waits for it.
+
+        :param message: the response.
+        :param now: in seconds.
+        """
+        attempt = self.book.release(message.number)
+        if attempt is None:
+            return
+        attempt.minion.take_report(message.load, now)
+        pool = self.book.pool(attempt.exchange.call.service)
+        if attempt.exchange.phase is not Phase.trying:
+            self.ignore(attempt, message)
+        elif self.is_failure(attempt, message):
+            self.may_have_run(attempt, f'status {message.status}', now)
+        else:
+            self.count(attempt, message, now)
+            self.deliver(attempt, message)
+        self.router.dispatch(pool, now)
+
+    def is_failure(self, attempt: Attempt, message: Response) -> bool:
+        """Return whether a response is better replaced by another attempt.
+
+        :param attempt: already released.
+        :param message: the response.
+        """
+        exchange = attempt.exchange
+        if message.status not in RETRYABLE_STATUSES or not message.last:
+            return False
+        if not exchange.call.repeatable or exchange.committed:
+            return False
+        pool = self.book.pool(exchange.call.service)
+        return bool(exchange.attempts) or pool.repeats.tokens >= 1
+
+    def ignore(self, attempt: Attempt, message: Response) -> None:
+        """Drop a response that nobody waits for.
+
+        :param attempt: already released.
+        :param message: the response.
+        """
+        if not message.last:
+            cancel = CancelRequests((message.number,))
+            self.book.outbox.append(
+                effects.Transmit(attempt.minion.side, cancel)
+            )
+
+    def count(self, attempt: Attempt, message: Response, now: float) -> None:
+        """Learn from a response.
+
+        :param attempt: already released.
+        :param message: the response.
+        :param now: in seconds.
+        """
+        pool = self.book.pool(attempt.exchange.call.service)
+        if message.status >= _SERVER_ERROR:
+            pool.minions.count_failure(attempt.minion, now)
+            return
+        latency = now - attempt.sent_at
+        attempt.minion.learn(latency)
+        pool.latencies.add(latency)
+
+    def deliver(self, attempt: Attempt, message: Response) -> None:
+        """Begin the answer to the caller.
+
+        :param attempt: already released.
+        :param message: the response.
+        """
+        exchange = attempt.exchange
+        exchange.lifecycle.answer()
+        self.book.drop_attempts(exchange)
+        self.book.outbox.append(
+            effects.Respond(exchange.key, attempt.minion.side, message)
+        )
+        if message.last:
+            self.book.finish(exchange)
+        else:
+            exchange.attempts[attempt.number] = attempt
+            self.book.attempts[attempt.number] = attempt
+            attempt.minion.own.add(attempt.number)
+
+    def continued(self, message: ResponseBody) -> None:
+        """Pass a further part of an answer on.
+
+        :param message: the part.
+        """
+        ends = message.last or not message.intact
+        attempt = self.book.attempts.get(message.number)
+        if attempt is None:
+            return
+        if ends:
+            self.book.release(message.number)
+        exchange = attempt.exchange
+        if exchange.phase is not Phase.answering:
+            return
+        if not message.intact:
+            reason = 'the minion broke the response off'
+            self.book.give_up(exchange, effects.Verdict(BAD_GATEWAY, reason))
+            return
+        self.book.outbox.append(
+            effects.Continue(exchange.key, message.body, message.last)
+        )
+        if ends:
+            self.book.finish(exchange)
+
+    def credited(self, message: Credit) -> None:
+        """Let a caller send more of its body.
+
+        :param message: of the side that works on the request.
+        """
+        attempt = self.book.attempts.get(message.number)
+        if attempt is None or attempt.number not in attempt.exchange.attempts:
+            return
+        exchange = attempt.exchange
+        exchange.committed = True
+        self.book.outbox.append(
+            effects.Grant(
+                exchange.key,
+                message.number,
+                attempt.minion.side,
+                message.offset,
+            )
+        )
--- /dev/null
+++ b/jackdawridge/forwarding/router.py
@@ -0,0 +1,232 @@
+"""Where an entry sends requests: admission, choice of minion, hedges."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jackdawridge.forwarding.book import (
+    TIMED_OUT,
+    TOO_MANY,
+    UNAVAILABLE,
+)
+from jackdawridge.forwarding.entry_effects import Verdict
+from jackdawridge.forwarding.exchange import Phase
+
+if TYPE_CHECKING:
+    from jackdawridge.forwarding.book import Alarm, Book
+    from jackdawridge.forwarding.exchange import Call, Exchange
+    from jackdawridge.forwarding.minions import Minion
+    from jackdawridge.forwarding.pool import Pool
+
+#: Interval at which waiting requests look for room without a reply, in
+#: seconds.
+POLL_INTERVAL = 0.05
+#: Time after which a caller may come back when no minion is known, in seconds.
+NO_MINION_RETRY = 1.0
+
+
+class Router:
+    """Admits requests and sends them to sides.
+
+    :param book: the open requests.
+    """
+
+    def __init__(self, book: Book) -> None:
+        """Keep the book."""
+        self.book = book
+        #: Weights of the teams; 1 for those that are not named.
+        self.weights: dict[str, float] = {}
+
+    def next_alarm(self, now: float) -> float | None:
+        """Return when `tick` is due, None if nothing is open.
+
+        :param now: in seconds.
+        """
+        times = [alarm.time for alarm in self.book.alarms[:1]]
+        if any(pool.queues.size for pool in self.book.pools.values()):
+            times.append(now + POLL_INTERVAL)
+        return min(times, default=None)
+
+    def admit(self, call: Call, now: float) -> int:
+        """Take a request, which may be refused at once; return its key.
+
+        :param call: what the caller asks for.
+        :param now: in seconds.
+        """
+        exchange = self.book.open(call)
+        pool = self.book.pools.get(call.service)
+        if pool is None:
+            reason = f'no minion serves service {call.service!r}'
+            verdict = Verdict(UNAVAILABLE, reason, NO_MINION_RETRY)
+            self.book.give_up(exchange, verdict)
+            return exchange.key
+        objection = self.find_objection(pool, call, now)
+        if objection is None:
+            self.enqueue(pool, exchange, now)
+        else:
+            self.book.give_up(exchange, objection)
+        return exchange.key
+
+    def find_objection(
+        self, pool: Pool, call: Call, now: float
+    ) -> Verdict | None:
+        """Return why a new request is refused, if it is.
+
+        :param pool: of its service.
+        :param call: the request, which is in the book already.
+        :param now: in seconds.
+        """
+        book = self.book
+        limit = book.limits.requests
+        retry_after = pool.retry_after(now)
+        if book.teams[call.team] > max(limit * book.limits.team_share, 1):
+            reason = f'team {call.team!r} has too many open requests'
+            return Verdict(TOO_MANY, reason, retry_after)
+        if len(book.exchanges) > limit:
+            reason = 'too many open requests'
+            return Verdict(UNAVAILABLE, reason, retry_after)
+        if not pool.minions.usable(now):
+            reason = 'no minion is in service'
+            return Verdict(UNAVAILABLE, reason, retry_after)
+        if now + pool.expected_wait(now) >= call.deadline:
+            reason = 'the expected wait is over the deadline'
+            return Verdict(UNAVAILABLE, reason, retry_after)
+        return None
+
+    def enqueue(self, pool: Pool, exchange: Exchange, now: float) -> None:
+        """Queue a new request and send what can be sent.
+
+        :param pool: of its service.
+        :param exchange: the request.
+        :param now: in seconds.
+        """
+        call = exchange.call
+        self.book.alarm(call.deadline, 'deadline', exchange.key)
+        pushed = pool.queues.push(call.team, exchange)
+        rejected = pushed.evicted if pushed.taken else exchange
+        if rejected is not None:
+            self.book.give_up(
+                rejected,
+                Verdict(
+                    UNAVAILABLE,
+                    'too many requests wait',
+                    pool.retry_after(now),
+                ),
+            )
+        if pushed.taken:
+            pool.repeats.earn()
+            pool.resends.earn()
+            self.dispatch(pool, now)
+
+    def dispatch(self, pool: Pool, now: float) -> None:
+        """Send waiting requests while there is room.
+
+        :param pool: of a service.
+        :param now: in seconds.
+        """
+        while pool.queues.size:
+            spare = pool.minions.choose(now)
+            exchange = pool.queues.pop(self.weights) if spare else None
+            if spare is None or exchange is None:
+                return
+            if exchange.avoided:
+                spare = pool.minions.choose(now, exchange.avoided) or spare
+            self.send(pool, exchange, spare, now)
+
+    def send(
+        self, pool: Pool, exchange: Exchange, minion: Minion, now: float
+    ) -> None:
+        """Begin an attempt, and see to its hedge.
+
+        :param pool: of the service.
+        :param exchange: the request.
+        :param minion: where to.
+        :param now: in seconds.
+        """
+        load = minion.load(now)
+        attempt = self.book.begin(exchange, minion, now)
+        reason = f'load {load:.1f} of {minion.slots}'
+        self.book.decide('send', exchange, reason, attempt)
+        hedge_after = pool.latencies.hedge_after
+        wanted = exchange.call.hedging and not exchange.hedged
+        if wanted and hedge_after is not None:
+            self.book.alarm(now + hedge_after, 'hedge', exchange.key)
+
+    def requeue(self, exchange: Exchange, now: float) -> None:
+        """Send a request on whose last attempt has failed.
+
+        :param exchange: the request.
+        :param now: in seconds.
+        """
+        exchange.lifecycle.withdraw()
+        pool = self.book.pool(exchange.call.service)
+        pool.queues.push_back(exchange.call.team, exchange)
+        self.dispatch(pool, now)
+
+    def leave(self, key: int) -> None:
+        """End a request whose caller has gone.
+
+        :param key: of the request.
+        """
+        exchange = self.book.exchanges.get(key)
+        if exchange is not None:
+            self.book.decide('drop', exchange, 'the caller has gone')
+            self.book.finish(exchange)
+
+    def tick(self, now: float) -> list[Alarm]:
+        """Act on deadlines, hedges and room; return the other due alarms.
+
+        :param now: in seconds.
+        """
+        others = []
+        for alarm in self.book.due_alarms(now):
+            if alarm.kind == 'doubt':
+                others.append(alarm)
+            else:
+                self.act(alarm, now)
+        for pool in self.book.pools.values():
+            self.dispatch(pool, now)
+        return others
+
+    def act(self, alarm: Alarm, now: float) -> None:
+        """Act on a deadline or hedge of a request that is still open.
+
+        :param alarm: that is due.
+        :param now: in seconds.
+        """
+        exchange = self.book.exchanges.get(alarm.key)
+        if exchange is None:
+            return
+        if alarm.kind == 'deadline':
+            self.expire(exchange)
+        else:
+            self.hedge(exchange, now)
+
+    def expire(self, exchange: Exchange) -> None:
+        """Give up a request whose deadline has passed.
+
+        :param exchange: the request.
+        """
+        waits = exchange.phase is Phase.waiting
+        reason = 'deadline passed while {0}'.format(
+            'it waited for a minion' if waits else 'a minion had it',
+        )
+        self.book.give_up(exchange, Verdict(TIMED_OUT, reason))
+
+    def hedge(self, exchange: Exchange, now: float) -> None:
+        """Send a slow request to a second minion if the budget allows.
+
+        :param exchange: the request.
+        :param now: in seconds.
+        """
+        if not exchange.may_hedge(now):
+            return
+        pool = self.book.pool(exchange.call.service)
+        taken = {attempt.minion.side for attempt in exchange.attempts.values()}
+        minion = pool.minions.choose(now, exchange.avoided | taken)
+        idle = minion is not None and minion.load(now) < minion.slots
+        if minion is None or not idle or not pool.repeats.spend():
+            return
+        exchange.hedged = True
+        attempt = self.book.begin(exchange, minion, now)
+        self.book.decide('hedge', exchange, 'no answer yet', attempt)
--- /dev/null
+++ b/tests/test_forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of requests to minions."""
