Compare resolutions in gate tests by type

Cause: the type checker narrows an indexed outbox across calls. Change: the last two effects are unpacked before they are compared.

--- a/tests/test_forwarding/test_state.py
+++ b/tests/test_forwarding/test_state.py
@@ -234,9 +234,10 @@
         gate.finished(RequestKey(ENTRY, 1), None, 0)
         gate.tick(MEMORY_TIME)
         gate.receive(ENTRY, self.request(1), MEMORY_TIME)
-        assert isinstance(gate.outbox[-1], side_effects.Lose)
         gate.resolve(ENTRY, (1,), MEMORY_TIME)
-        assert gate.outbox[-1] == side_effects.Resolved(ENTRY, (), (), (1,))
+        lost, resolved = gate.outbox[-2:]
+        assert isinstance(lost, side_effects.Lose)
+        assert resolved == side_effects.Resolved(ENTRY, (), (), (1,))
 
     def test_resolved_number_is_fenced(self) -> None:
         gate = Gate(slots=1, queue_limit=1)
