Use the room ledger and memory relief at the side

Cause: the side reserved room by estimates alone and forgot whom it refused.

Change: the side keeps its room in a RoomLedger, reports to each entry the room that entry may use, sends offers with the outcomes, and applies measured use and memory relief when the worker reports. The simpler reservations go.

Conclusion: refused entries get offers on the real path.

--- a/jackdawridge/execution/component.py
+++ b/jackdawridge/execution/component.py
@@ -16,7 +16,8 @@
     StartBatch,
 )
 from jackdawridge.execution.outcomes import OutcomeSender
-from jackdawridge.execution.reservations import Reservations
+from jackdawridge.execution.relieving import WorkerRelief
+from jackdawridge.execution.room import RoomLedger
 from jackdawridge.execution.sessions import Sessions
 from jackdawridge.execution.state import OpenGate, SideState
 from jackdawridge.execution.watch import WorkerWatch
@@ -102,12 +103,18 @@
             settings.integer('accelerators'),
             0,
         )
+        room = RoomLedger(size)
         state = SideState(
             Sessions(windows, settings.number('task_lease')),
-            Reservations(size),
+            room,
             gate or OpenGate(),
         )
-        return cls(application, peers, worker, state)
+        execution = cls(application, peers, worker, state)
+        application.events.connect(
+            'usage_reported',
+            WorkerRelief(worker, room).usage_reported,
+        )
+        return execution
 
     def start(self) -> None:
         """Take over what the worker runs, then work."""
@@ -179,10 +186,12 @@
         :param peer: any peer.
         """
         self.state.sessions.close(peer.introduction.incarnation)
+        self.state.room.entry_left(peer.introduction.incarnation)
 
     def sweep(self) -> None:
         """Stop orphans."""
         self.watch.stop_tasks(self.state.sweep(self.clock.seconds()))
+        self.sender.flush_soon()
         self.finish_if_idle()
 
     def starts_received(self, peer: Peer, batch: StartBatch) -> None:
--- a/jackdawridge/execution/heart.py
+++ b/jackdawridge/execution/heart.py
@@ -68,10 +68,11 @@
         :param record: of the entry that it is for.
         :param window: its number.
         """
+        now = self.clock.seconds()
         return Heartbeat(
             window,
             record.processed,
-            self.state.room.free,
+            self.state.room.room_for(record.incarnation, now),
             self.state.draining,
             0,
         )
--- a/jackdawridge/execution/outcomes.py
+++ b/jackdawridge/execution/outcomes.py
@@ -42,8 +42,15 @@
             peer.introduction.incarnation: peer
             for peer in self.peers.of_role('entry')
         }
+        now = self.clock.seconds()
+        # Offers come first, so that the room reported to the others is less.
+        for offer in self.state.room.offers(now):
+            holder = links.get(offer.entry)
+            if holder is not None:
+                holder.send(offer.offer)
         for record in tuple(self.state.sessions.entries.values()):
-            batch = record.outbox.flush(record.processed, self.state.room.free)
+            room = self.state.room.room_for(record.incarnation, now)
+            batch = record.outbox.flush(record.processed, room)
             peer = links.get(record.incarnation)
             if batch is not None and peer is not None:
                 peer.send(batch)
--- /dev/null
+++ b/jackdawridge/execution/relieving.py
@@ -0,0 +1,83 @@
+"""Applies reported use to the room and relieves a full worker."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import ensureDeferred
+
+from jackdawridge.errors import JackdawridgeError
+from jackdawridge.execution.relief import MemoryGuard, MemoryUse, Step
+from jackdawridge.execution.starter import read_id, write_id
+from jackdawridge.logs import get_logger
+
+if TYPE_CHECKING:
+    from jackdawridge.execution.messages import TaskKey
+    from jackdawridge.execution.relief import Relief
+    from jackdawridge.execution.room import RoomLedger
+    from jackdawridge.execution.worker import TaskUsage, Worker
+
+logger = get_logger('execution')
+
+#: Share of its speed at which a throttled task goes on.
+THROTTLED_SHARE = 0.25
+
+
+class WorkerRelief:
+    """Hears what tasks use and acts before the memory is full.
+
+    :param worker: beside the side.
+    :param room: of the worker.
+    """
+
+    def __init__(self, worker: Worker, room: RoomLedger) -> None:
+        """Begin without a shortage."""
+        self.worker = worker
+        self.room = room
+        self.guard = MemoryGuard(room.size.memory)
+
+    def usage_reported(self, usage: tuple[TaskUsage, ...]) -> None:
+        """Count tasks by what they use, and relieve the worker.
+
+        :param usage: of running tasks.
+        """
+        tasks: dict[TaskKey, MemoryUse] = {}
+        for used in usage:
+            key = read_id(used.id)
+            reserved = self.room.reserved.get(key) if key else None
+            if key is None or reserved is None:
+                continue
+            tasks[key] = MemoryUse(reserved.memory, used.memory)
+            self.room.measure(key, used.cores, used.memory)
+        for relief in self.guard.decide(tasks):
+            logger.warning(
+                f'memory: {relief.step.value}',
+                step='relieve',
+                task=write_id(relief.key),
+            )
+            ensureDeferred(self.apply(relief))
+
+    async def apply(self, relief: Relief) -> None:
+        """Tell the worker; the next report shows whether it helped.
+
+        :param relief: what to do.
+        """
+        try:
+            await self.call(relief.step, (write_id(relief.key),))
+        except JackdawridgeError as error:
+            logger.warning(error.message, step='relieve', peer=error.peer)
+
+    async def call(self, step: Step, ids: tuple[str, ...]) -> None:
+        """Make the call to the worker that a step stands for.
+
+        :param step: what is done.
+        :param ids: of the tasks.
+        """
+        if step is Step.throttle:
+            await self.worker.throttle(ids, THROTTLED_SHARE)
+        elif step is Step.checkpoint:
+            await self.worker.checkpoint(ids)
+        elif step is Step.resume:
+            await self.worker.throttle(ids, 1)
+        else:
+            await self.worker.stop(ids)
--- a/jackdawridge/execution/state.py
+++ b/jackdawridge/execution/state.py
@@ -12,6 +12,7 @@
     StartBatch,
     TaskKey,
 )
+from jackdawridge.execution.room import NO_ROOM
 from jackdawridge.execution.tasks import TaskRecord
 from jackdawridge.submission.tickets import incarnation_of
 
@@ -19,6 +20,7 @@
     from collections.abc import Iterable
 
     from jackdawridge.execution.messages import Room, Start
+    from jackdawridge.execution.room import EntryOffer
     from jackdawridge.execution.sessions import EntryRecord, Sessions
 
 
@@ -28,7 +30,7 @@
     #: What is free now.
     free: Room
 
-    def reserve(self, start: Start) -> bool:
+    def reserve(self, entry: str, start: Start, now: float) -> bool:
         """Reserve what a start asks for, if it fits."""
 
     def hold(self, key: TaskKey, wanted: Room) -> None:
@@ -37,6 +39,15 @@
     def release(self, key: TaskKey) -> None:
         """Give back what a task had reserved."""
 
+    def room_for(self, entry: str, now: float) -> Room:
+        """Return what an entry may start."""
+
+    def offers(self, now: float) -> tuple[EntryOffer, ...]:
+        """Return the offers to send to entries that were refused."""
+
+    def entry_left(self, entry: str) -> None:
+        """Forget what an entry waits for."""
+
 
 class StartGate(Protocol):
     """Says whether anything may start here at all."""
@@ -100,7 +111,7 @@
         common = self.common_refusal(batch, now)
         admitted = []
         for start in batch.starts:
-            reason = common or self.refusal(record, start)
+            reason = common or self.refusal(record, start, now)
             if reason:
                 self.refuse(record, start.key(), reason, now)
             else:
@@ -120,18 +131,21 @@
             return 'send window is closed'
         return self.gate.refusal(now)
 
-    def refusal(self, record: EntryRecord, start: Start) -> str:
+    def refusal(self, record: EntryRecord, start: Start, now: float) -> str:
         """Return why one start may not pass, or an empty string.
 
         :param record: of the entry that sent it.
         :param start: the start.
+        :param now: local time in seconds.
         """
         key = start.key()
         if incarnation_of(start.ticket) != record.incarnation:
             return 'ticket was issued by another entry'
         if key in self.fences or key in self.tasks:
             return 'start was already handled'
-        return '' if self.room.reserve(start) else 'no room'
+        if self.room.reserve(record.incarnation, start, now):
+            return ''
+        return NO_ROOM
 
     def take(self, record: EntryRecord, key: TaskKey) -> None:
         """Record a task that is about to be handed to the worker.
