Let entries follow the log and keep sides current

Cause: the core of the configuration had no one to act on it.

A hold is spread before the removal of a failure domain is appended, so that it is known everywhere even if the log is lost right after it took the record.

Conclusion: to be wired into the daemons next.

--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -341,7 +341,10 @@
     number_row('job_tasks', _ENTRY, 710, (1, 100000), 'tasks a job'),
     number_row('ticket_limit', _ENTRY, 100000, (1, 10000000), 'unused tickets'),
     number_row('queue_limit', _ENTRY, 50000, (1, 10000000), 'queued tasks'),
-    number_row('freshness', _SIDE, 3.0, (0.2, 60), 'seconds'),
+    number_row('freshness', _SIDE, 2.5, (0.2, 60), 'seconds'),
+    text_row('log_stream', _ENTRY, default='configuration'),
+    number_row('log_poll', _ENTRY, 0.3, (0.05, 10), 'seconds'),
+    number_row('snapshot_interval', _ENTRY, 600.0, (1, 86400), 'seconds'),
     number_row('drain', _BOTH, 20.0, (0.1, 3600), 'seconds'),
     number_row('entries_per_side', _BOTH, 5, (1, 64), 'entries'),
 )
--- a/jackdawridge/configuration/freshness.py
+++ b/jackdawridge/configuration/freshness.py
@@ -23,6 +23,8 @@
     log_age: float
     #: Whether the log did not answer its last read in time.
     failing: bool
+    #: Whether it has ever known a current configuration.
+    ready: bool
 
 
 class Round:
@@ -51,6 +53,16 @@
         ]
         return max(times, default=-math.inf)
 
+    def knows_state(self, position: int) -> bool:
+        """Return whether the state of this process is that of a ready entry.
+
+        :param position: up to which this process knows the configuration.
+        """
+        return any(
+            answer.ready and answer.position <= position
+            for answer in self.answers.values()
+        )
+
     def agrees(self, position: int, known: frozenset[str]) -> bool:
         """Return whether the log is down for a majority that sees each other.
 
@@ -75,6 +87,9 @@
         self.agreed_at = -math.inf
         #: Whether the log did not answer the last read in time.
         self.failing = False
+        #: Whether the state was ever known to be current. A newcomer must
+        #: not take its empty state for the last one in an outage.
+        self.is_ready = False
         self.round = Round(0, -math.inf)
 
     def read_complete(self, sent_at: float) -> None:
@@ -83,6 +98,7 @@
         :param sent_at: when it was sent, in seconds.
         """
         self.confirmed_at = max(self.confirmed_at, sent_at)
+        self.is_ready = True
 
     def read_answered(self) -> None:
         """Take note that the log answers."""
@@ -117,6 +133,10 @@
         :param known: names of the other entries that are known.
         """
         current = self.round
+        if current.knows_state(position):
+            self.is_ready = True
+        if not self.is_ready:
+            return
         self.agreed_at = max(self.agreed_at, current.relayed_at(position))
         if self.failing and current.agrees(position, known):
             self.agreed_at = max(self.agreed_at, current.sent_at)
--- a/jackdawridge/configuration/holds.py
+++ b/jackdawridge/configuration/holds.py
@@ -12,8 +12,9 @@
 #: Released change ids that are remembered, so that they are not held again.
 RELEASED_LIMIT = 1000
 #: A hold is released when the log does not have its change this long after
-#: the last announcement, in seconds.
-RELEASE_DELAY = 3.0
+#: the last announcement, in seconds. Longer than the time between two
+#: announcements by a publisher whose appends time out.
+RELEASE_DELAY = 6.0
 
 
 class Hold(NamedTuple):
--- a/tests/test_configuration/test_freshness.py
+++ b/tests/test_configuration/test_freshness.py
@@ -15,7 +15,7 @@
 from jackdawridge.configuration.holds import RELEASE_DELAY, Hold, Holds
 
 OTHERS = frozenset(('b', 'c'))
-OUTAGE = Answer(5, math.inf, failing=True)
+OUTAGE = Answer(5, math.inf, failing=True, ready=True)
 
 
 def asked(
@@ -24,6 +24,7 @@
     """Return an entry that asked at 10 and got some answers."""
     freshness = EntryFreshness()
     freshness.failing = failing
+    freshness.is_ready = True
     number = freshness.begin_round(10).number
     for name, answer in answers.items():
         freshness.take_answer(number, name, answer)
@@ -43,11 +44,11 @@
         assert math.isinf(asked({}).age(10))
 
     def test_entry_cut_off_from_the_log_alone_relays(self) -> None:
-        answers = {'b': Answer(5, 2, failing=False)}
+        answers = {'b': Answer(5, 2, failing=False, ready=True)}
         assert asked(answers).age(10) == 2
 
     def test_relayed_word_of_newer_state_waits_for_it(self) -> None:
-        answers = {'b': Answer(6, 2, failing=False)}
+        answers = {'b': Answer(6, 2, failing=False, ready=True)}
         assert math.isinf(asked(answers).age(10))
         assert asked(answers, position=6).age(10) == 2
 
@@ -55,7 +56,7 @@
         assert asked({'b': OUTAGE}).age(10) == 0
 
     def test_one_entry_with_the_log_ends_the_agreement(self) -> None:
-        answers = {'b': OUTAGE, 'c': Answer(5, 9, failing=False)}
+        answers = {'b': OUTAGE, 'c': Answer(5, 9, failing=False, ready=True)}
         assert asked(answers).age(10) == 9
 
     def test_newer_state_anywhere_ends_the_agreement(self) -> None:
@@ -79,8 +80,24 @@
         freshness.failing = True
         freshness.begin_round(10)
         freshness.conclude(5, frozenset())
+        assert math.isinf(freshness.age(11))
+        freshness.is_ready = True
+        freshness.conclude(5, frozenset())
         assert freshness.age(11) == 1
 
+    def test_newcomer_waits_for_the_state_of_a_ready_entry(self) -> None:
+        freshness = EntryFreshness()
+        freshness.failing = True
+        number = freshness.begin_round(10).number
+        freshness.take_answer(number, 'b', OUTAGE._replace(ready=False))
+        freshness.conclude(5, frozenset(('b',)))
+        assert not freshness.is_ready
+        freshness.take_answer(number, 'b', OUTAGE)
+        freshness.conclude(4, frozenset(('b',)))
+        assert not freshness.is_ready
+        freshness.conclude(5, frozenset(('b',)))
+        assert freshness.age(10) == 0
+
 
 class TestSideFreshness:
     def test_age_counts_from_the_heartbeat(self) -> None:
