Pass requests from callers to minions through an entry and a side

Cause: the state of requests needs parts that act: HTTP for callers, the link between the processes, and HTTP to the minion.

Change: a resource under /v1/services that reads a request, its deadline, team and id, and writes the answer by key; an entry component with one timer; a side component that runs what its gate lets through on pooled connections without automatic repeats, tells 'never sent' from 'sent and lost', and tries a minion that refuses connections until it is back. Bodies travel in parts: a side pulls a request's, an entry gives credit for a response's. Both ends drain before they stop. The fading of old load reports no longer overflows after a quiet time.

--- a/jackdawridge/daemon.py
+++ b/jackdawridge/daemon.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from jackdawridge.application import Application
-from jackdawridge.configuration import messages as configuration_messages
 from jackdawridge.execution import messages as execution_messages
+from jackdawridge.forwarding import messages as forwarding_messages
 from jackdawridge.membership import messages as membership_messages
 from jackdawridge.operations.doors import Door
 from jackdawridge.operations.metrics import make_registry
@@ -26,9 +26,9 @@
 
 #: Schemas and messages of all slices.
 SLICES = (
-    configuration_messages,
     execution_messages,
     membership_messages,
+    forwarding_messages,
     submission_messages,
 )
 
--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -5,6 +5,10 @@
 from typing import TYPE_CHECKING, Any
 
 from jackdawridge.daemon import Daemon
+from jackdawridge.forwarding.callers import PREFIX
+from jackdawridge.forwarding.entry import EntryForwarding
+from jackdawridge.forwarding.metrics import ForwardingMetrics
+from jackdawridge.forwarding.resource import NoRecords, ServiceResource
 from jackdawridge.operations.doors import Door
 from jackdawridge.operations.metrics import JobMetrics, add_gauge
 from jackdawridge.operations.router import Router
@@ -31,6 +35,10 @@
     jobs = JobResource(application, submission.desk, submission.relay)
     for prefix in ('/v1/tickets', '/v1/jobs'):
         callers.mount_klein(prefix, jobs.app)
+    forwarding = EntryForwarding.from_application(
+        application, daemon.peers, ForwardingMetrics(daemon.registry)
+    )
+    callers.mount(PREFIX, ServiceResource(application, forwarding, NoRecords()))
     callers.mount_klein('/healthz', daemon.resource.app)
     watch_jobs(daemon, submission)
     # The doors close last, so that open requests get their answers.
@@ -41,6 +49,7 @@
     )
     application.add(daemon.connector)
     application.add(submission)
+    application.add(forwarding)
     return application
 
 
--- /dev/null
+++ b/jackdawridge/forwarding/answers.py
@@ -0,0 +1,150 @@
+"""Writes answers to callers."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from jackdawridge.forwarding.messages import BODY_WINDOW_BYTES
+
+if TYPE_CHECKING:
+    from jackdawridge.forwarding.entry_effects import GiveUp
+    from jackdawridge.forwarding.messages import Response
+
+#: Header that says whether a refused request may have run.
+OUTCOME_HEADER = 'X-Jackdawridge-Outcome'
+#: Statuses whose responses have no body.
+BODILESS_STATUSES = frozenset((204, 304))
+
+
+def write_refusal(
+    request: Any, status: int, outcome: str, message: str, retry_after: float
+) -> None:
+    """Answer that there is no answer of a minion, and end.
+
+    :param request: of Twisted.
+    :param status: of HTTP.
+    :param outcome: `not-run` or `unknown`.
+    :param message: why.
+    :param retry_after: when to come back, in seconds; 0 if never.
+    """
+    body = msgspec.json.encode({'error': message, 'outcome': outcome})
+    request.setResponseCode(status)
+    request.setHeader('Content-Type', 'application/json')
+    request.setHeader('Content-Length', str(len(body)))
+    request.setHeader(OUTCOME_HEADER, outcome)
+    if retry_after:
+        request.setHeader('Retry-After', str(max(math.ceil(retry_after), 1)))
+    request.write(body)
+    request.finish()
+
+
+class CallerAnswer:
+    """Writes the answer to one caller, no faster than the caller reads.
+
+    :param request: of Twisted.
+    :param request_id: told to the caller.
+    """
+
+    def __init__(self, request: Any, request_id: str) -> None:
+        """Wait for an answer."""
+        self.request = request
+        self.request_id = request_id
+        self.gone = False
+        #: Bytes of the body that have arrived.
+        self.received = 0
+        #: Offset up to which the side may send.
+        self.credit = BODY_WINDOW_BYTES
+        self.paused = False
+        self.grant: Any = None
+
+    def respond(self, response: Response, grant: Any) -> None:
+        """Begin the answer.
+
+        :param response: of the minion, with the first part of the body.
+        :param grant: called with an offset to have more of the body sent.
+        """
+        if self.gone:
+            return
+        self.request.setResponseCode(response.status)
+        for name, value in response.headers:
+            self.request.responseHeaders.addRawHeader(
+                name.encode('latin-1'), value.encode('latin-1')
+            )
+        self.request.setHeader('X-Request-Id', self.request_id)
+        if response.last:
+            self.set_length(response)
+        else:
+            self.grant = grant
+            self.request.registerProducer(self, True)
+        self.pass_on(response.body, response.last)
+
+    def set_length(self, response: Response) -> None:
+        """Announce the length of a body that is whole.
+
+        :param response: with the body.
+        """
+        has_body = response.status not in BODILESS_STATUSES
+        if has_body and self.request.method != b'HEAD':
+            self.request.setHeader('Content-Length', str(len(response.body)))
+
+    def pass_on(self, body: bytes, last: bool) -> None:
+        """Write a part of the body.
+
+        :param body: the part.
+        :param last: whether it is the last one.
+        """
+        if self.gone:
+            return
+        self.received += len(body)
+        if body:
+            self.request.write(body)
+        if last:
+            if self.grant is not None:
+                self.request.unregisterProducer()
+            self.request.finish()
+        else:
+            self.ask_for_more()
+
+    def ask_for_more(self) -> None:
+        """Let the side send more once half of the window is used up."""
+        left = self.credit - self.received
+        if self.paused or self.gone or left > BODY_WINDOW_BYTES / 2:
+            return
+        self.credit = self.received + BODY_WINDOW_BYTES
+        self.grant(self.credit)
+
+    def pauseProducing(self) -> None:
+        """Ask for no more while the caller does not read."""
+        self.paused = True
+
+    def resumeProducing(self) -> None:
+        """Ask for more again."""
+        self.paused = False
+        self.ask_for_more()
+
+    def stopProducing(self) -> None:
+        """Do nothing: the caller is gone, which is told elsewhere."""
+
+    def give_up(self, effect: GiveUp) -> None:
+        """Answer that there will be no answer.
+
+        :param effect: says why.
+        """
+        if not self.gone:
+            verdict = effect.verdict
+            self.request.setHeader('X-Request-Id', self.request_id)
+            write_refusal(
+                self.request,
+                verdict.status,
+                effect.outcome.value,
+                verdict.reason,
+                verdict.retry_after,
+            )
+
+    def abort(self) -> None:
+        """Cut the connection, so that the caller sees a broken answer."""
+        if not self.gone:
+            self.request.transport.abortConnection()
--- a/jackdawridge/forwarding/book.py
+++ b/jackdawridge/forwarding/book.py
@@ -8,7 +8,11 @@
 
 from jackdawridge.forwarding import entry_effects as effects
 from jackdawridge.forwarding.exchange import Attempt, Exchange, Phase
-from jackdawridge.forwarding.messages import CancelRequests, Request
+from jackdawridge.forwarding.messages import (
+    BODY_PART_BYTES,
+    CancelRequests,
+    Request,
+)
 from jackdawridge.forwarding.pool import Pool
 
 if TYPE_CHECKING:
@@ -226,8 +230,8 @@
         call.method,
         call.path,
         call.headers,
-        call.body,
-        call.last,
+        call.body[:BODY_PART_BYTES],
+        len(call.body),
         max(call.deadline - now, 0),
         call.repeatable,
     )
--- /dev/null
+++ b/jackdawridge/forwarding/callers.py
@@ -0,0 +1,178 @@
+"""Reads the requests of callers."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from result import Err, Ok, Result
+
+from jackdawridge.forwarding.exchange import Call
+from jackdawridge.forwarding.messages import Header
+from jackdawridge.forwarding.policy import MAX_TIMEOUT, parse_deadline
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from jackdawridge.forwarding.policy import ServicePolicy
+
+#: Path below which callers reach the services.
+PREFIX = '/v1/services'
+#: Team of callers that name none.
+DEFAULT_TEAM = 'default'
+#: Methods that are passed to minions.
+METHODS = frozenset(
+    ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
+)
+#: Headers that concern one connection only, or that this process sets.
+CONNECTION_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-deadline-ms',
+        'x-request-id',
+        'x-ticket',
+    )
+)
+
+_BAD_REQUEST = 400
+_NOT_ALLOWED = 405
+_MILLISECONDS = 1000
+#: Characters of a bad value that are shown in its error.
+_SHOWN = 64
+_NAME = re.compile('[A-Za-z0-9._:@/+=-]{1,128}')
+_TARGET = re.compile('[!-~]+')
+
+
+class Target(NamedTuple):
+    """Where a request goes."""
+
+    service: str
+    #: Path and query for the minion.
+    path: str
+
+
+class Objection(NamedTuple):
+    """Why a request is not taken."""
+
+    status: int
+    message: str
+
+
+def read_target(uri: bytes) -> Result[Target, Objection]:
+    """Return the service and path of a request.
+
+    :param uri: of the request, with its query.
+    """
+    text = uri.decode('latin-1')
+    if not _TARGET.fullmatch(text):
+        return Err(Objection(_BAD_REQUEST, 'path has characters not allowed'))
+    path, mark, query = text[len(PREFIX) + 1 :].partition('?')
+    service, _, rest = path.partition('/')
+    if not text.startswith(f'{PREFIX}/') or not _NAME.fullmatch(service):
+        message = f'service {service[:_SHOWN]!r} is not a valid name'
+        return Err(Objection(_BAD_REQUEST, message))
+    return Ok(Target(service, f'/{rest}{mark}{query}'))
+
+
+class CallReader(NamedTuple):
+    """What the reading of a request depends on besides the request."""
+
+    policy: ServicePolicy
+    #: Used if the caller gives no id.
+    request_id: str
+    #: In seconds.
+    now: float
+
+    def read(self, request: Any, target: Target) -> Result[Call, Objection]:
+        """Return what a caller asks for.
+
+        :param request: of Twisted, with its whole body.
+        :param target: where it goes.
+        """
+        text = request.getHeader('x-deadline-ms')
+        timeout = parse_deadline(text, self.policy.timeout)
+        objection = find_objection(request, text, timeout)
+        if timeout is None or objection is not None:
+            return Err(objection or Objection(_BAD_REQUEST, 'no deadline'))
+        request_id = request.getHeader('x-request-id') or self.request_id
+        return Ok(
+            Call(
+                request_id=request_id,
+                service=target.service,
+                team=request.getHeader('x-team') or DEFAULT_TEAM,
+                method=request.method.decode(),
+                path=target.path,
+                headers=(
+                    *end_to_end(request.requestHeaders.getAllRawHeaders()),
+                    Header('X-Request-Id', request_id),
+                ),
+                body=request.content.read(),
+                repeatable=self.is_repeatable(request),
+                hedging=self.policy.hedging,
+                deadline=self.now + timeout,
+            )
+        )
+
+    def is_repeatable(self, request: Any) -> bool:
+        """Return whether a request may run more than once.
+
+        :param request: of Twisted.
+        """
+        has_key = request.getHeader('idempotency-key') is not None
+        method = request.method.decode()
+        return self.policy.is_repeatable(method, has_key)
+
+
+def find_objection(
+    request: Any, deadline: str | None, timeout: float | None
+) -> Objection | None:
+    """Return what is wrong with the head of a request, if anything.
+
+    :param request: of Twisted.
+    :param deadline: as the caller gave it.
+    :param timeout: read from the deadline, None if that failed.
+    """
+    method = request.method.decode('latin-1')
+    if method not in METHODS:
+        allowed = ', '.join(sorted(METHODS))
+        message = f'method {method[:_SHOWN]!r} is not one of {allowed}'
+        return Objection(_NOT_ALLOWED, message)
+    if timeout is None:
+        limit = int(MAX_TIMEOUT * _MILLISECONDS)
+        shown = (deadline or '')[:_SHOWN]
+        message = f'X-Deadline-Ms {shown!r} is not from 1 to {limit}'
+        return Objection(_BAD_REQUEST, message)
+    for header in ('x-request-id', 'x-team'):
+        name = request.getHeader(header)
+        if name and not _NAME.fullmatch(name):
+            message = f'{header} {name[:_SHOWN]!r} is not a valid name'
+            return Objection(_BAD_REQUEST, message)
+    return None
+
+
+def end_to_end(
+    raw: Iterable[tuple[bytes, Iterable[bytes]]],
+) -> tuple[Header, ...]:
+    """Return headers without those that concern one connection.
+
+    :param raw: names, each with its values.
+    """
+    headers: list[Header] = []
+    for raw_name, raw_values in raw:
+        name = raw_name.decode('latin-1')
+        if name.lower() not in CONNECTION_HEADERS:
+            headers.extend(
+                Header(name, each.decode('latin-1')) for each in raw_values
+            )
+    return tuple(headers)
--- /dev/null
+++ b/jackdawridge/forwarding/calls.py
@@ -0,0 +1,197 @@
+"""The requests that a side's minion works on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from jackdawridge.forwarding import messages
+from jackdawridge.forwarding import side_effects as effects
+from jackdawridge.forwarding.identity import RequestKey
+from jackdawridge.forwarding.minion_call import MinionCall
+from jackdawridge.logs import get_logger, log_decision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jackdawridge.forwarding.gate import Gate
+    from jackdawridge.forwarding.identity import EntryId
+    from jackdawridge.forwarding.minion_client import MinionClient
+    from jackdawridge.util.clock import Clock
+    from jackdawridge.wire.peers import Peers
+
+logger = get_logger('routing')
+
+
+class MinionCalls:
+    """Does what the gate asks for, and tells the gate how it went.
+
+    :param gate: decides about requests.
+    :param client: of the minion.
+    :param peers: links to the entries.
+    :param clock: the reactor.
+    """
+
+    def __init__(
+        self, gate: Gate, client: MinionClient, peers: Peers, clock: Clock
+    ) -> None:
+        """Start without requests."""
+        self.gate = gate
+        self.client = client
+        self.peers = peers
+        self.clock = clock
+        self.calls: dict[RequestKey, MinionCall] = {}
+        #: Called when the minion refuses a connection.
+        self.when_unreachable: Callable[[], object] | None = None
+        #: Called when the last request has ended.
+        self.when_idle: Callable[[], object] | None = None
+
+    def receive_body(
+        self,
+        key: RequestKey,
+        message: messages.RequestBody | messages.Credit,
+    ) -> None:
+        """Act on a message about the body of a request or response.
+
+        :param key: of the request.
+        :param message: a part or a credit.
+        """
+        call = self.calls.get(key)
+        if call is None:
+            return
+        if isinstance(message, messages.Credit):
+            call.give_credit(message.offset)
+        elif call.source is not None:
+            call.source.take(message.offset, message.body)
+
+    def abandon(self, entry: EntryId, numbers: tuple[int, ...]) -> None:
+        """Let running requests end without anyone to hear of it.
+
+        :param entry: that has cancelled them.
+        :param numbers: of the requests.
+        """
+        for number in numbers:
+            call = self.calls.get(RequestKey(entry, number))
+            if call is not None:
+                call.abandon()
+
+    def perform(self) -> None:
+        """Do everything that the state asks for."""
+        outbox = self.gate.outbox
+        while outbox:
+            self.perform_one(outbox.pop(0))
+
+    def perform_one(self, effect: effects.SideEffect) -> None:
+        """Do one thing.
+
+        :param effect: what is to be done.
+        """
+        if isinstance(effect, effects.Run):
+            call = MinionCall(self, effect.key, effect.request)
+            self.calls[effect.key] = call
+            call.start(self.client)
+        elif isinstance(effect, effects.Stop):
+            stopped = self.calls.get(effect.key)
+            if stopped is not None:
+                stopped.stop()
+        elif isinstance(effect, effects.Resolved):
+            resolved = messages.RequestsResolved(
+                effect.running, effect.fenced, effect.lost
+            )
+            self.transmit(effect.entry, resolved)
+        else:
+            self.reply(effect)
+
+    def reply(
+        self, effect: effects.Refuse | effects.Lose | effects.Repeat
+    ) -> None:
+        """Tell an entry what became of a request.
+
+        :param effect: the reply.
+        """
+        key = effect.key
+        load = self.gate.load()
+        if isinstance(effect, effects.Repeat):
+            repeated = effect.response._replace(load=load)
+            self.transmit(key.entry, repeated)
+        elif isinstance(effect, effects.Lose):
+            lost = messages.RequestLost(key.number, effect.reason, load)
+            self.transmit(key.entry, lost)
+        else:
+            identifiers = {'entry': key.entry.node, 'attempt': key.number}
+            log_decision(
+                logger,
+                'refuse',
+                self.client.address,
+                effect.reason,
+                identifiers,
+            )
+            refused = messages.RequestRefused(
+                key.number, effect.reason, effect.retry_after, load
+            )
+            self.transmit(key.entry, refused)
+
+    def load(self) -> messages.Load:
+        """Return the load for replies."""
+        return self.gate.load()
+
+    def transmit(self, entry: EntryId, message: Any) -> None:
+        """Send a message to an entry if there is a link.
+
+        :param entry: the entry.
+        :param message: any message.
+        """
+        peer = self.peers.by_identity.get((entry.node, entry.incarnation))
+        if peer is not None:
+            peer.send(message)
+
+    def unsent(self, key: RequestKey, reason: str) -> None:
+        """Refuse a request that the minion never saw, and look after it.
+
+        :param key: of the request.
+        :param reason: why.
+        """
+        self.gate.unsent(key, reason, self.clock.seconds())
+        if self.when_unreachable is not None:
+            self.when_unreachable()
+        self.close(key)
+
+    def lost(self, key: RequestKey, reason: str) -> None:
+        """Tell the entry that a request may have run.
+
+        :param key: of the request.
+        :param reason: why there is no response.
+        """
+        self.gate.finished(key, None, self.clock.seconds())
+        message = messages.RequestLost(key.number, reason, self.gate.load())
+        self.transmit(key.entry, message)
+        self.close(key)
+
+    def responded(self, key: RequestKey, response: messages.Response) -> None:
+        """Send a whole response.
+
+        :param key: of the request.
+        :param response: of the minion.
+        """
+        self.gate.finished(key, response, self.clock.seconds())
+        self.transmit(key.entry, response._replace(load=self.gate.load()))
+        self.close(key)
+
+    def streamed(self, key: RequestKey, part: messages.ResponseBody) -> None:
+        """Send the last part of a long response.
+
+        :param key: of the request.
+        :param part: the last one.
+        """
+        self.gate.finished(key, None, self.clock.seconds())
+        self.transmit(key.entry, part)
+        self.close(key)
+
+    def close(self, key: RequestKey) -> None:
+        """Forget a request that has ended and go on with the next.
+
+        :param key: of the request.
+        """
+        self.calls.pop(key, None)
+        self.perform()
+        if self.when_idle is not None and not self.calls:
+            self.when_idle()
--- /dev/null
+++ b/jackdawridge/forwarding/entry.py
@@ -0,0 +1,245 @@
+"""The part of an entry that passes requests to sides."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from jackdawridge.forwarding import entry_effects as effects
+from jackdawridge.forwarding import messages
+from jackdawridge.forwarding.book import Book, Limits
+from jackdawridge.forwarding.desk import AnswerDesk
+from jackdawridge.forwarding.identity import SideId
+from jackdawridge.forwarding.links import Links, SideFacts
+from jackdawridge.forwarding.replies import Replies
+from jackdawridge.forwarding.router import Router
+from jackdawridge.logs import get_logger, log_decision
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from twisted.internet.defer import Deferred
+
+    from jackdawridge.application import Application
+    from jackdawridge.forwarding.answers import CallerAnswer
+    from jackdawridge.forwarding.desk import Observer
+    from jackdawridge.forwarding.exchange import Call
+    from jackdawridge.wire.peers import Peer, Peers
+
+logger = get_logger('routing')
+
+#: Service of a side that has no minion.
+NO_SERVICE = 'none'
+
+
+class EntryForwarding:
+    """Passes requests on and answers their callers; a component.
+
+    :param application: the process.
+    :param peers: of the process.
+    :param observer: counts what happens.
+    """
+
+    def __init__(
+        self, application: Application, peers: Peers, observer: Observer
+    ) -> None:
+        """Wire the parts."""
+        settings = application.settings
+        self.application = application
+        self.clock = application.clock
+        self.peers = peers
+        self.observer = observer
+        self.book = Book(
+            settings.text('failure_domain'),
+            Limits(
+                requests=settings.integer('request_limit'),
+                waiting=settings.integer('request_queue'),
+            ),
+        )
+        self.router = Router(self.book)
+        self.replies = Replies(self.router)
+        self.links = Links(self.replies)
+        self.desk = AnswerDesk(application.clock, observer, self.transmit)
+        self.timer: Any = None
+        self.timer_at: float = 0
+        self.is_performing = False
+
+    @classmethod
+    def from_application(
+        cls, application: Application, peers: Peers, observer: Observer
+    ) -> EntryForwarding:
+        """Return the component, connected to messages and events.
+
+        :param application: the process.
+        :param peers: of the process.
+        :param observer: counts what happens.
+        """
+        forwarding = cls(application, peers, observer)
+        application.events.connect('peer_joined', forwarding.peer_joined)
+        application.events.connect('peer_left', forwarding.peer_left)
+        for message_type in (
+            messages.Response,
+            messages.ResponseBody,
+            messages.Credit,
+            messages.RequestRefused,
+            messages.RequestLost,
+            messages.RequestsResolved,
+            messages.LoadReport,
+        ):
+            application.on_message(message_type, forwarding.receive)
+        return forwarding
+
+    def start(self) -> None:
+        """Do nothing until there are callers and sides."""
+
+    def stop(self) -> Deferred[None]:
+        """Wait until every open request has its answer."""
+        return self.desk.drain()
+
+    def submit(self, call: Call, answer: CallerAnswer) -> int:
+        """Take a request and return its key.
+
+        :param call: what the caller asks for.
+        :param answer: writes the answer.
+        """
+        key = self.router.admit(call, self.clock.seconds())
+        self.desk.open(key, answer)
+        self.perform()
+        return key
+
+    def leave(self, key: int) -> None:
+        """Forget a request whose caller has gone.
+
+        :param key: of the request.
+        """
+        self.router.leave(key)
+        self.desk.close(key, 'caller gone')
+        self.perform()
+
+    def peer_joined(self, peer: Peer) -> None:
+        """Use a side that has a minion.
+
+        :param peer: that has introduced itself.
+        """
+        introduction = peer.introduction
+        has_minion = introduction.service not in {'', NO_SERVICE}
+        if introduction.role == 'side' and has_minion:
+            facts = SideFacts(
+                SideId(*peer.identity),
+                introduction.service,
+                introduction.failure_domain,
+                introduction.slots,
+            )
+            self.links.joined(facts, self.clock.seconds())
+            self.perform()
+
+    def peer_left(self, peer: Peer) -> None:
+        """Settle what was open at a peer.
+
+        :param peer: whose link has ended.
+        """
+        self.links.left(SideId(*peer.identity), self.clock.seconds())
+        self.perform()
+
+    def take_out(self, domains: Collection[str]) -> None:
+        """Send no requests to some failure domains.
+
+        :param domains: those that operators have taken out.
+        """
+        self.links.take_out(domains)
+
+    def receive(self, peer: Peer, message: Any) -> None:
+        """Act on a message of a side.
+
+        :param peer: the side.
+        :param message: any message for an entry.
+        """
+        now = self.clock.seconds()
+        if isinstance(message, messages.Response):
+            self.replies.responded(message, now)
+        elif isinstance(message, messages.ResponseBody):
+            self.replies.continued(message)
+        elif isinstance(message, messages.Credit):
+            self.replies.credited(message)
+        elif isinstance(message, messages.RequestRefused):
+            self.replies.refused(message, now)
+        else:
+            self.receive_rarer(SideId(*peer.identity), message, now)
+        self.perform()
+
+    def receive_rarer(self, side: SideId, message: Any, now: float) -> None:
+        """Act on a message that is not part of a smooth run.
+
+        :param side: who sent it.
+        :param message: the message.
+        :param now: in seconds.
+        """
+        if isinstance(message, messages.RequestLost):
+            self.replies.lost(message, now)
+        elif isinstance(message, messages.RequestsResolved):
+            self.links.resolved(side, message, now)
+        else:
+            self.links.reported(side, message.load, now)
+
+    def perform(self) -> None:
+        """Do everything that the state asks for."""
+        if self.is_performing:
+            return
+        self.is_performing = True
+        outbox = self.book.outbox
+        try:
+            while outbox:
+                self.perform_one(outbox.pop(0))
+        finally:
+            self.is_performing = False
+        self.schedule()
+
+    def perform_one(self, effect: effects.EntryEffect) -> None:
+        """Do one thing.
+
+        :param effect: what is to be done.
+        """
+        if isinstance(effect, effects.Transmit):
+            self.transmit(effect)
+        elif isinstance(effect, effects.Decide):
+            self.observer.attempted(effect.step)
+            identifiers = {
+                'request': effect.request_id,
+                'attempt': effect.number,
+            }
+            log_decision(
+                logger, effect.step, effect.side, effect.reason, identifiers
+            )
+        else:
+            self.desk.answer(effect)
+
+    def transmit(self, effect: effects.Transmit) -> None:
+        """Send a message, or take back the attempt that it begins.
+
+        :param effect: message and side.
+        """
+        peer = self.peers.by_identity.get(
+            (effect.side.node, effect.side.incarnation)
+        )
+        sent = peer is not None and peer.send(effect.message)
+        if effect.number and not sent:
+            self.replies.unsent(effect.number, self.clock.seconds())
+
+    def schedule(self) -> None:
+        """Have `tick` called when the state needs it."""
+        now = self.clock.seconds()
+        due = self.router.next_alarm(now)
+        if due is None:
+            return
+        if self.timer is not None and self.timer.active():
+            if self.timer_at <= due:
+                return
+            self.timer.cancel()
+        self.timer_at = due
+        self.timer = self.clock.callLater(max(due - now, 0), self.tick)
+
+    def tick(self) -> None:
+        """Act on what is due."""
+        now = self.clock.seconds()
+        if self.router.tick(now):
+            self.links.expire_doubts(now)
+        self.perform()
--- a/jackdawridge/forwarding/entry_effects.py
+++ b/jackdawridge/forwarding/entry_effects.py
@@ -60,15 +60,6 @@
     reason: str
 
 
-class Grant(NamedTuple):
-    """Read more of a caller's body and send it to a side."""
-
-    key: int
-    number: int
-    side: SideId
-    offset: int
-
-
 class GiveUp(NamedTuple):
     """Tell a caller that there will be no answer."""
 
@@ -87,4 +78,4 @@
     number: int
 
 
-EntryEffect = Transmit | Respond | Continue | Abort | Grant | GiveUp | Decide
+EntryEffect = Transmit | Respond | Continue | Abort | GiveUp | Decide
--- a/jackdawridge/forwarding/exchange.py
+++ b/jackdawridge/forwarding/exchange.py
@@ -87,10 +87,7 @@
     #: Path and query for the minion.
     path: str
     headers: tuple[Header, ...]
-    #: The body, or its first part.
     body: bytes
-    #: Whether the body ends here.
-    last: bool
     #: Whether running the request twice does no harm.
     repeatable: bool
     #: Whether a slow request is sent to a second minion.
@@ -127,12 +124,8 @@
         self.hedged = False
         #: Whether a minion may have run the request without an answer.
         self.doubtful = False
-        #: Whether parts of the body are gone, so that it cannot be resent.
-        self.committed = False
         #: Sides that have failed or refused the request.
         self.avoided: set[SideId] = set()
-        #: Attempt whose response is being passed on, 0 if there is none.
-        self.winner = 0
 
     @property
     def phase(self) -> Phase:
@@ -144,11 +137,7 @@
 
         :param now: in seconds.
         """
-        return (
-            not self.committed
-            and self.sends < MAX_SENDS
-            and now < self.call.deadline
-        )
+        return self.sends < MAX_SENDS and now < self.call.deadline
 
     def may_hedge(self, now: float) -> bool:
         """Return whether a second attempt beside the first is allowed.
@@ -156,7 +145,7 @@
         :param now: in seconds.
         """
         call = self.call
-        allowed = call.hedging and call.repeatable and call.last
+        allowed = call.hedging and call.repeatable
         if not allowed or self.hedged or len(self.attempts) != 1:
             return False
         return self.phase is Phase.trying and self.may_resend(now)
--- a/jackdawridge/forwarding/messages.capnp
+++ b/jackdawridge/forwarding/messages.capnp
@@ -17,7 +17,7 @@
   path @2 :Text;
   headers @3 :List(Header);
   body @4 :Data;
-  last @5 :Bool;
+  length @5 :UInt64;
   remaining @6 :Float64;
   repeatable @7 :Bool;
 }
@@ -26,7 +26,6 @@
   number @0 :UInt64;
   offset @1 :UInt64;
   body @2 :Data;
-  last @3 :Bool;
 }
 
 struct Response {
--- a/jackdawridge/forwarding/messages.py
+++ b/jackdawridge/forwarding/messages.py
@@ -11,6 +11,12 @@
 SCHEMA = Path(__file__).with_name('messages.capnp')
 
 
+#: Longest part of a body in one message, in bytes.
+BODY_PART_BYTES = 65536
+#: Bytes of a response that a side sends ahead of the entry's credit.
+BODY_WINDOW_BYTES = 262144
+
+
 class Header(NamedTuple):
     """One header of a request or response."""
 
@@ -40,8 +46,8 @@
     headers: tuple[Header, ...]
     #: The body, or its first part.
     body: bytes
-    #: Whether the body ends here.
-    last: bool
+    #: Length of the whole body in bytes.
+    length: int
     #: Time left for the whole request, in seconds.
     remaining: float
     #: Whether running the request twice does no harm.
@@ -55,7 +61,6 @@
     #: Position of this part in the body.
     offset: int
     body: bytes
-    last: bool
 
 
 class Response(NamedTuple):
@@ -81,7 +86,11 @@
 
 
 class Credit(NamedTuple):
-    """Lets the sender of a body continue up to an offset."""
+    """Asks for more of a body.
+
+    A side asks for the part of a request's body that begins at the offset; an
+    entry lets a side send a response's body up to the offset.
+    """
 
     number: int
     offset: int
--- a/jackdawridge/forwarding/minions.py
+++ b/jackdawridge/forwarding/minions.py
@@ -32,6 +32,8 @@
 #: The most that slowness counts for.
 SLOW_CEILING = 8.0
 
+_HALF = 0.5
+
 
 class Minion:
     """One minion as an entry sees it through its side.
@@ -77,7 +79,7 @@
         :param now: in seconds.
         """
         age = max(now - self.reported_at, 0)
-        return len(self.own) + self.others / 2 ** (age / REPORT_HALF_LIFE)
+        return len(self.own) + self.others * _HALF ** (age / REPORT_HALF_LIFE)
 
     def has_room(self, now: float) -> bool:
         """Return whether another request is worth sending.
--- a/jackdawridge/forwarding/replies.py
+++ b/jackdawridge/forwarding/replies.py
@@ -7,7 +7,11 @@
 from jackdawridge.forwarding import entry_effects as effects
 from jackdawridge.forwarding.book import BAD_GATEWAY, UNAVAILABLE
 from jackdawridge.forwarding.exchange import Phase
-from jackdawridge.forwarding.messages import CancelRequests
+from jackdawridge.forwarding.messages import (
+    BODY_PART_BYTES,
+    CancelRequests,
+    RequestBody,
+)
 from jackdawridge.forwarding.policy import RETRYABLE_STATUSES
 
 if TYPE_CHECKING:
@@ -166,7 +170,7 @@
         exchange = attempt.exchange
         if message.status not in RETRYABLE_STATUSES or not message.last:
             return False
-        if not exchange.call.repeatable or exchange.committed:
+        if not exchange.call.repeatable:
             return False
         pool = self.book.pool(exchange.call.service)
         return bool(exchange.attempts) or pool.repeats.tokens >= 1
@@ -242,20 +246,18 @@
             self.book.finish(exchange)
 
     def credited(self, message: Credit) -> None:
-        """Let a caller send more of its body.
+        """Send the part of a body that a side asks for.
 
         :param message: of the side that works on the request.
         """
         attempt = self.book.attempts.get(message.number)
         if attempt is None or attempt.number not in attempt.exchange.attempts:
             return
-        exchange = attempt.exchange
-        exchange.committed = True
-        self.book.outbox.append(
-            effects.Grant(
-                exchange.key,
-                message.number,
-                attempt.minion.side,
-                message.offset,
-            )
+        body = attempt.exchange.call.body
+        end = message.offset + BODY_PART_BYTES
+        part = RequestBody(
+            message.number,
+            message.offset,
+            body[message.offset : end],
         )
+        self.book.outbox.append(effects.Transmit(attempt.minion.side, part))
--- /dev/null
+++ b/jackdawridge/forwarding/resource.py
@@ -0,0 +1,127 @@
+"""HTTP for callers with requests to services."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Protocol
+
+from result import Err
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from jackdawridge.forwarding.answers import CallerAnswer, write_refusal
+from jackdawridge.forwarding.callers import (
+    CallReader,
+    Objection,
+    read_target,
+)
+from jackdawridge.forwarding.entry_effects import Outcome
+from jackdawridge.forwarding.policy import ServicePolicy
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from jackdawridge.application import Application
+    from jackdawridge.forwarding.entry import EntryForwarding
+
+_UNAVAILABLE = 503
+_LEAVING = Objection(_UNAVAILABLE, 'this entry is leaving')
+
+
+class ServiceRecords(Protocol):
+    """The configuration records of the services."""
+
+    def service_record(self, service: str) -> Mapping[str, object] | None:
+        """Return the record of a service, None if there is none."""
+
+
+class NoRecords:
+    """Knows no record, so that the methods of HTTP decide."""
+
+    def service_record(self, service: str) -> Mapping[str, object] | None:
+        """Return None.
+
+        :param service: any.
+        """
+
+
+class ServiceResource(Resource):
+    """Takes `ANY /v1/services/{service}/{path...}`.
+
+    :param application: the process.
+    :param forwarding: passes the requests on.
+    :param records: say what may be repeated.
+    """
+
+    isLeaf = True  # noqa: WPS115
+
+    def __init__(
+        self,
+        application: Application,
+        forwarding: EntryForwarding,
+        records: ServiceRecords,
+    ) -> None:
+        """Keep the parts."""
+        super().__init__()  # type: ignore[no-untyped-call]
+        self.application = application
+        self.forwarding = forwarding
+        self.records = records
+        self.count = 0
+
+    def render(self, request: Any) -> Any:
+        """Pass a request on; the answer follows later.
+
+        :param request: of Twisted, with its whole body.
+        """
+        if self.application.draining:
+            self.refuse(request, _LEAVING, retry_after=1)
+            return NOT_DONE_YET
+        target = read_target(request.uri)
+        if isinstance(target, Err):
+            self.refuse(request, target.err_value)
+            return NOT_DONE_YET
+        record = self.records.service_record(target.ok_value.service)
+        reader = CallReader(
+            ServicePolicy.from_record(record),
+            self.make_request_id(),
+            self.application.clock.seconds(),
+        )
+        call = reader.read(request, target.ok_value)
+        if isinstance(call, Err):
+            self.refuse(request, call.err_value)
+            return NOT_DONE_YET
+        answer = CallerAnswer(request, call.ok_value.request_id)
+        key = self.forwarding.submit(call.ok_value, answer)
+        finished = request.notifyFinish()
+        finished.addErrback(lambda _: self.leave(key, answer))
+        return NOT_DONE_YET
+
+    def make_request_id(self) -> str:
+        """Return an id for a request whose caller gives none."""
+        self.count += 1
+        return f'{self.application.incarnation}-{self.count}'
+
+    def leave(self, key: int, answer: CallerAnswer) -> None:
+        """Forget a request whose caller has gone.
+
+        :param key: of the request.
+        :param answer: that is no longer wanted.
+        """
+        answer.gone = True
+        self.forwarding.leave(key)
+
+    def refuse(
+        self, request: Any, objection: Objection, retry_after: float = 0
+    ) -> None:
+        """Answer a request that was not passed on.
+
+        :param request: of Twisted.
+        :param objection: why not.
+        :param retry_after: when to come back, in seconds; 0 if never.
+        """
+        write_refusal(
+            request,
+            objection.status,
+            Outcome.not_run.value,
+            objection.message,
+            retry_after,
+        )
--- /dev/null
+++ b/jackdawridge/forwarding/side.py
@@ -0,0 +1,195 @@
+"""The part of a side that passes requests to its minion."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+
+from jackdawridge.forwarding import messages
+from jackdawridge.forwarding.calls import MinionCalls
+from jackdawridge.forwarding.desk import FLUSH_TIME
+from jackdawridge.forwarding.gate import Gate
+from jackdawridge.forwarding.identity import EntryId, RequestKey
+from jackdawridge.forwarding.minion_client import MinionClient
+
+if TYPE_CHECKING:
+    from jackdawridge.application import Application
+    from jackdawridge.wire.peers import Peer, Peers
+
+#: Interval at which deadlines are looked at, in seconds.
+TICK_INTERVAL = 0.1
+#: Interval at which a minion that refuses connections is tried, in seconds.
+PROBE_INTERVAL = 0.2
+
+_UNREACHABLE = 'the minion does not accept connections'
+
+
+class SideForwarding:
+    """Runs the requests of entries on the minion; a component.
+
+    :param application: the process.
+    :param peers: of the process.
+    :param client: of the minion.
+    """
+
+    def __init__(
+        self, application: Application, peers: Peers, client: MinionClient
+    ) -> None:
+        """Wire the parts."""
+        settings = application.settings
+        slots = settings.integer('minion_slots')
+        self.application = application
+        self.clock = application.clock
+        self.peers = peers
+        self.client = client
+        self.gate = Gate(
+            min(slots, settings.integer('minion_connections')), slots
+        )
+        self.calls = MinionCalls(self.gate, client, peers, self.clock)
+        self.calls.when_unreachable = self.unreachable
+        #: Why no request is taken, by who says so.
+        self.objections: dict[str, str] = {}
+        self.timer: Any = None
+        self.stopped = False
+
+    @classmethod
+    def from_application(
+        cls, application: Application, peers: Peers, reactor: Any
+    ) -> SideForwarding:
+        """Return the component, connected to messages and events.
+
+        :param application: the process.
+        :param peers: of the process.
+        :param reactor: Twisted's reactor.
+        """
+        settings = application.settings
+        client = MinionClient(
+            reactor,
+            settings.text('minion'),
+            settings.integer('minion_connections'),
+        )
+        forwarding = cls(application, peers, client)
+        application.events.connect('peer_joined', forwarding.peer_joined)
+        application.events.connect('peer_left', forwarding.peer_left)
+        application.events.connect('draining', forwarding.drain)
+        for message_type in (
+            messages.Request,
+            messages.RequestBody,
+            messages.Credit,
+            messages.CancelRequests,
+            messages.ResolveRequests,
+        ):
+            application.on_message(message_type, forwarding.receive)
+        return forwarding
+
+    def start(self) -> None:
+        """Begin to look at deadlines."""
+        self.timer = self.clock.callLater(TICK_INTERVAL, self.tick)
+
+    def stop(self) -> Deferred[None]:
+        """Wait until every response has had time to leave the process."""
+        drained: Deferred[None] = Deferred()
+        self.calls.when_idle = lambda: self.finish_stop(drained)
+        if not self.calls.calls:
+            self.finish_stop(drained)
+        return drained.addCallback(lambda _: self.close())
+
+    def finish_stop(self, drained: Deferred[None]) -> None:
+        """Let what was written leave the process, then report the end.
+
+        :param drained: fires at the end.
+        """
+        if not self.stopped:
+            self.stopped = True
+            self.clock.callLater(FLUSH_TIME, drained.callback, None)
+
+    def close(self) -> Deferred[None]:
+        """Cease to look at deadlines and close the connections."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        return self.client.close()
+
+    def drain(self) -> None:
+        """Take no new requests: the process is leaving."""
+        self.object('drain', 'the side is leaving')
+
+    def object(self, source: str, reason: str) -> None:
+        """Take no requests for a reason, or cease to object.
+
+        :param source: who says so.
+        :param reason: why; empty to cease.
+        """
+        before = self.gate.objection
+        self.objections.pop(source, None)
+        if reason:
+            self.objections[source] = reason
+        now = next(iter(self.objections.values()), '')
+        self.gate.object(now, self.clock.seconds())
+        self.calls.perform()
+        if bool(before) != bool(now):
+            report = messages.LoadReport(self.gate.load())
+            for peer in self.peers.of_role('entry'):
+                peer.send(report)
+
+    def peer_joined(self, peer: Peer) -> None:
+        """Tell a new entry if no request is taken.
+
+        :param peer: that has introduced itself.
+        """
+        if peer.introduction.role == 'entry' and self.gate.objection:
+            peer.send(messages.LoadReport(self.gate.load()))
+
+    def peer_left(self, peer: Peer) -> None:
+        """Break nothing off, but send an entry that has gone nothing more.
+
+        :param peer: whose link has ended.
+        """
+        for key, call in self.calls.calls.items():
+            if key.entry == peer.identity and call.streaming:
+                call.abandon()
+
+    def receive(self, peer: Peer, message: Any) -> None:
+        """Act on a message of an entry.
+
+        :param peer: the entry.
+        :param message: any message for a side.
+        """
+        entry = EntryId(*peer.identity)
+        now = self.clock.seconds()
+        if isinstance(message, messages.Request):
+            self.gate.receive(entry, message, now)
+        elif isinstance(message, messages.ResolveRequests):
+            self.gate.resolve(entry, message.numbers, now)
+        elif isinstance(message, messages.CancelRequests):
+            self.gate.cancel(entry, message.numbers, now)
+            self.calls.abandon(entry, message.numbers)
+        else:
+            self.calls.receive_body(RequestKey(entry, message.number), message)
+        self.calls.perform()
+
+    def unreachable(self) -> None:
+        """Take no requests while the minion refuses connections."""
+        if 'minion' not in self.objections:
+            self.object('minion', _UNREACHABLE)
+            self.clock.callLater(PROBE_INTERVAL, self.probe)
+
+    def probe(self) -> None:
+        """Try whether the minion accepts connections again."""
+        self.client.probe().addCallback(self.probed)
+
+    def probed(self, reachable: bool) -> None:
+        """Take requests again, or try once more later.
+
+        :param reachable: whether the minion accepted a connection.
+        """
+        if reachable:
+            self.object('minion', '')
+        elif not self.stopped:
+            self.clock.callLater(PROBE_INTERVAL, self.probe)
+
+    def tick(self) -> None:
+        """Act on deadlines."""
+        self.gate.tick(self.clock.seconds())
+        self.calls.perform()
+        self.timer = self.clock.callLater(TICK_INTERVAL, self.tick)
--- a/jackdawridge/side.py
+++ b/jackdawridge/side.py
@@ -7,6 +7,7 @@
 from jackdawridge.daemon import Daemon
 from jackdawridge.execution.component import SideExecution
 from jackdawridge.execution.http_worker import HttpWorker
+from jackdawridge.forwarding.side import SideForwarding
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
@@ -34,4 +35,8 @@
     daemon.add_operator_door()
     application.add(daemon.connector)
     application.add(execution)
+    if settings.text('minion'):
+        application.add(
+            SideForwarding.from_application(application, daemon.peers, reactor)
+        )
     return application
--- a/tests/test_forwarding/test_interleavings.py
+++ b/tests/test_forwarding/test_interleavings.py
@@ -67,7 +67,6 @@
             path=f'/{number}',
             headers=(),
             body=b'',
-            last=True,
             repeatable=method == 'GET',
             hedging=True,
             deadline=self.now + 5,
--- a/tests/test_forwarding/test_state.py
+++ b/tests/test_forwarding/test_state.py
@@ -132,6 +132,7 @@
         first.take_report(Load(8, 4, True), 0)
         assert minions.choose(0) is None
         assert minions.choose(1) is first
+        assert minions.choose(1e9) is first
 
     @given(
         st.integers(1, 12),
@@ -194,7 +195,7 @@
 
 class TestGate:
     def request(self, number: int, remaining: float = 5) -> Request:
-        return Request(number, 'GET', '/', (), b'', True, remaining, True)
+        return Request(number, 'GET', '/', (), b'', 0, remaining, True)
 
     def test_slots_then_queue_then_refusal(self) -> None:
         gate = Gate(slots=2, queue_limit=1)
