Wire the membership into entries and sides

Cause: sides dialled every address of their settings and entries were not linked to each other, so tickets of other entries could not be passed on.

Change: both daemons have a membership. A side announces itself once it knows what its worker runs; a process that is superseded by a later run of its node leaves. A seed that led to an entry goes on being used for it, since it may be the only way there. A link between entries that is in use stays, whoever has dialled it.

Conclusion: the lower node's dial was refused by the link that the higher node had opened and then dropped; neither is done now while a link works.

--- a/jackdawridge/cmd/daemon.py
+++ b/jackdawridge/cmd/daemon.py
@@ -132,6 +132,9 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, leave)
+    application.events.connect(
+        'superseded', lambda: leave(signal.SIGTERM, None)
+    )
     reactor.callWhenRunning(application.start)
     reactor.callWhenRunning(logger.notice, 'ready', step='start')
     reactor.run(installSignalHandlers=False)
--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -9,6 +9,7 @@
 from jackdawridge.forwarding.entry import EntryForwarding
 from jackdawridge.forwarding.metrics import ForwardingMetrics
 from jackdawridge.forwarding.resource import NoRecords, ServiceResource
+from jackdawridge.membership.component import Membership
 from jackdawridge.operations.doors import Door
 from jackdawridge.operations.metrics import JobMetrics, add_gauge
 from jackdawridge.operations.router import Router
@@ -48,6 +49,11 @@
         Listener(reactor, daemon.peers, settings.text('peer_address'))
     )
     application.add(daemon.connector)
+    membership = Membership.from_application(
+        application, daemon.peers, daemon.connector
+    )
+    submission.relay.entries = membership
+    application.add(membership)
     application.add(submission)
     application.add(forwarding)
     return application
--- a/jackdawridge/membership/component.py
+++ b/jackdawridge/membership/component.py
@@ -18,6 +18,8 @@
 from jackdawridge.membership.targets import (
     SCOUT_PERIOD,
     EntryTargets,
+    Landing,
+    Links,
     SideTargets,
 )
 
@@ -75,6 +77,8 @@
         is_entry = table.own.role == 'entry'
         self.duties = EntryDuties(self) if is_entry else None
         self.timer: DelayedCall | None = None
+        #: After which the process announces itself; at the start if empty.
+        self.ready_event = ''
         self.introduce_again()
         application.on_message(Gossip, self.gossip_received)
         application.events.connect('peer_joined', self.peer_joined)
@@ -82,13 +86,19 @@
 
     @classmethod
     def from_application(
-        cls, application: Application, peers: Peers, connector: Connector
+        cls,
+        application: Application,
+        peers: Peers,
+        connector: Connector,
+        ready_event: str = '',
     ) -> Membership:
         """Make the membership of a process from its introduction.
 
         :param application: the process.
         :param peers: its links, which know its introduction.
         :param connector: dials the entries.
+        :param ready_event: after which the process announces itself; at
+            the start if empty.
         """
         settings = application.settings
         now = application.clock.seconds()
@@ -97,11 +107,16 @@
         suspicion = SUSPICION_PERIODS * settings.number('heartbeat')
         table = Table(own, Timing(suspicion), now)
         targets = make_targets(own, settings)
-        return cls(application, peers, connector, table, targets)
+        membership = cls(application, peers, connector, table, targets)
+        membership.ready_event = ready_event
+        return membership
 
     def start(self) -> None:
-        """Dial the seeds and begin to look after the members."""
-        self.tick()
+        """Dial the seeds and look after the members, at once or later."""
+        if self.ready_event:
+            self.application.events.connect(self.ready_event, self.tick)
+        else:
+            self.tick()
 
     def stop(self) -> Deferred[None]:
         """Tell all that this process is about to end."""
@@ -143,8 +158,20 @@
     def aim(self) -> None:
         """Dial those who are to be dialled."""
         now = self.clock.seconds()
-        linked = self.linked('entry').keys()
-        self.connector.aim(self.targets.addresses(self.table, linked, now))
+        wanted = self.targets.addresses(self.table, self.entry_links(), now)
+        self.connector.aim(wanted)
+
+    def entry_links(self) -> Links:
+        """Return the open links to entries."""
+        dialled: dict[str, str] = {}
+        for address, dialing in self.connector.targets.items():
+            link = dialing.link
+            peer = self.peers.by_link.get(link) if link else None
+            if peer is not None:
+                dialled[address] = peer.name
+                landing = Landing(peer.name, peer.introduction.address)
+                self.targets.landings.note(address, landing)
+        return Links(frozenset(self.linked('entry')), dialled)
 
     def linked(self, role: str) -> dict[str, Peer]:
         """Return the linked peers of a role by node.
--- a/jackdawridge/membership/subset.py
+++ b/jackdawridge/membership/subset.py
@@ -73,8 +73,8 @@
         """Start without entries."""
         self.side = side
         self.count = count
-        #: Addresses of the chosen entries by node.
-        self.chosen: dict[str, str] = {}
+        #: Nodes of the chosen entries.
+        self.chosen: set[str] = set()
         #: Since when a chosen entry has had no link.
         self.unlinked: dict[str, float] = {}
         #: Since when an entry that is not chosen would be.
@@ -83,7 +83,7 @@
     def update(
         self, members: Iterable[Member], linked: Collection[str], now: float
     ) -> set[str]:
-        """Return the addresses to keep links to.
+        """Return the nodes of the entries to keep links to.
 
         :param members: all known entries.
         :param linked: nodes of the entries that are linked.
@@ -103,9 +103,7 @@
         held = sum(entry.node in self.chosen for entry in usable)
         self.add(desired, len(desired) - held, now)
         self.drop_surplus([entry.node for entry in desired], linked, entries)
-        for node in self.chosen.keys() & entries.keys():
-            self.chosen[node] = entries[node].address
-        return set(self.chosen.values())
+        return set(self.chosen)
 
     def note_links(self, linked: Collection[str], now: float) -> None:
         """Keep the time since which each chosen entry has had no link.
@@ -146,7 +144,7 @@
         for node in tuple(self.chosen):
             entry = entries.get(node)
             if node not in linked and self.has_ended(entry, node, now):
-                self.chosen.pop(node)
+                self.chosen.discard(node)
                 self.unlinked.pop(node, None)
 
     def has_ended(self, entry: Member | None, node: str, now: float) -> bool:
@@ -175,7 +173,7 @@
         for position, entry in enumerate(missing):
             waited = now - self.wanted[entry.node]
             if position < short or waited >= self.delay(entry.node):
-                self.chosen[entry.node] = entry.address
+                self.chosen.add(entry.node)
                 self.wanted.pop(entry.node)
 
     def delay(self, entry: str) -> float:
@@ -199,6 +197,6 @@
         """
         if not all(node in linked for node in desired):
             return
-        for node in self.chosen.keys() - set(desired):
+        for node in self.chosen - set(desired):
             if not entries[node].leaving:
-                self.chosen.pop(node)
+                self.chosen.discard(node)
--- a/jackdawridge/side.py
+++ b/jackdawridge/side.py
@@ -8,6 +8,7 @@
 from jackdawridge.execution.component import SideExecution
 from jackdawridge.execution.http_worker import HttpWorker
 from jackdawridge.forwarding.side import SideForwarding
+from jackdawridge.membership.component import Membership
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
@@ -28,12 +29,12 @@
     )
     daemon.resource.sections['tasks'] = execution.describe
     # A side announces itself once it knows what its worker runs.
-    application.events.connect(
-        'side_ready',
-        lambda: daemon.connector.aim(settings.texts('entries')),
+    membership = Membership.from_application(
+        application, daemon.peers, daemon.connector, 'side_ready'
     )
     daemon.add_operator_door()
     application.add(daemon.connector)
+    application.add(membership)
     application.add(execution)
     if settings.text('minion'):
         application.add(
--- a/tests/test_membership/memory.py
+++ b/tests/test_membership/memory.py
@@ -10,8 +10,8 @@
 from twisted.python.failure import Failure
 
 LATENCY = 0.001
-DONE = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
-REFUSED = Failure(ConnectionRefusedError())  # type: ignore[no-untyped-call]
+DONE = Failure(ConnectionDone())
+REFUSED = Failure(ConnectionRefusedError())
 
 
 class MemoryTransport:
--- a/tests/test_membership/test_component.py
+++ b/tests/test_membership/test_component.py
@@ -165,6 +165,16 @@
         fleet.pass_time(90)
         assert [entry.joins for entry in fleet.entries] == before
 
+    def test_entries_link_once(self) -> None:
+        fleet = Fleet(0, 0)
+        entries = []
+        for number in (1001, 1002, 1003, 1004):
+            entries.append(fleet.start('entry', number))
+            fleet.pass_time(0.37)
+        fleet.pass_time(10)
+        assert {len(entry.linked('entry')) for entry in entries} == {3}
+        assert max(entry.joins for entry in entries) <= 4
+
     def test_groups_of_entries_meet(self) -> None:
         fleet = Fleet(0, 0)
         numbers = (1002, 1003, 1004, 1005)
@@ -176,6 +186,15 @@
         for entry in entries:
             assert len(entry.linked('entry')) == 3
 
+    def test_seed_that_leads_to_an_entry_stays_in_use(self) -> None:
+        fleet = Fleet(0, 0)
+        fleet.network.balanced[SEED] = ['127.0.0.1:1002']
+        fleet.start('entry', 1002)
+        side = fleet.start('side', 2001)
+        fleet.pass_time(10)
+        assert side.linked('entry') == {'entry-1002'}
+        assert set(side.connector.targets) == {SEED}
+
 
 class TestFailing:
     def test_killed_side_is_dead(self) -> None:
