--- /dev/null
+++ b/tests/test_configuration/test_configuration.py
@@ -0,0 +1,171 @@
+"""Tests of the configuration as the other slices see it."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import pytest
+from result import Err, Ok
+
+from jackdawridge.configuration.agreements import Pinned
+from jackdawridge.configuration.checks import check_value
+from jackdawridge.configuration.configuration import Configuration
+from jackdawridge.configuration.holds import Hold
+from jackdawridge.configuration.records import Change, Key
+from jackdawridge.configuration.state import EMPTY, fold_all
+from jackdawridge.configuration.values import Team
+from tests.test_configuration.fake_log import FakeLog
+
+FUEL = Key('agreement', 'fuel')
+SETTLEMENT = Key('settlement', 'fuel@1')
+SOWETO = Key('failure_domain', 'Soweto')
+SHARES = {'shares': {'north': 0.5, 'south': 0.5}}
+
+
+class Writer:
+    """Changes a configuration through a log."""
+
+    def __init__(self) -> None:
+        self.log = FakeLog()
+        self.events: list[tuple[int, int]] = []
+        self.configuration = Configuration(self.note)
+
+    def note(self, old: int, new: int) -> None:
+        self.events.append((old, new))
+
+    def put(self, key: Key, value: Any, change_id: str = '') -> None:
+        expected = self.configuration.state.version(key)
+        change_id = change_id or f'id-{self.log.head}'
+        self.log.append(Change(key, expected, change_id, value).document())
+        self.configuration.replace(fold_all(EMPTY, self.log.records))
+
+
+class TestReading:
+    def test_defaults_without_records(self) -> None:
+        configuration = Configuration()
+        assert configuration.is_in_service('Soweto')
+        assert configuration.team('payroll') == Team()
+        assert not configuration.service('ledger').idempotency_key
+        assert not configuration.limits
+
+    def test_values_are_read(self) -> None:
+        writer = Writer()
+        writer.put(Key('team', 'payroll'), {'quota': 8, 'weight': 2})
+        writer.put(Key('service', 'ledger'), {'idempotent_methods': ['post']})
+        writer.put(Key('limits', 'default'), {'jobs': 5, 'odd': 'text'})
+        configuration = writer.configuration
+        assert configuration.team('payroll') == Team(8, 2)
+        assert 'POST' in configuration.service('ledger').idempotent_methods
+        assert configuration.limits == {'jobs': 5}
+
+    @pytest.mark.parametrize('value', [None, 1, 'x', [], {'in_service': 0}])
+    def test_odd_values_mean_the_default(self, value: Any) -> None:
+        writer = Writer()
+        for kind, name in (
+            ('failure_domain', 'Soweto'),
+            ('team', 'payroll'),
+            ('service', 'ledger'),
+            ('limits', 'default'),
+            ('settlement', 'fuel@1'),
+        ):
+            writer.put(Key(kind, name), value)
+        configuration = writer.configuration
+        assert configuration.is_in_service('Soweto')
+        assert configuration.team('payroll').quota == math.inf
+        assert not configuration.service('ledger').idempotent_methods
+        assert not configuration.settled_versions()
+
+    def test_removal_and_return(self) -> None:
+        writer = Writer()
+        writer.put(SOWETO, {'in_service': False})
+        assert not writer.configuration.is_in_service('Soweto')
+        writer.put(SOWETO, {'in_service': True})
+        assert writer.configuration.is_in_service('Soweto')
+        assert writer.events == [(0, 1), (1, 2)]
+
+    def test_older_state_is_refused(self) -> None:
+        writer = Writer()
+        writer.put(SOWETO, {'in_service': False})
+        assert not writer.configuration.replace(EMPTY)
+        assert not writer.configuration.is_in_service('Soweto')
+
+    def test_held_failure_domain_is_out_until_the_change_is_judged(
+        self,
+    ) -> None:
+        writer = Writer()
+        holds = writer.configuration.holds
+        holds.add((Hold('lost', 'Soweto'),), 0)
+        assert not writer.configuration.is_in_service('Soweto')
+        change = Change(SOWETO, 7, 'lost', {'in_service': False})
+        writer.log.append(change.document())
+        writer.put(Key('team', 'payroll'), {})
+        assert writer.configuration.is_in_service('Soweto')
+
+
+class TestAgreements:
+    def test_versions_live_side_by_side(self) -> None:
+        writer = Writer()
+        configuration = writer.configuration
+        assert isinstance(configuration.admit_agreement('fuel'), Err)
+        writer.put(FUEL, SHARES)
+        assert configuration.admit_agreement('fuel') == Ok(1)
+        writer.put(FUEL, SHARES)
+        assert configuration.admit_agreement('fuel') == Ok(2)
+        assert configuration.admit_agreement('fuel', 1) == Ok(1)
+        assert configuration.open_work.count(Pinned('fuel', 1)) == 2
+
+    def test_settled_version_takes_no_new_work(self) -> None:
+        writer = Writer()
+        writer.put(FUEL, SHARES)
+        configuration = writer.configuration
+        configuration.admit_agreement('fuel')
+        writer.put(SETTLEMENT, {'status': 'settled'})
+        refused = configuration.admit_agreement('fuel')
+        assert 'settled' in refused.unwrap_err()
+        assert configuration.settled_versions() == [Pinned('fuel', 1)]
+        assert not configuration.is_retired('fuel', 1)
+        configuration.finish_agreement('fuel', 1)
+        assert not configuration.open_work.counts
+
+    def test_retired_version_takes_no_start(self) -> None:
+        writer = Writer()
+        writer.put(FUEL, SHARES)
+        writer.put(SETTLEMENT, {'status': 'retired'})
+        assert writer.configuration.is_retired('fuel', 1)
+        assert not writer.configuration.is_retired('', 0)
+        assert not writer.configuration.settled_versions()
+
+
+class TestValues:
+    @pytest.mark.parametrize(
+        ('key', 'value'),
+        [
+            (FUEL, {'shares': {'north': 0.5}}),
+            (FUEL, {'shares': {}}),
+            (FUEL, {'shares': {'north': 2, 'south': -1}}),
+            (SOWETO, {'in_service': 'no'}),
+            (SOWETO, {'in_service': True, 'extra': 1}),
+            (Key('team', 'payroll'), {'weight': 0}),
+            (Key('team', 'payroll'), {'quota': -1}),
+            (SETTLEMENT, {'status': 'open'}),
+            (Key('limits', 'default'), {'jobs': 'many'}),
+            (Key('service', 'ledger'), []),
+        ],
+    )
+    def test_faults_are_named(self, key: Key, value: Any) -> None:
+        assert str(key) in check_value(key, value).unwrap_err()
+
+    @pytest.mark.parametrize(
+        ('key', 'value'),
+        [
+            (FUEL, SHARES),
+            (FUEL, None),
+            (SOWETO, {'in_service': False}),
+            (Key('team', 'payroll'), {'quota': None, 'weight': 2}),
+            (Key('not yet invented', 'x'), [1]),
+            (Key('limits', 'default'), {'jobs': 2}),
+        ],
+    )
+    def test_valid_values_pass(self, key: Key, value: Any) -> None:
+        assert check_value(key, value) == Ok(None)
--- /dev/null
+++ b/tests/test_configuration/test_replay.py
@@ -0,0 +1,281 @@
+"""Property tests of the fold: the same state everywhere, never an older one."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from jackdawridge.configuration.records import (
+    Change,
+    Key,
+    RawRecord,
+    SnapshotRecord,
+    parse_record,
+)
+from jackdawridge.configuration.replay import Page, Replay
+from jackdawridge.configuration.snapshot import (
+    SnapshotError,
+    pack,
+    restore,
+    snapshot_document,
+    unpack,
+)
+from jackdawridge.configuration.state import (
+    EMPTY,
+    HISTORY_LENGTH,
+    VERDICT_LIMIT,
+    State,
+    fold,
+    fold_all,
+)
+from tests.test_configuration.fake_log import FakeLog
+
+KEYS = (
+    Key('failure_domain', 'Soweto'),
+    Key('agreement', 'fuel'),
+    Key('settlement', 'fuel@1'),
+    Key('not yet invented', 'x'),
+)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=3),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=2)
+    ),
+    max_leaves=4,
+)
+READERS = 3
+
+
+def change(key: Key, expected: int, change_id: str, value: Any = 1) -> Change:
+    return Change(key, expected, change_id, value)
+
+
+class LogMachine(RuleBasedStateMachine):
+    """Writers race, pause and repeat; readers lag, restart and help out."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log = FakeLog()
+        #: Sees every record as it is appended; the reference.
+        self.witness = EMPTY
+        #: State of the witness at each offset.
+        self.truth: dict[int, State] = {0: EMPTY}
+        self.readers = [Replay() for _ in range(READERS)]
+        self.reached = [0 for _ in range(READERS)]
+        self.sent: list[Any] = []
+        self.accepted: dict[str, bool] = {}
+
+    def append(self, document: Any) -> None:
+        self.log.append(document)
+        self.witness = fold(self.witness, self.log.records[-1])
+        self.truth[self.witness.position] = self.witness
+        for change_id, verdict in self.witness.verdicts.items():
+            known = self.accepted.setdefault(change_id, verdict.accepted)
+            assert known == verdict.accepted
+
+    @rule(
+        key=st.sampled_from(KEYS),
+        stale=st.integers(0, 1),
+        value=JSON,
+        landed=st.booleans(),
+    )
+    def publish(self, key: Key, stale: int, value: Any, landed: bool) -> None:
+        """Two writers that read the same version; an answer may be lost."""
+        expected = max(0, self.witness.version(key) - stale)
+        document = change(key, expected, f'id-{len(self.sent)}', value)
+        self.sent.append(document.document())
+        if landed:
+            self.append(document.document())
+
+    @rule(index=st.integers(0, 30))
+    def repeat(self, index: int) -> None:
+        """Send again, after a lost answer or by a writer that was paused."""
+        if self.sent:
+            self.append(self.sent[index % len(self.sent)])
+
+    @rule(body=JSON)
+    def append_rubbish(self, body: Any) -> None:
+        self.append(body)
+
+    @rule(reader=st.integers(0, READERS - 1))
+    def pause_with_snapshot(self, reader: int) -> None:
+        """Prepare a snapshot that is appended now or much later."""
+        state = self.readers[reader].state
+        self.sent.append(snapshot_document(state))
+
+    @rule(reader=st.integers(0, READERS - 1))
+    def write_snapshot(self, reader: int) -> None:
+        self.append(snapshot_document(self.readers[reader].state))
+
+    @rule(offsets=st.integers(1, 6))
+    def trim(self, offsets: int) -> None:
+        self.log.trim(self.log.first + offsets)
+
+    @rule(reader=st.integers(0, READERS - 1), limit=st.integers(1, 4))
+    def read(self, reader: int, limit: int) -> None:
+        replay = self.readers[reader]
+        replay.take(self.log.read(replay.cursor, limit))
+
+    @rule(reader=st.integers(0, READERS - 1), cursor=st.integers(0, 40))
+    def take_late_answer(self, reader: int, cursor: int) -> None:
+        """Take the answer to a read that was sent from elsewhere."""
+        replay = self.readers[reader]
+        page = self.log.read(min(cursor, replay.cursor), 2)
+        if not page.records or page.records[0].offset <= replay.cursor:
+            replay.take(page)
+
+    @rule(reader=st.integers(0, READERS - 1))
+    def restart(self, reader: int) -> None:
+        self.readers[reader] = Replay()
+        self.reached[reader] = 0
+
+    @rule(giver=st.integers(0, READERS - 1), taker=st.integers(0, READERS - 1))
+    def help_out(self, giver: int, taker: int) -> None:
+        state = unpack(pack(self.readers[giver].state))
+        self.readers[taker].adopt(state)
+
+    @invariant()
+    def readers_agree_with_the_log(self) -> None:
+        for number, replay in enumerate(self.readers):
+            state = replay.state
+            assert state == self.truth[state.position]
+            assert state.position >= self.reached[number]
+            self.reached[number] = state.position
+
+    def teardown(self) -> None:
+        """A snapshot of any reader that is complete brings in all others."""
+        for replay in self.readers:
+            self.log.follow(replay)
+        self.append(snapshot_document(self.witness))
+        for reader in self.readers:
+            self.log.follow(reader)
+            assert not reader.has_gap
+            assert reader.state == self.witness
+
+
+TestLogMachine = LogMachine.TestCase
+TestLogMachine.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None
+)
+
+
+class LateSnapshotMachine(LogMachine):
+    """The same with a log that starts trimmed and without a snapshot."""
+
+    @initialize()
+    def begin_trimmed(self) -> None:
+        for number in range(4):
+            self.append({'number': number})
+        self.log.trim(3)
+
+
+TestLateSnapshotMachine = LateSnapshotMachine.TestCase
+TestLateSnapshotMachine.settings = settings(
+    max_examples=60, stateful_step_count=30, deadline=None
+)
+
+
+class TestRecords:
+    @given(st.binary(max_size=60) | JSON.map(msgspec.json.encode))
+    def test_any_bytes_leave_a_state_that_can_be_packed(
+        self, body: bytes
+    ) -> None:
+        state = fold(EMPTY, RawRecord(0, body))
+        assert state.position == 1
+        assert unpack(pack(state)) == state
+
+    @given(
+        st.dictionaries(
+            st.sampled_from(
+                ('kind', 'name', 'version', 'expected', 'change_id', 'value')
+            ),
+            JSON,
+        )
+    )
+    def test_damaged_changes_stop_no_reader(self, fields: Any) -> None:
+        document = change(KEYS[0], 0, 'a').document()
+        body = msgspec.json.encode({**document, **fields})
+        state = fold(EMPTY, RawRecord(0, body))
+        assert unpack(pack(state)) == state
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_a_state_or_refused(self, packed: bytes) -> None:
+        try:
+            unpack(packed)
+        except SnapshotError as error:
+            assert error.step == 'unpack state'
+
+    def test_snapshot_that_claims_another_offset_is_unusable(self) -> None:
+        body = snapshot_document(EMPTY)
+        assert restore(SnapshotRecord(1, body['state'])) is None
+
+    def test_change_survives_the_log(self) -> None:
+        written = change(KEYS[0], 3, 'a', {'in_service': False})
+        body = msgspec.json.encode(written.document())
+        assert parse_record(body) == written
+
+
+class TestBounds:
+    def test_old_versions_and_verdicts_are_dropped(self) -> None:
+        log = FakeLog()
+        for number in range(VERDICT_LIMIT + 1):
+            log.append(change(KEYS[0], number, f'id-{number}').document())
+        state = fold_all(EMPTY, log.records)
+        assert len(state.records[KEYS[0]]) == HISTORY_LENGTH
+        assert len(state.verdicts) == VERDICT_LIMIT
+        assert 'id-0' not in state.verdicts
+
+    def test_versions_of_agreements_stay_until_retired(self) -> None:
+        log = FakeLog()
+        agreement, settlement = KEYS[1], KEYS[2]
+        for number in range(HISTORY_LENGTH + 2):
+            log.append(change(agreement, number, f'id-{number}').document())
+        state = fold_all(EMPTY, log.records)
+        assert len(state.records[agreement]) == HISTORY_LENGTH + 2
+        log.append(
+            change(settlement, 0, 'end', {'status': 'retired'}).document()
+        )
+        state = fold_all(state, log.records[-1:])
+        kept = [each.version for each in state.records[agreement]]
+        assert kept[0] == 2
+
+
+class TestReplay:
+    def test_paused_snapshot_never_replaces_newer_state(self) -> None:
+        log = FakeLog()
+        late = snapshot_document(EMPTY)
+        log.append(change(KEYS[0], 0, 'a', {'in_service': False}).document())
+        log.append(late)
+        replay = Replay()
+        log.follow(replay)
+        assert replay.state.version(KEYS[0]) == 1
+
+    def test_random_page_sizes_give_one_state(self) -> None:
+        log = FakeLog()
+        source = random.Random(7)
+        for number in range(200):
+            key = source.choice(KEYS)
+            expected = source.randrange(4)
+            log.append(change(key, expected, f'id-{number}').document())
+        expectation = fold_all(EMPTY, log.records)
+        replay = Replay()
+        while replay.cursor < log.head:
+            replay.take(log.read(replay.cursor, source.randrange(1, 9)))
+        assert replay.state == expectation
+
+    def test_log_that_lost_its_records_changes_nothing(self) -> None:
+        replay = Replay(EMPTY._replace(position=9))
+        replay.take(Page(0, 2, (RawRecord(0, b'1'), RawRecord(1, b'1'))))
+        assert replay.state.position == 9
+        assert replay.cursor == 9
