--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -343,7 +343,10 @@
     number_row('request_limit', _ENTRY, 4096, (1, 1000000), 'open requests'),
     number_row('request_queue', _ENTRY, 1024, (1, 1000000), 'waiting requests'),
     number_row('queue_limit', _ENTRY, 50000, (1, 10000000), 'queued tasks'),
-    number_row('freshness', _SIDE, 3.0, (0.2, 60), 'seconds'),
+    number_row('freshness', _SIDE, 2.5, (0.2, 60), 'seconds'),
+    text_row('log_stream', _ENTRY, default='configuration'),
+    number_row('log_poll', _ENTRY, 0.3, (0.05, 10), 'seconds'),
+    number_row('snapshot_interval', _ENTRY, 600.0, (1, 86400), 'seconds'),
     number_row('drain', _BOTH, 20.0, (0.1, 3600), 'seconds'),
     number_row('entries_per_side', _BOTH, 5, (1, 64), 'entries'),
 )
--- a/jackdawridge/forwarding/minions.py
+++ b/jackdawridge/forwarding/minions.py
@@ -79,7 +79,8 @@
         :param now: in seconds.
         """
         age = max(now - self.reported_at, 0)
-        return len(self.own) + self.others * _HALF ** (age / REPORT_HALF_LIFE)
+        fading: float = _HALF ** (age / REPORT_HALF_LIFE)
+        return len(self.own) + self.others * fading
 
     def has_room(self, now: float) -> bool:
         """Return whether another request is worth sending.
