Let the configuration rule requests

Cause: what may be repeated, the share of a team and the failure domains that take requests are matters of the operators' records.

Change: an entry follows the configuration through a narrow protocol: records of services add or remove idempotent methods and set hedging and time, teams are served by weight, failure domains that are out get nothing; a side asks its rules at each request and ten times a second, refuses what waits when they object and tells its entries.

Conclusion: to be wired with the configuration's components.

--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -8,7 +8,7 @@
 from jackdawridge.forwarding.callers import PREFIX
 from jackdawridge.forwarding.entry import EntryForwarding
 from jackdawridge.forwarding.metrics import ForwardingMetrics
-from jackdawridge.forwarding.resource import NoRecords, ServiceResource
+from jackdawridge.forwarding.resource import ServiceResource
 from jackdawridge.membership.component import Membership
 from jackdawridge.operations.doors import Door
 from jackdawridge.operations.metrics import JobMetrics, add_gauge
@@ -39,7 +39,7 @@
     forwarding = EntryForwarding.from_application(
         application, daemon.peers, ForwardingMetrics(daemon.registry)
     )
-    callers.mount(PREFIX, ServiceResource(application, forwarding, NoRecords()))
+    callers.mount(PREFIX, ServiceResource(application, forwarding))
     callers.mount_klein('/healthz', daemon.resource.app)
     watch_jobs(daemon, submission)
     # The doors close last, so that open requests get their answers.
--- a/jackdawridge/forwarding/book.py
+++ b/jackdawridge/forwarding/book.py
@@ -13,6 +13,7 @@
     CancelRequests,
     Request,
 )
+from jackdawridge.forwarding.minions import MinionSet
 from jackdawridge.forwarding.pool import Pool
 
 if TYPE_CHECKING:
@@ -67,6 +68,8 @@
         self.domain = domain
         self.limits = limits or Limits()
         self.random = random.Random(seed)
+        #: Failure domains that operators have taken out.
+        self.domains_out: set[str] = set()
         self.pools: dict[str, Pool] = {}
         self.exchanges: dict[int, Exchange] = {}
         #: Attempts whose side still owes a reply, wanted or not.
@@ -84,9 +87,8 @@
         :param service: the service.
         """
         if service not in self.pools:
-            self.pools[service] = Pool(
-                service, self.domain, self.limits.waiting, self.random
-            )
+            minions = MinionSet(self.domain, self.random, self.domains_out)
+            self.pools[service] = Pool(service, minions, self.limits.waiting)
         return self.pools[service]
 
     def alarm(self, time: float, kind: str, key: int) -> None:
--- a/jackdawridge/forwarding/entry.py
+++ b/jackdawridge/forwarding/entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from jackdawridge.forwarding import entry_effects as effects
 from jackdawridge.forwarding import messages
@@ -15,7 +15,7 @@
 from jackdawridge.logs import get_logger, log_decision
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Mapping
 
     from twisted.internet.defer import Deferred
 
@@ -31,6 +31,19 @@
 NO_SERVICE = 'none'
 
 
+class EntryRules(Protocol):
+    """The configuration as an entry needs it."""
+
+    def is_in_service(self, failure_domain: str) -> bool:
+        """Return whether a failure domain takes requests."""
+
+    def weight_of(self, team: str) -> float:
+        """Return the weight of a team among those that wait."""
+
+    def service_record(self, service: str) -> Mapping[str, object] | None:
+        """Return the record of a service, None if there is none."""
+
+
 class EntryForwarding:
     """Passes requests on and answers their callers; a component.
 
@@ -59,6 +72,7 @@
         self.replies = Replies(self.router)
         self.links = Links(self.replies)
         self.desk = AnswerDesk(application.clock, observer, self.transmit)
+        self.rules: EntryRules | None = None
         self.timer: Any = None
         self.timer_at: float = 0
         self.is_performing = False
@@ -131,6 +145,7 @@
             )
             self.links.joined(facts, self.clock.seconds())
             self.perform()
+            self.apply_rules()
 
     def peer_left(self, peer: Peer) -> None:
         """Settle what was open at a peer.
@@ -140,12 +155,25 @@
         self.links.left(SideId(*peer.identity), self.clock.seconds())
         self.perform()
 
-    def take_out(self, domains: Collection[str]) -> None:
-        """Send no requests to some failure domains.
+    def use(self, rules: EntryRules) -> None:
+        """Follow the configuration.
 
-        :param domains: those that operators have taken out.
+        :param rules: of the configuration.
         """
-        self.links.take_out(domains)
+        self.rules = rules
+        self.router.weight_of = rules.weight_of
+        self.application.events.connect(
+            'configuration_changed', lambda *_: self.apply_rules()
+        )
+
+    def apply_rules(self) -> None:
+        """Send no requests to failure domains that are out."""
+        if self.rules is not None:
+            is_in_service = self.rules.is_in_service
+            domains = self.links.domains()
+            out = [name for name in domains if not is_in_service(name)]
+            self.links.take_out(out, self.clock.seconds())
+            self.perform()
 
     def receive(self, peer: Peer, message: Any) -> None:
         """Act on a message of a side.
--- a/jackdawridge/forwarding/links.py
+++ b/jackdawridge/forwarding/links.py
@@ -209,10 +209,18 @@
         service = self.services.pop(minion.side)
         self.book.pool(service).minions.by_side.pop(minion.side)
 
-    def take_out(self, domains: Collection[str]) -> None:
-        """Use no minion in some failure domains.
+    def domains(self) -> set[str]:
+        """Return the failure domains of the known sides."""
+        known = [self.minion(side) for side in self.services]
+        return {minion.domain for minion in known if minion is not None}
+
+    def take_out(self, domains: Collection[str], now: float) -> None:
+        """Use no minion in some failure domains, and all others again.
 
         :param domains: those that operators have taken out.
+        :param now: in seconds.
         """
+        self.book.domains_out.clear()
+        self.book.domains_out.update(domains)
         for pool in self.book.pools.values():
-            pool.minions.domains_out = frozenset(domains)
+            self.replies.router.dispatch(pool, now)
--- a/jackdawridge/forwarding/minions.py
+++ b/jackdawridge/forwarding/minions.py
@@ -105,15 +105,17 @@
 
     :param domain: failure domain of the entry, preferred among equals.
     :param choices: draws the minions that are compared.
+    :param domains_out: failure domains that operators have taken out.
     """
 
-    def __init__(self, domain: str, choices: random.Random) -> None:
+    def __init__(
+        self, domain: str, choices: random.Random, domains_out: set[str]
+    ) -> None:
         """Start without minions."""
         self.domain = domain
         self.choices = choices
         self.by_side: dict[SideId, Minion] = {}
-        #: Failure domains that operators have taken out.
-        self.domains_out: Collection[str] = frozenset()
+        self.domains_out = domains_out
 
     def choose(
         self, now: float, excluded: Collection[SideId] = ()
--- a/jackdawridge/forwarding/policy.py
+++ b/jackdawridge/forwarding/policy.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, cast
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -37,26 +37,19 @@
     def from_record(cls, record: Mapping[str, object] | None) -> ServicePolicy:
         """Return the policy of a service record; parts not given are usual.
 
-        :param record: with the keys `idempotent_methods`, `idempotency_key`,
-            `hedging` and `timeout`, all optional.
+        :param record: with the keys `idempotent_methods` and
+            `non_idempotent_methods`, which change what HTTP says,
+            `idempotency_key`, `hedging` and `timeout`, all optional.
         """
         if record is None:
             return cls()
-        methods = record.get('idempotent_methods')
-        timeout = record.get('timeout')
+        added = _read_methods(record.get('idempotent_methods'))
+        removed = _read_methods(record.get('non_idempotent_methods'))
         return cls(
-            idempotent_methods=(
-                frozenset(str(method).upper() for method in methods)
-                if isinstance(methods, (list, tuple))
-                else IDEMPOTENT_METHODS
-            ),
+            idempotent_methods=(IDEMPOTENT_METHODS | added) - removed,
             honours_key=record.get('idempotency_key') is True,
             hedging=record.get('hedging') is not False,
-            timeout=(
-                min(float(timeout), MAX_TIMEOUT)
-                if isinstance(timeout, (int, float)) and timeout > 0
-                else DEFAULT_TIMEOUT
-            ),
+            timeout=_read_timeout(record.get('timeout')),
         )
 
     def is_repeatable(self, method: str, has_key: bool) -> bool:
@@ -70,6 +63,21 @@
         return has_key and self.honours_key
 
 
+def _read_methods(names: object) -> frozenset[str]:
+    """Return the methods of a record."""
+    if not isinstance(names, list | tuple):
+        return frozenset()
+    return frozenset(str(name).upper() for name in names)
+
+
+def _read_timeout(seconds: object) -> float:
+    """Return the time of a record if it is valid, else the usual one."""
+    is_number = isinstance(seconds, int | float)
+    if is_number and 0 < cast('float', seconds) <= MAX_TIMEOUT:
+        return float(cast('float', seconds))
+    return DEFAULT_TIMEOUT
+
+
 def parse_deadline(text: str | None, default: float) -> float | None:
     """Return the time for a request in seconds, None if the text is wrong.
 
--- a/jackdawridge/forwarding/pool.py
+++ b/jackdawridge/forwarding/pool.py
@@ -6,13 +6,11 @@
 from typing import TYPE_CHECKING
 
 from jackdawridge.forwarding.budget import LatencyWindow, RepeatBudget
-from jackdawridge.forwarding.minions import MinionSet
 from jackdawridge.forwarding.queues import TeamQueues
 
 if TYPE_CHECKING:
-    import random
-
     from jackdawridge.forwarding.exchange import Exchange
+    from jackdawridge.forwarding.minions import MinionSet
 
 #: Requests that may be sent again after 'not run', as a fraction of all.
 RESEND_FRACTION = 0.5
@@ -30,21 +28,19 @@
     """The minions, waiting requests and budgets of one service.
 
     :param name: the service.
-    :param domain: failure domain of the entry.
+    :param minions: that serve it.
     :param queue_limit: most requests that wait.
-    :param choices: draws the minions that are compared.
     """
 
     def __init__(
         self,
         name: str,
-        domain: str,
+        minions: MinionSet,
         queue_limit: int,
-        choices: random.Random,
     ) -> None:
         """Start without minions and requests."""
         self.name = name
-        self.minions = MinionSet(domain, choices)
+        self.minions = minions
         self.queues: TeamQueues[Exchange] = TeamQueues(queue_limit)
         #: Budget of repeats that may run a request twice.
         self.repeats = RepeatBudget()
--- a/jackdawridge/forwarding/queues.py
+++ b/jackdawridge/forwarding/queues.py
@@ -3,11 +3,22 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import Generic, NamedTuple, TypeVar
+from typing import TYPE_CHECKING, Generic, NamedTuple, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 Waiting = TypeVar('Waiting')
 
 
+def equal_weight(team: str) -> float:
+    """Return the weight of a team where all are equal.
+
+    :param team: any.
+    """
+    return 1
+
+
 class Pushed(NamedTuple, Generic[Waiting]):
     """What a push did."""
 
@@ -73,10 +84,12 @@
         self.lane(team).waiting.appendleft(waiting)
         self.size += 1
 
-    def pop(self, weights: dict[str, float] | None = None) -> Waiting | None:
+    def pop(
+        self, weight_of: Callable[[str], float] = equal_weight
+    ) -> Waiting | None:
         """Return the next one, None if nobody waits.
 
-        :param weights: of the teams; 1 for those that are not named.
+        :param weight_of: returns the weight of a team.
         """
         team = min(
             self.lanes,
@@ -89,7 +102,7 @@
         waiting = lane.waiting.popleft()
         self.size -= 1
         self.progress = lane.progress
-        lane.progress += 1 / ((weights or {}).get(team) or 1)
+        lane.progress += 1 / weight_of(team)
         if not lane.waiting:
             del self.lanes[team]
         return waiting
--- a/jackdawridge/forwarding/resource.py
+++ b/jackdawridge/forwarding/resource.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
 
 from result import Err
 from twisted.web.resource import Resource
@@ -18,8 +18,6 @@
 from jackdawridge.forwarding.policy import ServicePolicy
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from jackdawridge.application import Application
     from jackdawridge.forwarding.entry import EntryForwarding
 
@@ -27,44 +25,22 @@
 _LEAVING = Objection(_UNAVAILABLE, 'this entry is leaving')
 
 
-class ServiceRecords(Protocol):
-    """The configuration records of the services."""
-
-    def service_record(self, service: str) -> Mapping[str, object] | None:
-        """Return the record of a service, None if there is none."""
-
-
-class NoRecords:
-    """Knows no record, so that the methods of HTTP decide."""
-
-    def service_record(self, service: str) -> Mapping[str, object] | None:
-        """Return None.
-
-        :param service: any.
-        """
-
-
 class ServiceResource(Resource):
     """Takes `ANY /v1/services/{service}/{path...}`.
 
     :param application: the process.
     :param forwarding: passes the requests on.
-    :param records: say what may be repeated.
     """
 
     isLeaf = True  # noqa: WPS115
 
     def __init__(
-        self,
-        application: Application,
-        forwarding: EntryForwarding,
-        records: ServiceRecords,
+        self, application: Application, forwarding: EntryForwarding
     ) -> None:
         """Keep the parts."""
         super().__init__()  # type: ignore[no-untyped-call]
         self.application = application
         self.forwarding = forwarding
-        self.records = records
         self.count = 0
 
     def render(self, request: Any) -> Any:
@@ -79,9 +55,8 @@
         if isinstance(target, Err):
             self.refuse(request, target.err_value)
             return NOT_DONE_YET
-        record = self.records.service_record(target.ok_value.service)
         reader = CallReader(
-            ServicePolicy.from_record(record),
+            self.policy(target.ok_value.service),
             self.make_request_id(),
             self.application.clock.seconds(),
         )
@@ -95,6 +70,15 @@
         finished.addErrback(lambda _: self.leave(key, answer))
         return NOT_DONE_YET
 
+    def policy(self, service: str) -> ServicePolicy:
+        """Return what may be done with the requests of a service.
+
+        :param service: the service.
+        """
+        rules = self.forwarding.rules
+        record = None if rules is None else rules.service_record(service)
+        return ServicePolicy.from_record(record)
+
     def make_request_id(self) -> str:
         """Return an id for a request whose caller gives none."""
         self.count += 1
--- a/jackdawridge/forwarding/router.py
+++ b/jackdawridge/forwarding/router.py
@@ -11,8 +11,11 @@
 )
 from jackdawridge.forwarding.entry_effects import Verdict
 from jackdawridge.forwarding.exchange import Phase
+from jackdawridge.forwarding.queues import equal_weight
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from jackdawridge.forwarding.book import Alarm, Book
     from jackdawridge.forwarding.exchange import Call, Exchange
     from jackdawridge.forwarding.minions import Minion
@@ -34,8 +37,8 @@
     def __init__(self, book: Book) -> None:
         """Keep the book."""
         self.book = book
-        #: Weights of the teams; 1 for those that are not named.
-        self.weights: dict[str, float] = {}
+        #: Returns the weight of a team.
+        self.weight_of: Callable[[str], float] = equal_weight
 
     def next_alarm(self, now: float) -> float | None:
         """Return when `tick` is due, None if nothing is open.
@@ -126,7 +129,7 @@
         """
         while pool.queues.size:
             spare = pool.minions.choose(now)
-            exchange = pool.queues.pop(self.weights) if spare else None
+            exchange = pool.queues.pop(self.weight_of) if spare else None
             if spare is None or exchange is None:
                 return
             if exchange.avoided:
--- a/jackdawridge/forwarding/side.py
+++ b/jackdawridge/forwarding/side.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from twisted.internet.defer import Deferred
 
@@ -25,16 +25,36 @@
 _UNREACHABLE = 'the minion does not accept connections'
 
 
+class StartRules(Protocol):
+    """The configuration as a side needs it."""
+
+    def refuse_start(self) -> str:
+        """Return why nothing may start now, or an empty text."""
+
+
+class NoRules:
+    """Lets everything start."""
+
+    def refuse_start(self) -> str:
+        """Return an empty text."""
+        return ''
+
+
 class SideForwarding:
     """Runs the requests of entries on the minion; a component.
 
     :param application: the process.
     :param peers: of the process.
     :param client: of the minion.
+    :param rules: of the configuration.
     """
 
     def __init__(
-        self, application: Application, peers: Peers, client: MinionClient
+        self,
+        application: Application,
+        peers: Peers,
+        client: MinionClient,
+        rules: StartRules,
     ) -> None:
         """Wire the parts."""
         settings = application.settings
@@ -43,6 +63,7 @@
         self.clock = application.clock
         self.peers = peers
         self.client = client
+        self.rules = rules
         self.gate = Gate(
             min(slots, settings.integer('minion_connections')), slots
         )
@@ -55,13 +76,18 @@
 
     @classmethod
     def from_application(
-        cls, application: Application, peers: Peers, reactor: Any
+        cls,
+        application: Application,
+        peers: Peers,
+        reactor: Any,
+        rules: StartRules,
     ) -> SideForwarding:
         """Return the component, connected to messages and events.
 
         :param application: the process.
         :param peers: of the process.
         :param reactor: Twisted's reactor.
+        :param rules: of the configuration.
         """
         settings = application.settings
         client = MinionClient(
@@ -69,7 +95,7 @@
             settings.text('minion'),
             settings.integer('minion_connections'),
         )
-        forwarding = cls(application, peers, client)
+        forwarding = cls(application, peers, client, rules)
         application.events.connect('peer_joined', forwarding.peer_joined)
         application.events.connect('peer_left', forwarding.peer_left)
         application.events.connect('draining', forwarding.drain)
@@ -120,6 +146,8 @@
         :param source: who says so.
         :param reason: why; empty to cease.
         """
+        if self.objections.get(source, '') == reason:
+            return
         before = self.gate.objection
         self.objections.pop(source, None)
         if reason:
@@ -158,6 +186,7 @@
         entry = EntryId(*peer.identity)
         now = self.clock.seconds()
         if isinstance(message, messages.Request):
+            self.object('configuration', self.rules.refuse_start())
             self.gate.receive(entry, message, now)
         elif isinstance(message, messages.ResolveRequests):
             self.gate.resolve(entry, message.numbers, now)
@@ -190,6 +219,7 @@
 
     def tick(self) -> None:
         """Act on deadlines."""
+        self.object('configuration', self.rules.refuse_start())
         self.gate.tick(self.clock.seconds())
         self.calls.perform()
         self.timer = self.clock.callLater(TICK_INTERVAL, self.tick)
--- a/jackdawridge/side.py
+++ b/jackdawridge/side.py
@@ -7,7 +7,7 @@
 from jackdawridge.daemon import Daemon
 from jackdawridge.execution.component import SideExecution
 from jackdawridge.execution.http_worker import HttpWorker
-from jackdawridge.forwarding.side import SideForwarding
+from jackdawridge.forwarding.side import NoRules, SideForwarding
 from jackdawridge.membership.component import Membership
 
 if TYPE_CHECKING:
@@ -38,6 +38,8 @@
     application.add(execution)
     if settings.text('minion'):
         application.add(
-            SideForwarding.from_application(application, daemon.peers, reactor)
+            SideForwarding.from_application(
+                application, daemon.peers, reactor, NoRules()
+            )
         )
     return application
--- a/tests/test_forwarding/test_state.py
+++ b/tests/test_forwarding/test_state.py
@@ -19,7 +19,11 @@
 from jackdawridge.forwarding.identity import EntryId, RequestKey, SideId
 from jackdawridge.forwarding.messages import Load, Request
 from jackdawridge.forwarding.minions import EJECT_AFTER, Minion, MinionSet
-from jackdawridge.forwarding.policy import ServicePolicy, parse_deadline
+from jackdawridge.forwarding.policy import (
+    DEFAULT_TIMEOUT,
+    ServicePolicy,
+    parse_deadline,
+)
 from jackdawridge.forwarding.queues import TeamQueues
 
 ENTRY = EntryId('entry', 'first')
@@ -99,13 +103,16 @@
         for _ in range(40):
             queues.push('heavy', 'heavy')
             queues.push('light', 'light')
-        served = [queues.pop({'heavy': 3}) for _ in range(20)]
+        served = [
+            queues.pop({'heavy': 3.0, 'light': 1.0}.__getitem__)
+            for _ in range(20)
+        ]
         assert served.count('heavy') in {14, 15, 16}
 
 
 class TestMinionSet:
     def make(self, count: int) -> MinionSet:
-        minions = MinionSet('near', random.Random(0))
+        minions = MinionSet('near', random.Random(0), set())
         for number in range(count):
             side = SideId(f'side-{number}', 'first')
             domain = 'near' if number % 2 else 'far'
@@ -121,7 +128,7 @@
 
     def test_domain_out_and_draining_are_passed_over(self) -> None:
         minions = self.make(4)
-        minions.domains_out = frozenset(('near',))
+        minions.domains_out.add('near')
         first = list(minions.by_side.values())[0]
         first.take_report(Load(0, 0, False), 0)
         assert minions.usable(0) == [list(minions.by_side.values())[2]]
@@ -167,10 +174,16 @@
         assert not policy.is_repeatable('POST', has_key=True)
 
     def test_record_goes_before_the_method(self) -> None:
-        record = {'idempotent_methods': ['post'], 'idempotency_key': False}
+        record = {
+            'idempotent_methods': ['post'],
+            'non_idempotent_methods': ['GET'],
+            'timeout': -1,
+        }
         policy = ServicePolicy.from_record(record)
         assert policy.is_repeatable('POST', has_key=False)
         assert not policy.is_repeatable('GET', has_key=True)
+        assert policy.is_repeatable('PUT', has_key=False)
+        assert policy.timeout == DEFAULT_TIMEOUT
 
     def test_key_counts_where_minions_honour_it(self) -> None:
         policy = ServicePolicy.from_record({'idempotency_key': True})
