Let starts wait at the side for room about to become free

Cause: two entries race for the same room, and each refusal costs a start, a refusal and often an offer.

The room that is reported counts what waits.

--- a/jackdawridge/execution/component.py
+++ b/jackdawridge/execution/component.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import LoopingCall
 
 from jackdawridge.execution.heart import Heart
+from jackdawridge.execution.line_server import LineServer
 from jackdawridge.execution.messages import (
     CancelBatch,
     HeartbeatReply,
@@ -71,6 +72,9 @@
         self.sweeper = LoopingCall(self.sweep)
         self.keeper = LoopingCall(self.watch.keep)
         self.ready = False
+        self.line = LineServer(
+            self.clock, state, self.watch.starter, self.sender
+        )
         self.drained: Deferred[None] | None = None
         application.events.connect('peer_joined', self.peer_joined)
         application.events.connect('peer_left', self.peer_left)
@@ -161,6 +165,8 @@
         """End the draining if every outcome has been received."""
         if self.drained is None or self.state.tasks:
             return
+        if self.state.room.line.waiters:
+            return
         records = self.state.sessions.entries.values()
         if all(record.outbox.is_empty() for record in records):
             self.finish()
@@ -203,6 +209,7 @@
         incarnation = peer.introduction.incarnation
         admitted = self.state.admit(incarnation, batch, self.clock.seconds())
         self.watch.starter.add(admitted)
+        self.line.serve_soon()
         if len(admitted) < len(batch.starts):
             self.log_refusals(peer, incarnation)
             self.sender.flush_soon()
@@ -243,8 +250,12 @@
         :param batch: of tickets.
         """
         keys = self.state.cancel(
-            peer.introduction.incarnation, batch.tickets, 'cancelled'
+            peer.introduction.incarnation,
+            batch.tickets,
+            'cancelled',
+            self.clock.seconds(),
         )
+        self.sender.flush_soon()
         self.watch.stop_tasks(keys)
 
     def resolve_received(self, peer: Peer, resolve: Resolve) -> None:
--- /dev/null
+++ b/jackdawridge/execution/line_server.py
@@ -0,0 +1,51 @@
+"""Gives starts that wait at a side their turn in time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jackdawridge.execution.line import LINE_TIME
+
+if TYPE_CHECKING:
+    from jackdawridge.execution.outcomes import OutcomeSender
+    from jackdawridge.execution.starter import Starter
+    from jackdawridge.execution.state import SideState
+    from jackdawridge.util.clock import Clock, DelayedCall
+
+
+class LineServer:
+    """Serves the line before outcomes are sent, and when time is up.
+
+    :param clock: the reactor.
+    :param state: of the side.
+    :param starter: hands starts to the worker.
+    :param sender: of outcomes.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        state: SideState,
+        starter: Starter,
+        sender: OutcomeSender,
+    ) -> None:
+        """Serve at each sending of outcomes."""
+        self.clock = clock
+        self.state = state
+        self.starter = starter
+        self.sender = sender
+        self.timer: DelayedCall | None = None
+        sender.before.append(self.serve)
+
+    def serve(self) -> None:
+        """Hand starts that waited to the worker, as far as they fit."""
+        self.starter.add(self.state.serve_line(self.clock.seconds()))
+        self.serve_soon()
+
+    def serve_soon(self) -> None:
+        """Look again before starts have waited too long."""
+        is_set = self.timer is not None and self.timer.active()
+        if self.state.room.line.waiters and not is_set:
+            self.timer = self.clock.callLater(
+                LINE_TIME / 2, self.sender.flush_soon
+            )
--- a/jackdawridge/execution/outcomes.py
+++ b/jackdawridge/execution/outcomes.py
@@ -9,7 +9,7 @@
 
     from jackdawridge.execution.state import SideState
     from jackdawridge.util.clock import Clock
-    from jackdawridge.wire.peers import Peers
+    from jackdawridge.wire.peers import Peer, Peers
 
 
 class OutcomeSender:
@@ -26,6 +26,8 @@
         self.peers = peers
         self.state = state
         self.flushing = False
+        #: Called before each sending.
+        self.before: list[Callable[[], None]] = []
         #: Called after each sending.
         self.listeners: list[Callable[[], None]] = []
 
@@ -38,6 +40,8 @@
     def flush(self) -> None:
         """Send the outcomes that have gathered."""
         self.flushing = False
+        for early in self.before:
+            early()
         links = {
             peer.introduction.incarnation: peer
             for peer in self.peers.of_role('entry')
@@ -45,14 +49,21 @@
         now = self.clock.seconds()
         # Offers come first, so that the room reported to the others is less.
         for offer in self.state.room.offers(now):
-            holder = links.get(offer.entry)
-            if holder is not None:
-                holder.send(offer.offer)
+            send_to(links.get(offer.entry), offer.offer)
         for record in tuple(self.state.sessions.entries.values()):
             room = self.state.room.room_for(record.incarnation, now)
             batch = record.outbox.flush(record.processed, room)
-            peer = links.get(record.incarnation)
-            if batch is not None and peer is not None:
-                peer.send(batch)
+            if batch is not None:
+                send_to(links.get(record.incarnation), batch)
         for listener in self.listeners:
             listener()
+
+
+def send_to(peer: Peer | None, message: object) -> None:
+    """Send a message if there is a link for it.
+
+    :param peer: an entry, None if there is no link.
+    :param message: for the entry.
+    """
+    if peer is not None:
+        peer.send(message)
--- a/jackdawridge/execution/room.py
+++ b/jackdawridge/execution/room.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from jackdawridge.execution.line import EMPTY, Line, Waiter
 from jackdawridge.execution.messages import Offer, Room
 
 if TYPE_CHECKING:
@@ -13,7 +14,8 @@
 HOLD_TIME = 0.1
 
 #: Wait after which free room is kept together for an entry, in seconds.
-PATIENCE = 0.5
+#: A task that needs a part of the worker waits for that part of the time.
+PATIENCE = 1.0
 
 #: Time after which an entry that was refused is forgotten, in seconds.
 WAIT_LIMIT = 10.0
@@ -24,9 +26,6 @@
 #: Reason of a refusal for lack of room.
 NO_ROOM = 'no room'
 
-#: No room at all.
-EMPTY = Room(0, 0, 0, 0)
-
 
 class Waiting(NamedTuple):
     """What an entry was refused."""
@@ -71,27 +70,73 @@
         #: Entries that were refused, the longest waiting first.
         self.waiting: dict[str, Waiting] = {}
         self.held: dict[str, Held] = {}
+        self.line = Line()
 
     def reserve(self, entry: str, start: Start, now: float) -> bool:
-        """Reserve what a start asks for; if it does not fit, the entry waits.
+        """Reserve what a start asks for, if it fits.
+
+        A start that does not fit may wait in the line. If that is refused
+        too, the entry should be registered by `register`.
 
         :param entry: incarnation of the entry that asks.
         :param start: about to be handed to the worker.
         :param now: local time in seconds.
         """
-        wanted = Room(start.cores, start.memory, start.accelerators, 1)
+        wanted = size_of(start)
         if not fits(wanted, self.room_for(entry, now)):
-            older = self.waiting.get(entry)
-            since = older.since if older else now
-            self.waiting[entry] = Waiting(wanted, since)
             return False
-        self.hold(start.key(), wanted)
+        self.take(entry, start.key(), wanted)
+        return True
+
+    def take(self, entry: str, key: TaskKey, wanted: Room) -> None:
+        """Reserve room, of which some may be held for the entry.
+
+        :param entry: incarnation of the entry that asks.
+        :param key: of the task.
+        :param wanted: what it takes.
+        """
+        self.hold(key, wanted)
         held = self.held.pop(entry, None)
         if held is not None:
             rest = minus(held.room, wanted)
             if rest.cores > 0 and rest.memory > 0:
                 self.held[entry] = Held(rest, held.until)
-        return True
+
+    def register(self, entry: str, start: Start, now: float) -> None:
+        """Remember that an entry was refused.
+
+        :param entry: incarnation of the entry.
+        :param start: that was refused.
+        :param now: local time in seconds.
+        """
+        older = self.waiting.get(entry)
+        since = older.since if older else now
+        self.waiting[entry] = Waiting(size_of(start), since)
+
+    def join_line(self, waiter: Waiter) -> bool:
+        """Let a start wait for room that is about to become free.
+
+        :param waiter: the start.
+        """
+        if not fits(size_of(waiter.start), self.size):
+            return False
+        return self.line.join(waiter)
+
+    def next_in_line(self, now: float) -> Waiter | None:
+        """Take the first start out of the line if it fits now.
+
+        Its room is reserved.
+
+        :param now: local time in seconds.
+        """
+        if not self.line.waiters:
+            return None
+        waiter = self.line.waiters[0]
+        wanted = size_of(waiter.start)
+        if not fits(wanted, self.free_for(waiter.entry, now)):
+            return None
+        self.take(waiter.entry, waiter.start.key(), wanted)
+        return self.line.leave()
 
     def hold(self, key: TaskKey, wanted: Room) -> None:
         """Reserve room whether it fits or not, as for an adopted task.
@@ -131,7 +176,15 @@
         self.measured[key] = used
 
     def room_for(self, entry: str, now: float) -> Room:
-        """Return what an entry may start.
+        """Return what an entry may start; negative if starts wait in line.
+
+        :param entry: incarnation of the entry.
+        :param now: local time in seconds.
+        """
+        return minus(self.free_for(entry, now), self.line.wanted)
+
+    def free_for(self, entry: str, now: float) -> Room:
+        """Return what is neither reserved nor held for another entry.
 
         :param entry: incarnation of the entry.
         :param now: local time in seconds.
@@ -152,7 +205,13 @@
         :param now: local time in seconds.
         """
         first = next(iter(self.waiting.values()), None)
-        return first is not None and now - first.since > PATIENCE
+        if first is None:
+            return False
+        part = max(
+            first.wanted.cores / self.size.cores,
+            first.wanted.memory / self.size.memory,
+        )
+        return now - first.since > PATIENCE * part
 
     def offers(self, now: float) -> tuple[EntryOffer, ...]:
         """Hold free room for those that wait, and return the offers to send.
@@ -226,6 +285,14 @@
     )
 
 
+def size_of(start: Start) -> Room:
+    """Return what a start asks for.
+
+    :param start: of a task.
+    """
+    return Room(start.cores, start.memory, start.accelerators, 1)
+
+
 def plus(room: Room, other: Room) -> Room:
     """Return free room after some was given back.
 
--- a/jackdawridge/execution/state.py
+++ b/jackdawridge/execution/state.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from jackdawridge.execution.fences import Fences
+from jackdawridge.execution.line import Waiter
 from jackdawridge.execution.messages import (
     Ending,
     Refusal,
@@ -19,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from jackdawridge.execution.line import Line
     from jackdawridge.execution.messages import Room, Start
     from jackdawridge.execution.room import EntryOffer
     from jackdawridge.execution.sessions import EntryRecord, Sessions
@@ -29,6 +31,8 @@
 
     #: What is free now.
     free: Room
+    #: Starts that wait.
+    line: Line
 
     def reserve(self, entry: str, start: Start, now: float) -> bool:
         """Reserve what a start asks for, if it fits."""
@@ -42,6 +46,15 @@
     def room_for(self, entry: str, now: float) -> Room:
         """Return what an entry may start."""
 
+    def register(self, entry: str, start: Start, now: float) -> None:
+        """Remember that an entry was refused."""
+
+    def join_line(self, waiter: Waiter) -> bool:
+        """Let a start wait for room that is about to become free."""
+
+    def next_in_line(self, now: float) -> Waiter | None:
+        """Take the first start out of the line if it fits now."""
+
     def offers(self, now: float) -> tuple[EntryOffer, ...]:
         """Return the offers to send to entries that were refused."""
 
@@ -108,26 +121,73 @@
         """
         record = self.sessions.entry(incarnation, now)
         record.processed = batch.number
-        common = self.common_refusal(batch, now)
+        common = self.common_refusal(batch.window, now)
         admitted = []
         for start in batch.starts:
             reason = common or self.refusal(record, start, now)
+            waiter = Waiter(incarnation, batch.window, start, now)
+            if reason == NO_ROOM and self.room.join_line(waiter):
+                continue
+            if reason:
+                self.refuse_start(record, start, reason, now)
+            else:
+                self.take(record, start.key())
+                admitted.append(start)
+        return tuple(admitted)
+
+    def serve_line(self, now: float) -> tuple[Start, ...]:
+        """Return the starts that waited and are handed to the worker now.
+
+        Everything is checked anew: the wait must not let a start pass that
+        would be refused if it came now.
+
+        :param now: local time in seconds.
+        """
+        admitted = []
+        line = self.room.line
+        while line.is_overdue(now):
+            waiter = line.leave()
+            record = self.sessions.entry(waiter.entry, now)
+            self.refuse_start(record, waiter.start, NO_ROOM, now)
+        waiting = self.room.next_in_line(now)
+        while waiting is not None:
+            record = self.sessions.entry(waiting.entry, now)
+            start = waiting.start
+            reason = self.common_refusal(waiting.window, now)
+            if start.key() in self.fences:
+                reason = 'start was already handled'
             if reason:
-                self.refuse(record, start.key(), reason, now)
+                self.room.release(start.key())
+                self.refuse_start(record, start, reason, now)
             else:
                 self.take(record, start.key())
                 admitted.append(start)
+            waiting = self.room.next_in_line(now)
         return tuple(admitted)
 
-    def common_refusal(self, batch: StartBatch, now: float) -> str:
+    def refuse_start(
+        self, record: EntryRecord, start: Start, reason: str, now: float
+    ) -> None:
+        """Refuse a start, and remember the entry if it was for lack of room.
+
+        :param record: of the entry that sent it.
+        :param start: the start.
+        :param reason: for the entry.
+        :param now: local time in seconds.
+        """
+        if reason == NO_ROOM:
+            self.room.register(record.incarnation, start, now)
+        self.refuse(record, start.key(), reason, now)
+
+    def common_refusal(self, window: int, now: float) -> str:
         """Return why no start of a batch may pass, or an empty string.
 
-        :param batch: of starts.
+        :param window: that the batch came in.
         :param now: local time in seconds.
         """
         if self.draining:
             return 'side is leaving'
-        if not self.sessions.windows.accepts(batch.window, now):
+        if not self.sessions.windows.accepts(window, now):
             return 'send window is closed'
         return self.gate.refusal(now)
 
@@ -141,7 +201,11 @@
         key = start.key()
         if incarnation_of(start.ticket) != record.incarnation:
             return 'ticket was issued by another entry'
-        if key in self.fences or key in self.tasks:
+        if (
+            key in self.fences
+            or key in self.tasks
+            or key in self.room.line.keys
+        ):
             return 'start was already handled'
         if self.room.reserve(record.incarnation, start, now):
             return ''
@@ -259,18 +323,25 @@
         return Resolution(running, tuple(unknown) if knows_all else ())
 
     def cancel(
-        self, incarnation: str, tickets: tuple[str, ...], reason: str
+        self,
+        incarnation: str,
+        tickets: tuple[str, ...],
+        reason: str,
+        now: float,
     ) -> list[TaskKey]:
         """Return the tasks of some jobs that the worker has to stop.
 
         :param incarnation: of the entry.
         :param tickets: of the jobs.
         :param reason: kept for the endings.
+        :param now: local time in seconds.
         """
         record = self.sessions.entries.get(incarnation)
         if record is None:
             return []
         wanted = set(tickets)
+        for waiter in self.room.line.remove(incarnation, wanted):
+            self.refuse(record, waiter.start.key(), reason, now)
         keys = [key for key in record.keys if key.ticket in wanted]
         return self.stop(keys, reason)
 
--- a/tests/test_execution/test_room.py
+++ b/tests/test_execution/test_room.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from jackdawridge.execution.line import Waiter
 from jackdawridge.execution.messages import Room, Start, TaskKey
 from jackdawridge.execution.relief import MemoryGuard, MemoryUse, Step
 from jackdawridge.execution.room import RoomLedger
@@ -50,7 +51,7 @@
         """Only the entry that waited can take what it was offered."""
         ledger = RoomLedger(SIZE)
         fill(ledger)
-        assert not ledger.reserve('b', make_start(9), 0)
+        ledger.register('b', make_start(9), 0)
         ledger.release(make_start(0).key())
         assert [made.entry for made in ledger.offers(0)] == ['b']
         assert not ledger.reserve('a', make_start(8), 0)
@@ -60,7 +61,7 @@
         """Room that is offered and not taken is free for others."""
         ledger = RoomLedger(SIZE)
         fill(ledger)
-        ledger.reserve('b', make_start(9), 0)
+        ledger.register('b', make_start(9), 0)
         ledger.release(make_start(0).key())
         ledger.offers(0)
         assert ledger.reserve('a', make_start(8), 1)
@@ -69,12 +70,12 @@
         """Small tasks do not keep a large one waiting for ever."""
         ledger = RoomLedger(SIZE)
         fill(ledger)
-        ledger.reserve('b', make_start(9, cores=16), 0)
+        ledger.register('b', make_start(9, cores=16), 0)
         for task in range(4):
-            assert not ledger.offers(1)
+            assert not ledger.offers(2)
             ledger.release(make_start(task).key())
-            assert not ledger.reserve('c', make_start(20 + task), 1)
-        assert ledger.offers(1)[0].offer.cores == 16
+            assert not ledger.reserve('c', make_start(20 + task), 2)
+        assert ledger.offers(2)[0].offer.cores == 16
 
     @given(
         st.lists(
@@ -91,24 +92,52 @@
         self, events: list[tuple[str, float, str, float]]
     ) -> None:
         """Whatever happens, no more is reserved than there is."""
-        ledger = RoomLedger(SIZE)
-        now: float = 0
-        running: list[TaskKey] = []
+        model = LedgerModel()
         for task, (entry, cores, event, pause) in enumerate(events):
-            now += pause
+            model.now += pause
             if event == 'start':
-                start = make_start(task, cores)
-                if ledger.reserve(entry, start, now):
-                    running.append(start.key())
-            for key in running[:1] if event == 'end' else ():
-                ledger.release(key)
-                running.remove(key)
-            ledger.offers(now)
-            held = sum(held.room.cores for held in ledger.held.values())
-            assert held <= ledger.free.cores
-        for key in running:
-            ledger.release(key)
-        assert ledger.free == SIZE
+                model.start(entry, make_start(task, cores))
+            elif event == 'end':
+                model.end()
+            model.serve()
+            held = sum(held.room.cores for held in model.ledger.held.values())
+            assert held <= model.ledger.free.cores
+        for key in model.running:
+            model.ledger.release(key)
+        assert model.ledger.free == SIZE
+
+
+class LedgerModel:
+    """A side in small."""
+
+    def __init__(self) -> None:
+        """Begin without tasks."""
+        self.ledger = RoomLedger(SIZE)
+        self.running: list[TaskKey] = []
+        self.now: float = 0
+
+    def start(self, entry: str, start: Start) -> None:
+        """Admit a start, let it wait or refuse it."""
+        waiter = Waiter(entry, 0, start, self.now)
+        if self.ledger.reserve(entry, start, self.now):
+            self.running.append(start.key())
+        elif not self.ledger.join_line(waiter):
+            self.ledger.register(entry, start, self.now)
+
+    def end(self) -> None:
+        """End the oldest task."""
+        if self.running:
+            self.ledger.release(self.running.pop(0))
+
+    def serve(self) -> None:
+        """Start what waits, refuse what waited too long, send offers."""
+        if self.ledger.line.is_overdue(self.now):
+            waiter = self.ledger.line.leave()
+            self.ledger.register(waiter.entry, waiter.start, self.now)
+        waiting = self.ledger.next_in_line(self.now)
+        if waiting is not None:
+            self.running.append(waiting.start.key())
+        self.ledger.offers(self.now)
 
 
 class TestMemoryGuard:
