Place and start work by the configuration

Cause: the daemons placed and started work whatever the log said.

Change: entries follow the log, tell sides how current they are in each answer to a heartbeat, and apply failure domains, teams and agreements to their queues; sides start nothing in a removed failure domain, without fresh word or under a retired version, and ask again right before the call to the worker. The answer of a read keeps records as raw JSON in a struct: inside a TypedDict msgspec refuses them.

--- a/jackdawridge/configuration/holds.py
+++ b/jackdawridge/configuration/holds.py
@@ -51,6 +51,10 @@
             hold.failure_domain == failure_domain for hold in self.held.values()
         )
 
+    def failure_domains(self) -> set[str]:
+        """Return the failure domains that are held."""
+        return {hold.failure_domain for hold in self.held.values()}
+
     def add(self, holds: Iterable[Hold], now: float) -> tuple[Hold, ...]:
         """Take announced holds and return those that are new.
 
--- a/jackdawridge/configuration/log_client.py
+++ b/jackdawridge/configuration/log_client.py
@@ -22,8 +22,8 @@
 CONNECT_TIMEOUT = 1.0
 
 
-class ReadRecord(TypedDict):
-    """One record in the answer to a read."""
+class ReadRecord(msgspec.Struct):
+    """One record in the answer to a read; only a struct can hold raw JSON."""
 
     offset: int
     record: msgspec.Raw
@@ -180,7 +180,6 @@
     except msgspec.DecodeError as error:
         return Err(f'answer is malformed: {error}')
     records = tuple(
-        RawRecord(each['offset'], bytes(each['record']))
-        for each in answer['records']
+        RawRecord(each.offset, bytes(each.record)) for each in answer['records']
     )
     return Ok(Page(answer['first'], answer['next'], records))
--- a/jackdawridge/configuration/side.py
+++ b/jackdawridge/configuration/side.py
@@ -50,19 +50,25 @@
     def stop(self) -> None:
         """Do nothing."""
 
-    def refuse_start(self, agreement: str = '', version: int = 0) -> str:
+    def refusal(self, now: float) -> str:
         """Return why nothing may start now, or an empty text.
 
         To be asked in the same turn of the loop in which the start is sent.
 
-        :param agreement: that the work is counted under, or empty.
-        :param version: pinned when the work was admitted.
+        :param now: in seconds.
         """
-        now = self.application.clock.seconds()
         if not self.configuration.is_in_service(self.failure_domain):
             return f'failure domain {self.failure_domain!r} is out of service'
         if not self.freshness.is_fresh(now):
             return 'configuration is not known to be current'
+        return ''
+
+    def version_refusal(self, agreement: str, version: int) -> str:
+        """Return why nothing may start under a version, or an empty text.
+
+        :param agreement: that the work is counted under, or empty.
+        :param version: pinned when the work was admitted.
+        """
         if agreement and self.configuration.is_retired(agreement, version):
             return f'version {version} of agreement {agreement!r} is retired'
         return ''
--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from jackdawridge.configuration.entry import EntryConfiguration
 from jackdawridge.daemon import Daemon
 from jackdawridge.forwarding.callers import PREFIX
 from jackdawridge.forwarding.entry import EntryForwarding
@@ -14,6 +15,7 @@
 from jackdawridge.operations.metrics import JobMetrics, add_gauge
 from jackdawridge.operations.router import Router
 from jackdawridge.submission.component import EntrySubmission
+from jackdawridge.submission.configured import ConfiguredJobs
 from jackdawridge.submission.resource import JobResource
 from jackdawridge.submission.status import describe_engine
 from jackdawridge.wire.peers import Listener
@@ -32,6 +34,8 @@
     daemon = Daemon.from_config(settings, reactor)
     application = daemon.application
     submission = EntrySubmission.from_application(application, daemon.peers)
+    configuration = EntryConfiguration.from_application(application, reactor)
+    configure_jobs(application, submission, configuration)
     callers = Router()
     jobs = JobResource(application, submission.desk, submission.relay)
     for prefix in ('/v1/tickets', '/v1/jobs'):
@@ -54,11 +58,29 @@
     )
     submission.relay.entries = membership
     application.add(membership)
+    application.add(configuration)
     application.add(submission)
     application.add(forwarding)
     return application
 
 
+def configure_jobs(
+    application: Application,
+    submission: EntrySubmission,
+    configuration: EntryConfiguration,
+) -> None:
+    """Place jobs by the configuration.
+
+    :param application: the process.
+    :param submission: owns the jobs.
+    :param configuration: follows the log.
+    """
+    submission.engine.configuration = configuration
+    submission.desk.agreements = ConfiguredJobs(
+        application, submission.engine, configuration.configuration
+    )
+
+
 def watch_jobs(daemon: Daemon, submission: EntrySubmission) -> None:
     """Show the jobs of an entry in its metrics and status.
 
--- a/jackdawridge/execution/component.py
+++ b/jackdawridge/execution/component.py
@@ -239,6 +239,9 @@
         incarnation = peer.introduction.incarnation
         now = self.clock.seconds()
         self.state.sessions.renew(incarnation, reply.window, now)
+        self.state.gate.heartbeat_answered(
+            reply.window, reply.position, reply.age
+        )
         record = self.state.sessions.entry(incarnation, now)
         self.watch.ledger.passed_on(record.outbox.acknowledge(reply.received))
         self.finish_if_idle()
--- a/jackdawridge/execution/heart.py
+++ b/jackdawridge/execution/heart.py
@@ -49,6 +49,7 @@
         """
         now = self.clock.seconds()
         window = self.state.sessions.windows.open(now)
+        self.state.gate.heartbeat_sent(window)
         incarnation = peer.introduction.incarnation
         record = self.state.sessions.entry(incarnation, now)
         peer.send(self.write(record, window))
@@ -57,6 +58,7 @@
         """Send a heartbeat to every entry."""
         now = self.clock.seconds()
         window = self.state.sessions.windows.open(now)
+        self.state.gate.heartbeat_sent(window)
         for peer in self.peers.of_role('entry'):
             incarnation = peer.introduction.incarnation
             record = self.state.sessions.entry(incarnation, now)
@@ -74,5 +76,5 @@
             record.processed,
             self.state.room.room_for(record.incarnation, now),
             self.state.draining,
-            0,
+            self.state.gate.position,
         )
--- a/jackdawridge/execution/starter.py
+++ b/jackdawridge/execution/starter.py
@@ -16,6 +16,8 @@
 from jackdawridge.logs import get_logger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from jackdawridge.execution.messages import Start
     from jackdawridge.execution.worker import StartAnswer, TaskList, Worker
     from jackdawridge.util.clock import Clock
@@ -77,6 +79,7 @@
     :param listener: told what became of the starts.
     :param lease: time for which the worker may run tasks without renewal,
         in seconds.
+    :param refusal: returns why nothing may start any more, or an empty text.
     """
 
     def __init__(
@@ -85,12 +88,14 @@
         clock: Clock,
         listener: StartListener,
         lease: float,
+        refusal: Callable[[float], str],
     ) -> None:
         """Start with nothing to do."""
         self.worker = worker
         self.clock = clock
         self.listener = listener
         self.lease = lease
+        self.refusal = refusal
         self.waiting: list[Start] = []
         self.calls = 0
 
@@ -124,6 +129,11 @@
 
         :param batch: of starts.
         """
+        # A batch that waited for a free call may have become forbidden.
+        forbidden = self.refusal(self.clock.seconds())
+        if forbidden:
+            self.refuse(batch, forbidden)
+            return
         tasks = tuple(self.task(start) for start in batch)
         try:
             answers = await self.worker.start(tasks)
--- a/jackdawridge/execution/state.py
+++ b/jackdawridge/execution/state.py
@@ -63,15 +63,32 @@
 
 
 class StartGate(Protocol):
-    """Says whether anything may start here at all."""
+    """Says whether anything may start here, by the configuration."""
+
+    @property
+    def position(self) -> int:
+        """Return the offset up to which the configuration is known."""
 
     def refusal(self, now: float) -> str:
         """Return why nothing may start, or an empty string."""
 
+    def version_refusal(self, agreement: str, version: int) -> str:
+        """Return why nothing may start under a version, or an empty string."""
+
+    def heartbeat_sent(self, window: int) -> None:
+        """Take note of a heartbeat, before it is sent."""
+
+    def heartbeat_answered(
+        self, window: int, position: int, age: float
+    ) -> None:
+        """Take an entry's word on how current the configuration is."""
+
 
 class OpenGate:
     """Lets everything start."""
 
+    position = 0
+
     def refusal(self, now: float) -> str:
         """Return an empty string.
 
@@ -79,6 +96,30 @@
         """
         return ''
 
+    def version_refusal(self, agreement: str, version: int) -> str:
+        """Return an empty string.
+
+        :param agreement: its name.
+        :param version: the version.
+        """
+        return ''
+
+    def heartbeat_sent(self, window: int) -> None:
+        """Do nothing.
+
+        :param window: number of the heartbeat.
+        """
+
+    def heartbeat_answered(
+        self, window: int, position: int, age: float
+    ) -> None:
+        """Do nothing.
+
+        :param window: number of the heartbeat.
+        :param position: of the entry's configuration.
+        :param age: of the entry's word.
+        """
+
 
 class AdoptedTask(NamedTuple):
     """A running task that an earlier run of the side has started."""
@@ -207,6 +248,11 @@
             or key in self.room.line.keys
         ):
             return 'start was already handled'
+        retired = self.gate.version_refusal(
+            start.agreement, start.agreement_version
+        )
+        if retired:
+            return retired
         if self.room.reserve(record.incarnation, start, now):
             return ''
         return NO_ROOM
--- a/jackdawridge/execution/watch.py
+++ b/jackdawridge/execution/watch.py
@@ -54,7 +54,9 @@
         self.state = state
         self.sender = sender
         self.lease = application.settings.number('task_lease') * WORKER_LEASES
-        self.starter = Starter(worker, self.clock, self, self.lease)
+        self.starter = Starter(
+            worker, self.clock, self, self.lease, state.gate.refusal
+        )
         self.ledger = EventLedger()
 
     async def adopt(self) -> None:
--- a/jackdawridge/side.py
+++ b/jackdawridge/side.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from jackdawridge.configuration.side import SideConfiguration
 from jackdawridge.daemon import Daemon
 from jackdawridge.execution.component import SideExecution
 from jackdawridge.execution.http_worker import HttpWorker
@@ -24,8 +25,9 @@
     daemon = Daemon.from_config(settings, reactor)
     application = daemon.application
     worker = HttpWorker.from_config(reactor, settings.text('worker'))
+    configuration = SideConfiguration.from_application(application)
     execution = SideExecution.from_application(
-        application, daemon.peers, worker
+        application, daemon.peers, worker, configuration
     )
     daemon.resource.sections['tasks'] = execution.describe
     # A side announces itself once it knows what its worker runs.
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -20,6 +20,7 @@
 from jackdawridge.placement.learning import Usage
 from jackdawridge.placement.request import Request
 from jackdawridge.submission.batches import split_batches
+from jackdawridge.submission.configured import NoConfiguration
 from jackdawridge.submission.jobs import AnswerStore, Job
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
     from jackdawridge.application import Application
     from jackdawridge.placement.placer import Placer
     from jackdawridge.placement.request import Overload, Placement
+    from jackdawridge.submission.configured import KnownConfiguration
     from jackdawridge.submission.jobs import JobAnswer, JobSpec
     from jackdawridge.submission.sides import SideRecord
 
@@ -58,8 +60,8 @@
         self.waiters: dict[str, list[Deferred[JobAnswer]]] = defaultdict(list)
         self.sides: dict[str, SideRecord] = {}
         self.leases = count(1)
-        #: Offset of the configuration that tasks are placed under.
-        self.position = 0
+        #: What tasks are placed under.
+        self.configuration: KnownConfiguration = NoConfiguration()
         self.placing = False
         self.cancelled: list[str] = []
         #: Called when the last open job has ended.
@@ -118,6 +120,7 @@
             started=answer.started.value,
         )
         self.application.events.emit('job_finished', answer)
+        self.application.events.emit('work_ended', job.spec)
         for waiter in self.waiters.pop(answer.ticket, ()):
             if not waiter.called:
                 waiter.callback(answer)
@@ -185,7 +188,9 @@
             number = record.next_batch()
             starts = tuple(self.begin(record, placement) for placement in part)
             self.placer.sent(side, number, part)
-            batch = StartBatch(number, record.window, self.position, starts)
+            batch = StartBatch(
+                number, record.window, self.configuration.position, starts
+            )
             if record.peer is None or not record.peer.send(batch):
                 logger.warning('link is gone', step='start', peer=side)
 
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -139,9 +139,10 @@
         if record is None:
             return
         record.window = max(record.window, heartbeat.window)
+        known = self.engine.configuration
         peer.send(
             HeartbeatReply(
-                heartbeat.window, record.received, self.engine.position, 0
+                heartbeat.window, record.received, known.position, known.age()
             )
         )
         if heartbeat.draining:
--- a/tests/test_configuration/simulation.py
+++ b/tests/test_configuration/simulation.py
@@ -124,6 +124,9 @@
     def parts(self) -> SideConfiguration:
         return self.side
 
+    def refusal(self) -> str:
+        return self.side.refusal(self.clock.seconds())
+
     def reply_received(self, _: Any, reply: HeartbeatReply) -> None:
         self.side.heartbeat_answered(reply.window, reply.position, reply.age)
 
@@ -304,7 +307,7 @@
 
     def check(self, node: SideNode) -> None:
         """Raise if a side would start what it must not."""
-        if node.paused or node.side.refuse_start():
+        if node.paused or node.refusal():
             return
         own = node.side.failure_domain
         last = [each for each in self.removals if each.failure_domain == own]
@@ -333,7 +336,7 @@
 
     def fresh(self) -> list[bool]:
         """Return for each side whether it would start work."""
-        return [not node.side.refuse_start() for node in self.sides]
+        return [not node.refusal() for node in self.sides]
 
 
 def encode(document: object) -> bytes:
--- /dev/null
+++ b/tests/test_configuration/test_log_client.py
@@ -0,0 +1,30 @@
+"""Tests of the log client against the stand-in of the log service."""
+
+from __future__ import annotations
+
+import msgspec
+
+from jackdawridge.configuration.log_client import _read_offset, _read_page
+from jackdawridge.configuration.records import RawRecord
+from jackdawridge.standins.log import _describe
+from jackdawridge.standins.log_state import Stream
+
+
+class TestAnswers:
+    def test_page_of_the_stand_in_is_read(self) -> None:
+        stream = Stream()
+        for body in (b'{"a":[1]}', b'null', b'"text"'):
+            stream.append(body, 0)
+        stream.trim(1)
+        answer = msgspec.json.encode(_describe(stream, 0, 10))
+        page = _read_page(answer).unwrap()
+        assert (page.first, page.head) == (1, 3)
+        assert page.records == (
+            RawRecord(1, b'null'),
+            RawRecord(2, b'"text"'),
+        )
+
+    def test_malformed_answers_are_errors(self) -> None:
+        for content in (b'', b'[]', b'{"first":0}', b'{"offset":"1"}'):
+            assert _read_page(content).is_err()
+            assert _read_offset(content).is_err()
--- a/tests/test_configuration/test_outages.py
+++ b/tests/test_configuration/test_outages.py
@@ -84,7 +84,7 @@
         for node in world.nodes.values():
             parts = node.parts
             assert parts.configuration.is_retired('fuel', 1)
-        assert 'retired' in world.sides[0].side.refuse_start('fuel', 1)
+        assert 'retired' in world.sides[0].side.version_refusal('fuel', 1)
 
     def test_snapshots_outlive_trims(self, world: World) -> None:
         for number in range(30):
--- a/tests/test_wire/test_codec.py
+++ b/tests/test_wire/test_codec.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from jackdawridge.configuration import messages as configuration
 from jackdawridge.errors import WireError
 from jackdawridge.execution import messages as execution
 from jackdawridge.membership import messages as membership
@@ -16,6 +17,7 @@
 
 def make_codec() -> Codec:
     codec = Codec()
+    codec.register(configuration.SCHEMA, configuration.MESSAGES)
     codec.register(execution.SCHEMA, execution.MESSAGES)
     codec.register(membership.SCHEMA, membership.MESSAGES)
     return codec
