Let the records of services decide what forwarding repeats

Cause: forwarding knew no records, and the configuration had a reading of them of its own with another meaning of the methods.

Change: forwarding gets the record as it is; the second reading is gone; the check before publishing knows the keys that forwarding reads.

Conclusion: one meaning, in forwarding's policy.

--- a/jackdawridge/configuration/checks.py
+++ b/jackdawridge/configuration/checks.py
@@ -37,8 +37,14 @@
 
     #: Whether the minions run a request with a known key only once.
     idempotency_key: NotRequired[bool]
-    #: Methods that are idempotent beyond what HTTP says.
+    #: Methods that are idempotent beyond those that HTTP names.
     idempotent_methods: NotRequired[list[str]]
+    #: Methods that are not, whatever HTTP says.
+    non_idempotent_methods: NotRequired[list[str]]
+    #: Whether slow requests are sent to a second minion.
+    hedging: NotRequired[bool]
+    #: Time for a request whose caller names none, in seconds.
+    timeout: NotRequired[float]
 
 
 class AgreementValue(TypedDict):
--- a/jackdawridge/configuration/configuration.py
+++ b/jackdawridge/configuration/configuration.py
@@ -13,7 +13,6 @@
     AGREEMENT,
     FAILURE_DOMAIN,
     LIMITS,
-    SERVICE,
     TEAM,
     Key,
 )
@@ -98,13 +97,6 @@
         """
         return values.read_team(self.state.current(Key(TEAM, name)))
 
-    def service(self, name: str) -> values.Service:
-        """Return the idempotency facts of a service.
-
-        :param name: of the service.
-        """
-        return values.read_service(self.state.current(Key(SERVICE, name)))
-
     def admit_agreement(
         self, name: str, version: int | None = None
     ) -> Result[int, str]:
--- a/jackdawridge/configuration/side.py
+++ b/jackdawridge/configuration/side.py
@@ -63,6 +63,10 @@
             return 'configuration is not known to be current'
         return ''
 
+    def refuse_start(self) -> str:
+        """Return why nothing may start at this moment, or an empty text."""
+        return self.refusal(self.application.clock.seconds())
+
     def version_refusal(self, agreement: str, version: int) -> str:
         """Return why nothing may start under a version, or an empty text.
 
--- a/jackdawridge/configuration/values.py
+++ b/jackdawridge/configuration/values.py
@@ -20,15 +20,6 @@
     weight: float = DEFAULT_WEIGHT
 
 
-class Service(NamedTuple):
-    """What the record of a service says about its minions."""
-
-    #: Whether an Idempotency-Key makes a request idempotent.
-    idempotency_key: bool = False
-    #: Methods that are idempotent beyond what HTTP says.
-    idempotent_methods: frozenset[str] = frozenset()
-
-
 def read_in_service(content: object) -> bool:
     """Return whether a failure domain is in service; it is by default.
 
@@ -51,21 +42,6 @@
     return Team(quota, weight if weight > 0 else DEFAULT_WEIGHT)
 
 
-def read_service(content: object) -> Service:
-    """Return the facts of a service; nothing is idempotent by default.
-
-    :param content: the value of its record, None if there is none.
-    """
-    if not isinstance(content, dict):
-        return Service()
-    methods = content.get('idempotent_methods')
-    names = methods if isinstance(methods, list) else []
-    return Service(
-        content.get('idempotency_key') is True,
-        frozenset(str(name).upper() for name in names),
-    )
-
-
 def read_limits(content: object) -> Mapping[str, float]:
     """Return the limits of a record that are numbers.
 
--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -10,6 +10,7 @@
 from jackdawridge.forwarding.entry import EntryForwarding
 from jackdawridge.forwarding.metrics import ForwardingMetrics
 from jackdawridge.forwarding.resource import ServiceResource
+from jackdawridge.forwarding.rules import ConfiguredRules
 from jackdawridge.membership.component import Membership
 from jackdawridge.operations.doors import Door
 from jackdawridge.operations.metrics import JobMetrics, add_gauge
@@ -34,8 +35,6 @@
     daemon = Daemon.from_config(settings, reactor)
     application = daemon.application
     submission = EntrySubmission.from_application(application, daemon.peers)
-    configuration = EntryConfiguration.from_application(application, reactor)
-    configure_jobs(application, submission, configuration)
     callers = Router()
     jobs = JobResource(application, submission.desk, submission.relay)
     for prefix in ('/v1/tickets', '/v1/jobs'):
@@ -58,27 +57,31 @@
     )
     submission.relay.entries = membership
     application.add(membership)
-    application.add(configuration)
+    application.add(follow_configuration(daemon, submission, forwarding))
     application.add(submission)
     application.add(forwarding)
     return application
 
 
-def configure_jobs(
-    application: Application,
+def follow_configuration(
+    daemon: Daemon,
     submission: EntrySubmission,
-    configuration: EntryConfiguration,
-) -> None:
-    """Place jobs by the configuration.
+    forwarding: EntryForwarding,
+) -> EntryConfiguration:
+    """Return the configuration, by which jobs and requests are placed.
 
-    :param application: the process.
+    :param daemon: the process.
     :param submission: owns the jobs.
-    :param configuration: follows the log.
+    :param forwarding: passes requests on.
     """
-    submission.engine.configuration = configuration
+    application = daemon.application
+    followed = EntryConfiguration.from_application(application, daemon.reactor)
+    submission.engine.configuration = followed
     submission.desk.agreements = ConfiguredJobs(
-        application, submission.engine, configuration.configuration
+        application, submission.engine, followed.configuration
     )
+    forwarding.use(ConfiguredRules(followed.configuration))
+    return followed
 
 
 def watch_jobs(daemon: Daemon, submission: EntrySubmission) -> None:
--- a/jackdawridge/side.py
+++ b/jackdawridge/side.py
@@ -8,7 +8,7 @@
 from jackdawridge.daemon import Daemon
 from jackdawridge.execution.component import SideExecution
 from jackdawridge.execution.http_worker import HttpWorker
-from jackdawridge.forwarding.side import NoRules, SideForwarding
+from jackdawridge.forwarding.side import SideForwarding
 from jackdawridge.membership.component import Membership
 
 if TYPE_CHECKING:
@@ -41,7 +41,7 @@
     if settings.text('minion'):
         application.add(
             SideForwarding.from_application(
-                application, daemon.peers, reactor, NoRules()
+                application, daemon.peers, reactor, configuration
             )
         )
     return application
--- a/tests/test_configuration/test_configuration.py
+++ b/tests/test_configuration/test_configuration.py
@@ -15,6 +15,7 @@
 from jackdawridge.configuration.records import Change, Key
 from jackdawridge.configuration.state import EMPTY, fold_all
 from jackdawridge.configuration.values import Team
+from jackdawridge.forwarding.rules import ConfiguredRules
 from tests.test_configuration.fake_log import FakeLog
 
 FUEL = Key('agreement', 'fuel')
@@ -46,7 +47,7 @@
         configuration = Configuration()
         assert configuration.is_in_service('Soweto')
         assert configuration.team('payroll') == Team()
-        assert not configuration.service('ledger').idempotency_key
+        assert ConfiguredRules(configuration).service_record('ledger') is None
         assert not configuration.limits
 
     def test_values_are_read(self) -> None:
@@ -56,7 +57,8 @@
         writer.put(Key('limits', 'default'), {'jobs': 5, 'odd': 'text'})
         configuration = writer.configuration
         assert configuration.team('payroll') == Team(8, 2)
-        assert 'POST' in configuration.service('ledger').idempotent_methods
+        record = ConfiguredRules(configuration).service_record('ledger')
+        assert record == {'idempotent_methods': ['post']}
         assert configuration.limits == {'jobs': 5}
 
     @pytest.mark.parametrize('value', [None, 1, 'x', [], {'in_service': 0}])
@@ -73,7 +75,6 @@
         configuration = writer.configuration
         assert configuration.is_in_service('Soweto')
         assert configuration.team('payroll').quota == math.inf
-        assert not configuration.service('ledger').idempotent_methods
         assert not configuration.settled_versions()
 
     def test_removal_and_return(self) -> None:
