Let operators read and change the configuration

Cause: changes could only be written to the log by hand.

Change: routes for changes, records, history, confirmations and settlements at the operators' address of an entry, and what is in force at a side; the commands `config apply|diff|get|history|settle|wait` with files of JSON with comments, and `domain out|in`, which reports when every known side of the failure domain has confirmed, or names those which did not.

--- /dev/null
+++ b/jackdawridge/cmd/config.py
@@ -0,0 +1,123 @@
+"""The command `config`: reads and changes the configuration."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from jackdawridge.cmd import config_actions as actions
+from jackdawridge.cmd.operator import add_address, run_command
+
+if TYPE_CHECKING:
+    import argparse
+    from collections.abc import Callable
+
+_EPILOG = (
+    'Exit codes: 0 done, 1 failed or not found, 2 wrong input, 3 conflict'
+    ' with another change, 4 unknown: ask again with the change id.'
+)
+
+
+def add_parser(subparsers: Any) -> None:
+    """Add the command `config` with its actions.
+
+    :param subparsers: of the main parser.
+    """
+    parser = subparsers.add_parser(
+        'config',
+        help='read and change the configuration',
+        description='Read and change the versioned records in the log.',
+        epilog=_EPILOG,
+    )
+    commands = parser.add_subparsers(dest='action', required=True)
+    _add_apply(commands)
+    _add_diff(commands)
+    get = _add(commands, 'get', 'print current records', actions.get)
+    get.add_argument('record', nargs='?', default='', metavar='KIND[/NAME]')
+    history = _add(
+        commands, 'history', 'print the kept versions', actions.history
+    )
+    history.add_argument('record', metavar='KIND/NAME')
+    _add_settle(commands)
+    _add_wait(commands)
+
+
+def _add(
+    commands: Any, name: str, summary: str, command: Callable[..., Any]
+) -> argparse.ArgumentParser:
+    """Add one action."""
+    parser: argparse.ArgumentParser = commands.add_parser(
+        name, help=summary, description=summary, epilog=_EPILOG
+    )
+    add_address(parser)
+    parser.set_defaults(run=lambda arguments: run_command(command, arguments))
+    return parser
+
+
+def _add_apply(commands: Any) -> None:
+    """Add the action `apply`."""
+    parser = _add(
+        commands, 'apply', 'publish the records of a file', actions.apply
+    )
+    _add_file(parser)
+    parser.add_argument(
+        '--dry-run', action='store_true', help='check, and publish nothing'
+    )
+    parser.add_argument(
+        '--change-id',
+        default='',
+        help='start of the change ids; with the same one, applying again'
+        ' repeats nothing',
+    )
+    _add_timeout(parser)
+
+
+def _add_diff(commands: Any) -> None:
+    """Add the action `diff`."""
+    parser = _add(
+        commands, 'diff', 'compare a file with what is in force', actions.diff
+    )
+    _add_file(parser)
+
+
+def _add_settle(commands: Any) -> None:
+    """Add the action `settle`."""
+    parser = _add(
+        commands,
+        'settle',
+        'close a version of an agreement to new work',
+        actions.settle,
+    )
+    parser.add_argument('agreement')
+    parser.add_argument('version', type=int)
+    parser.add_argument(
+        '--change-id', default='', help='to repeat an order safely'
+    )
+    _add_timeout(parser)
+
+
+def _add_wait(commands: Any) -> None:
+    """Add the action `wait`."""
+    parser = _add(
+        commands,
+        'wait',
+        'wait until a change is in force at all sides',
+        actions.wait,
+    )
+    parser.add_argument('change_id')
+    _add_timeout(parser)
+
+
+def _add_file(parser: argparse.ArgumentParser) -> None:
+    """Add the file of records."""
+    parser.add_argument(
+        'file',
+        type=Path,
+        help='JSON with comments: {"records": [{"kind", "name", "value",'
+        ' "expected"}]}; "expected" may be left out',
+    )
+
+
+def _add_timeout(parser: argparse.ArgumentParser) -> None:
+    """Add the time to wait."""
+    parser.add_argument('--timeout', type=float, default=10, help='in seconds')
--- a/jackdawridge/cmd/main.py
+++ b/jackdawridge/cmd/main.py
@@ -6,7 +6,7 @@
 import sys
 from typing import TYPE_CHECKING
 
-from jackdawridge.cmd import daemon, standin
+from jackdawridge.cmd import config, daemon, domain, standin
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -29,6 +29,8 @@
     )
     daemon.add_parsers(subparsers)
     standin.add_parser(subparsers)
+    config.add_parser(subparsers)
+    domain.add_parser(subparsers)
     return parser
 
 
--- a/jackdawridge/configuration/entry.py
+++ b/jackdawridge/configuration/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
 from jackdawridge.configuration.configuration import Configuration
@@ -17,6 +18,8 @@
 from jackdawridge.configuration.writer import SnapshotWriter
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from jackdawridge.application import Application
     from jackdawridge.configuration.state import State
 
@@ -92,6 +95,24 @@
         """Return for how long something newer may have existed, in seconds."""
         return self.freshness.age(self.application.clock.seconds())
 
+    def log_age(self) -> float:
+        """Return the time since the end of the log was reached, in seconds."""
+        return self.freshness.log_age(self.application.clock.seconds())
+
+    def describe(self) -> Mapping[str, object]:
+        """Return what operators see of how current this entry is."""
+        return {
+            'position': self.position,
+            'age': _finite(self.age()),
+            'log_age': _finite(self.log_age()),
+            'log_failing': self.freshness.failing,
+            'ready': self.is_ready(),
+            'held_failure_domains': sorted(
+                self.configuration.holds.failure_domains()
+            ),
+            'other_entries': sorted(self.consensus.entries),
+        }
+
     def is_ready(self) -> bool:
         """Return whether this entry has ever known a current configuration."""
         return self.freshness.is_ready
@@ -141,3 +162,8 @@
         """
         self.replay.adopt(state)
         self.configuration.replace(self.replay.state)
+
+
+def _finite(age: float) -> float | None:
+    """Return an age, or None for one that is not known."""
+    return round(age, 3) if math.isfinite(age) else None
--- a/jackdawridge/configuration/side.py
+++ b/jackdawridge/configuration/side.py
@@ -9,6 +9,8 @@
 from jackdawridge.configuration.freshness import SideFreshness
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from jackdawridge.application import Application
     from jackdawridge.configuration.state import State
 
@@ -50,6 +52,15 @@
     def stop(self) -> None:
         """Do nothing."""
 
+    def describe(self) -> Mapping[str, object]:
+        """Return what operators see of what is in force at this side."""
+        return {
+            'position': self.position,
+            'failure_domain': self.failure_domain,
+            'in_service': self.configuration.is_in_service(self.failure_domain),
+            'refusal': self.refuse_start(),
+        }
+
     def refusal(self, now: float) -> str:
         """Return why nothing may start now, or an empty text.
 
--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -12,6 +12,7 @@
 from jackdawridge.forwarding.resource import ServiceResource
 from jackdawridge.forwarding.rules import ConfiguredRules
 from jackdawridge.membership.component import Membership
+from jackdawridge.operations.configuration import ConfigurationResource
 from jackdawridge.operations.doors import Door
 from jackdawridge.operations.metrics import JobMetrics, add_gauge
 from jackdawridge.operations.router import Router
@@ -81,6 +82,9 @@
         application, submission.engine, followed.configuration
     )
     forwarding.use(ConfiguredRules(followed.configuration))
+    daemon.operators.mount_klein(
+        '/v1/configuration', ConfigurationResource(followed).app
+    )
     return followed
 
 
--- a/jackdawridge/side.py
+++ b/jackdawridge/side.py
@@ -10,6 +10,9 @@
 from jackdawridge.execution.http_worker import HttpWorker
 from jackdawridge.forwarding.side import SideForwarding
 from jackdawridge.membership.component import Membership
+from jackdawridge.operations.side_configuration import (
+    SideConfigurationResource,
+)
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
@@ -26,6 +29,9 @@
     application = daemon.application
     worker = HttpWorker.from_config(reactor, settings.text('worker'))
     configuration = SideConfiguration.from_application(application)
+    daemon.operators.mount_klein(
+        '/v1/configuration', SideConfigurationResource(configuration).app
+    )
     execution = SideExecution.from_application(
         application, daemon.peers, worker, configuration
     )
