--- a/jackdawridge/execution/component.py
+++ b/jackdawridge/execution/component.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.task import LoopingCall
 
 from jackdawridge.execution.heart import Heart
 from jackdawridge.execution.line_server import LineServer
@@ -24,6 +23,7 @@
 from jackdawridge.execution.watch import WorkerWatch
 from jackdawridge.execution.windows import SendWindows
 from jackdawridge.logs import get_logger, log_decision
+from jackdawridge.util.clock import make_loop
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
@@ -69,8 +69,8 @@
         self.sender = OutcomeSender(self.clock, peers, state)
         self.watch = WorkerWatch(application, worker, state, self.sender)
         self.heart = Heart(application, peers, state)
-        self.sweeper = LoopingCall(self.sweep)
-        self.keeper = LoopingCall(self.watch.keep)
+        self.sweeper = make_loop(self.clock, self.sweep)
+        self.keeper = make_loop(self.clock, self.watch.keep)
         self.ready = False
         self.line = LineServer(
             self.clock, state, self.watch.starter, self.sender
--- a/jackdawridge/execution/heart.py
+++ b/jackdawridge/execution/heart.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from twisted.internet.task import LoopingCall
-
 from jackdawridge.execution.messages import Heartbeat
+from jackdawridge.util.clock import make_loop
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
@@ -31,7 +30,7 @@
         self.clock = application.clock
         self.peers = peers
         self.state = state
-        self.loop = LoopingCall(self.beat)
+        self.loop = make_loop(self.clock, self.beat)
 
     def start(self) -> None:
         """Beat at the interval of the settings."""
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from twisted.internet.task import LoopingCall
-
 from jackdawridge.execution.messages import (
     Heartbeat,
     HeartbeatReply,
@@ -17,6 +15,7 @@
 from jackdawridge.logs import get_logger
 from jackdawridge.placement.view import SideInfo
 from jackdawridge.submission.sides import SideRecord
+from jackdawridge.util.clock import make_loop
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
@@ -52,7 +51,7 @@
             settings.number('send_window') * DRIFT,
         )
         self.swept = self.clock.seconds()
-        self.sweeper = LoopingCall(self.sweep)
+        self.sweeper = make_loop(self.clock, self.sweep)
         application.events.connect('peer_joined', self.peer_joined)
         application.events.connect('peer_left', self.peer_left)
         application.on_message(Heartbeat, self.heartbeat_received)
--- a/jackdawridge/util/clock.py
+++ b/jackdawridge/util/clock.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
+
+from twisted.internet.task import LoopingCall
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,3 +34,15 @@
         *args: object,
     ) -> DelayedCall:
         """Call a function after a delay in seconds."""
+
+
+def make_loop(clock: Clock, function: Callable[[], object]) -> LoopingCall:
+    """Return a loop that runs by a clock; it is not started.
+
+    :param clock: the reactor, or that of a test.
+    :param function: called at each interval.
+    """
+    loop = LoopingCall(function)
+    any_clock: Any = clock
+    loop.clock = any_clock
+    return loop
