Measure what control costs by the number of workers

Cause: control has a budget a node (1.7% of a core, 30 KB/s, 128 MB at 4,000 workers), so far known on paper only.

A variant links all sides to one entry. JSON, a table and slopes.

--- /dev/null
+++ b/benchmarks/control/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in peers and measurements for the cost of control."""
--- /dev/null
+++ b/benchmarks/control/fleet.py
@@ -0,0 +1,222 @@
+"""All stand-in peers of one process under measurement."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from twisted.internet.task import LoopingCall
+
+from benchmarks.control.deployment import (
+    HEARTBEAT,
+    Size,
+    introduce_entry,
+    introduce_side,
+)
+from benchmarks.control.peers import FRAME_BYTES, StandInEntry, StandInSide
+from jackdawridge.application import Application
+from jackdawridge.config import Settings
+from jackdawridge.daemon import SLICES
+from jackdawridge.membership.exchange import TableExchange
+from jackdawridge.membership.messages import Gossip, Member, Probe, State
+from jackdawridge.membership.state import Table, Timing, introduced
+
+if TYPE_CHECKING:
+    from benchmarks.control.peers import StandIn
+    from jackdawridge.wire.link import Link
+
+#: Heartbeats are spread over so many moments of an interval.
+SLICES_A_HEARTBEAT = 50
+#: Entries that tell the entry under measurement news in a period: as many
+#: as it tells itself.
+GOSSIP_MESSAGES = 3
+#: Links that are opened in a second at the beginning.
+DIALS_A_SECOND = 200
+_NUMBERS = 4294967295
+
+
+class Traffic(NamedTuple):
+    """Bytes and messages on all links so far, both ways."""
+
+    bytes: int
+    messages: int
+
+
+class Fleet:
+    """Stand-in entries and sides that share one table of members.
+
+    :param reactor: Twisted's reactor.
+    :param size: of the deployment.
+    :param measures_side: whether the process under measurement is a side.
+    """
+
+    def __init__(
+        self, reactor: Any, size: Size, *, measures_side: bool
+    ) -> None:
+        """Make the stand-ins without links."""
+        self.reactor = reactor
+        self.size = size
+        self.measures_side = measures_side
+        self.random = random.Random(1)  # noqa: S311
+        application = make_application(reactor)
+        self.codec = application.codec
+        #: Position of the configuration.
+        self.position = 0
+        self.links: list[Link] = []
+        self.ports: list[Any] = []
+        self.sent = 0
+        self.received = 0
+        #: Suspicions of sides by the entry under measurement.
+        self.suspicions = 0
+        self.address = ''
+        self.entries = [
+            StandInEntry(self, introduce_entry(number, f'127.0.0.1:{number}'))
+            for number in range(size.entries - (not measures_side))
+        ]
+        self.sides = [
+            StandInSide(self, introduce_side(number))
+            for number in range(size.workers)
+        ]
+        if measures_side:
+            self.sides = []
+            for entry in self.entries:
+                entry.listen()
+        self.table = self.make_table()
+        self.exchange = TableExchange(application, self.table, _ignore)
+        self.slice = 0
+        self.loops = (LoopingCall(self.beat), LoopingCall(self.gossip))
+
+    def make_table(self) -> Table:
+        """Return a table of all stand-ins, without news."""
+        now = self.reactor.seconds()
+        own = introduced(self.entries[0].introduction)
+        table = Table(own, Timing(suspicion=5), now)
+        for stand_in in (*self.entries, *self.sides):
+            table.merge(introduced(stand_in.introduction), now)
+        for node in tuple(table.queue.members):
+            table.queue.forget(node)
+        return table
+
+    def linked_sides(self) -> list[StandInSide]:
+        """Return the sides that link to the entry under measurement."""
+        return self.sides[: self.size.linked]
+
+    def start(self, address: str) -> None:
+        """Link to the process under measurement, if it is an entry.
+
+        :param address: of the process.
+        """
+        self.address = address
+        peers: list[StandIn] = [*self.entries, *self.linked_sides()]
+        for position, peer in enumerate(peers):
+            self.reactor.callLater(
+                position / DIALS_A_SECOND, peer.dial, address
+            )
+        for loop, interval in zip(
+            self.loops, (HEARTBEAT / SLICES_A_HEARTBEAT, HEARTBEAT), strict=True
+        ):
+            loop.start(interval)
+
+    def stop(self) -> None:
+        """End all links."""
+        for loop in self.loops:
+            if loop.running:
+                loop.stop()
+        for port in self.ports:
+            port.stopListening()
+        for link in self.links:
+            link.close('end of the run')
+
+    def beat(self) -> None:
+        """Send the heartbeats of a part of the sides."""
+        self.slice = (self.slice + 1) % SLICES_A_HEARTBEAT
+        for side in self.linked_sides()[self.slice :: SLICES_A_HEARTBEAT]:
+            side.beat()
+
+    def gossip(self) -> None:
+        """Send what one entry receives from the others in a period."""
+        number = self.random.randrange(_NUMBERS)
+        probe = Probe(number, self.table.digest, self.news())
+        self.random.choice(self.entries).send(probe)
+        for _ in range(GOSSIP_MESSAGES):
+            news = self.news()
+            if news:
+                self.random.choice(self.entries).send(Gossip(news))
+
+    def news(self) -> tuple[Member, ...]:
+        """Return the news for one message."""
+        return self.table.queue.take(self.size.entries)
+
+    def learn(self, members: tuple[Member, ...]) -> None:
+        """Take news from the process under measurement.
+
+        :param members: the records.
+        """
+        for member in members:
+            self.table.merge(member, self.reactor.seconds())
+
+    def entry_members(self) -> list[Member]:
+        """Return the records of the stand-in entries."""
+        return [introduced(entry.introduction) for entry in self.entries]
+
+    def restart_one(self) -> None:
+        """Replace a random process of the deployment by a new run."""
+        peers: list[StandIn] = [*self.entries, *self.sides]
+        peer = self.random.choice(peers)
+        for state, leaving in ((State.alive, True), (State.left, True)):
+            self.tell(
+                peer,
+                introduced(peer.introduction)._replace(
+                    leaving=leaving, state=int(state)
+                ),
+            )
+        if not self.measures_side:
+            peer.restart(self.address)
+        self.reactor.callLater(
+            HEARTBEAT, self.tell, peer, introduced(peer.introduction)
+        )
+
+    def tell(self, peer: StandIn, member: Member) -> None:
+        """Spread a record: by its own link if it has one, and by gossip.
+
+        :param peer: whom the record is about.
+        :param member: the record.
+        """
+        if self.measures_side:
+            for entry in self.entries:
+                entry.send(Gossip((member,)))
+        elif peer.link is not None:
+            peer.send(Gossip((member,)))
+        self.table.merge(member, self.reactor.seconds())
+
+    def change(self, body: bytes) -> None:
+        """Tell a side about a change of the configuration.
+
+        :param body: of its record.
+        """
+        for entry in self.entries:
+            entry.push_change(self.position, body)
+        self.position += 1
+
+    def traffic(self) -> Traffic:
+        """Return the traffic with the process under measurement so far."""
+        messages = self.sent + self.received
+        payload = sum(
+            link.bytes_sent + link.bytes_received for link in self.links
+        )
+        return Traffic(payload + FRAME_BYTES * messages, messages)
+
+
+def make_application(reactor: Any) -> Application:
+    """Return an application that knows the messages of all slices.
+
+    :param reactor: Twisted's reactor.
+    """
+    application = Application(Settings('entry', {}), reactor, 'fleet')
+    for messages in SLICES:
+        application.codec.register(messages.SCHEMA, messages.MESSAGES)
+    return application
+
+
+def _ignore(*_: object) -> None:
+    """Do nothing: the stand-ins do not ask for tables."""
--- /dev/null
+++ b/benchmarks/control/log.py
@@ -0,0 +1,45 @@
+"""Changes of the configuration for the benchmark."""
+
+from __future__ import annotations
+
+import json
+from itertools import count
+from typing import Any
+
+import treq
+from twisted.web.http_headers import Headers
+
+#: Teams whose records are changed in turn.
+TEAMS = 290
+
+_numbers = count()
+
+
+def make_change() -> bytes:
+    """Return the next record of a change, as JSON."""
+    number = next(_numbers)
+    version = number // TEAMS
+    document = {
+        'type': 'change',
+        'kind': 'team',
+        'name': f'team-{number % TEAMS}',
+        'version': version + 1,
+        'expected': version,
+        'change_id': f'change-{number:012}',
+        'value': {'quota': 100 + number, 'weight': 1},
+    }
+    return json.dumps(document).encode()
+
+
+def append_change(reactor: Any, log: str) -> Any:
+    """Append the next change to the log.
+
+    :param reactor: Twisted's reactor.
+    :param log: address of the log service.
+    """
+    return treq.post(
+        f'http://{log}/v1/streams/configuration/records',
+        data=make_change(),
+        reactor=reactor,
+        headers=Headers({'Content-Type': ['application/json']}),
+    )
--- /dev/null
+++ b/benchmarks/control/nodes.py
@@ -0,0 +1,166 @@
+"""Real processes under measurement."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import subprocess  # noqa: S404
+import sys
+import tempfile
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from benchmarks.control.deployment import DEPLOYMENT, HEARTBEAT, SHARED_KEY
+
+_KB_A_MB = 1024
+_NANOSECONDS = 1000000000
+
+
+class Usage(NamedTuple):
+    """What a process has used so far."""
+
+    #: Processor time in seconds.
+    processor: float
+    #: Resident memory in MB.
+    memory: float
+
+
+class Node:
+    """A real process of the system or of a stand-in.
+
+    :param arguments: of `python -m`.
+    :param directory: for its log.
+    """
+
+    def __init__(self, arguments: list[str], directory: Path) -> None:
+        """Start the process."""
+        self.log = directory / f'{arguments[0]}-{len(os.listdir(directory))}'
+        with self.log.open('ab') as stream:
+            self.process = subprocess.Popen(  # noqa: S603
+                [sys.executable, '-m', *arguments],
+                stdout=subprocess.PIPE,
+                stderr=stream,
+            )
+
+    @classmethod
+    def from_settings(cls, settings: dict[str, Any], directory: Path) -> Node:
+        """Start an entry or a side.
+
+        :param settings: besides those that all have.
+        :param directory: for its settings and log.
+        """
+        path = directory / f'{settings["node"]}.json'
+        common = {
+            'deployment': DEPLOYMENT,
+            'shared_key': SHARED_KEY,
+            'heartbeat': HEARTBEAT,
+            'operator_address': free_address(),
+            'log_level': 'warning',
+        }
+        path.write_text(json.dumps({**common, **settings}))
+        role = str(settings['role'])
+        return cls(['jackdawridge', role, '--settings', str(path)], directory)
+
+    def read_address(self) -> str:
+        """Return the address that a stand-in prints when it is ready."""
+        assert self.process.stdout is not None
+        return str(json.loads(self.process.stdout.readline())['address'])
+
+    def usage(self) -> Usage:
+        """Return what the process has used so far."""
+        proc = Path('/proc') / str(self.process.pid)
+        schedule = (proc / 'schedstat').read_text().split()
+        for line in (proc / 'status').read_text().splitlines():
+            if line.startswith('VmRSS'):
+                memory = int(line.split()[1]) / _KB_A_MB
+        return Usage(int(schedule[0]) / _NANOSECONDS, memory)
+
+    def stop(self) -> None:
+        """End the process."""
+        self.process.kill()
+        self.process.wait()
+        if self.process.stdout is not None:
+            self.process.stdout.close()
+
+
+def free_address() -> str:
+    """Return a free address on loopback."""
+    with socket.socket() as listener:
+        listener.bind(('127.0.0.1', 0))
+        return '127.0.0.1:{0}'.format(listener.getsockname()[1])
+
+
+def start_entry(
+    stack: ExitStack, seeds: list[str], log: str
+) -> tuple[Node, str]:
+    """Start the entry under measurement; return it with its address.
+
+    :param stack: ends the process.
+    :param seeds: of its settings.
+    :param log: address of the log service.
+    """
+    directory = make_directory(stack)
+    address = free_address()
+    entry = Node.from_settings(
+        {
+            'role': 'entry',
+            'node': 'measured-entry',
+            'failure_domain': 'domain-0',
+            'caller_address': free_address(),
+            'peer_address': address,
+            'log_service': log,
+            'entries': seeds,
+        },
+        directory,
+    )
+    stack.callback(entry.stop)
+    return entry, address
+
+
+def start_side(stack: ExitStack, seeds: list[str]) -> Node:
+    """Start the side under measurement with a stand-in worker.
+
+    :param stack: ends the processes.
+    :param seeds: of its settings.
+    """
+    directory = make_directory(stack)
+    worker = start_stand_in(
+        stack, 'worker', '--node', 'w', '--failure-domain', 'domain-0'
+    )
+    side = Node.from_settings(
+        {
+            'role': 'side',
+            'node': 'measured-side',
+            'failure_domain': 'domain-0',
+            'entries': seeds,
+            'worker': worker,
+        },
+        directory,
+    )
+    stack.callback(side.stop)
+    return side
+
+
+def start_stand_in(stack: ExitStack, *arguments: str) -> str:
+    """Start a stand-in of the platform and return its address.
+
+    :param stack: ends the process.
+    :param arguments: of the command `standin`.
+    """
+    node = Node(
+        ['jackdawridge.cmd.standin', 'standin', *arguments],
+        make_directory(stack),
+    )
+    stack.callback(node.stop)
+    return node.read_address()
+
+
+def make_directory(stack: ExitStack) -> Path:
+    """Return a new directory.
+
+    :param stack: removes it.
+    """
+    directory = tempfile.TemporaryDirectory()
+    return Path(stack.enter_context(directory))
--- /dev/null
+++ b/benchmarks/control/peers.py
@@ -0,0 +1,218 @@
+"""Stand-in peers that speak the real messages over real links."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+
+from benchmarks.control.deployment import DEPLOYMENT, HEARTBEAT, SHARED_KEY
+from jackdawridge.configuration.messages import (
+    ConfigurationApplied,
+    ConfigurationRequest,
+    ConfigurationSnapshot,
+    ConfigurationUpdate,
+    LogRecord,
+)
+from jackdawridge.execution.messages import Heartbeat, HeartbeatReply, Room
+from jackdawridge.membership.messages import (
+    Gossip,
+    Introduction,
+    Probe,
+    ProbeReply,
+    SyncRequest,
+)
+from jackdawridge.wire.handshake import Identity
+from jackdawridge.wire.link import AcceptingFactory, DialingFactory, LinkContext
+
+if TYPE_CHECKING:
+    from benchmarks.control.fleet import Fleet
+    from jackdawridge.wire.link import Link
+
+IDENTITY = Identity(DEPLOYMENT, SHARED_KEY)
+#: Bytes before each message on a link.
+FRAME_BYTES = 4
+_LINK_LIMIT = 8192
+
+
+class StandIn:
+    """A process of the system as its peers see it.
+
+    :param fleet: of the stand-in.
+    :param introduction: what it says about itself.
+    """
+
+    def __init__(self, fleet: Fleet, introduction: Introduction) -> None:
+        """Start without links."""
+        self.fleet = fleet
+        self.introduction = introduction
+        self.link: Link | None = None
+        self.context = LinkContext(
+            IDENTITY, fleet.codec, self, fleet.reactor, _LINK_LIMIT
+        )
+
+    def dial(self, address: str) -> None:
+        """Open a link.
+
+        :param address: of the process under measurement.
+        """
+        host, _, port = address.rpartition(':')
+        endpoint = TCP4ClientEndpoint(self.fleet.reactor, host, int(port))
+        factory: Any = DialingFactory(self.context)
+        endpoint.connect(factory).addErrback(self.dial_again, address)
+
+    def dial_again(self, _: object, address: str) -> None:
+        """Dial once more after a failure.
+
+        :param address: of the process under measurement.
+        """
+        self.fleet.reactor.callLater(HEARTBEAT, self.dial, address)
+
+    def listen(self) -> str:
+        """Accept links; return the address."""
+        factory = AcceptingFactory(self.context)
+        port = self.fleet.reactor.listenTCP(0, factory, interface='127.0.0.1')
+        self.fleet.ports.append(port)
+        address = f'127.0.0.1:{port.getHost().port}'
+        self.introduction = self.introduction._replace(address=address)
+        return address
+
+    def link_opened(self, link: Link) -> None:
+        """Introduce the stand-in, if the peer has dialled.
+
+        :param link: that is open.
+        """
+        self.fleet.links.append(link)
+        if not link.is_dialled():
+            self.link = link
+            self.send(self.introduction)
+
+    def message_received(self, link: Link, message: Any) -> None:
+        """Answer a message.
+
+        :param link: where it came from.
+        :param message: any message.
+        """
+        self.fleet.received += 1
+        if isinstance(message, Introduction):
+            if link.is_dialled():
+                self.link = link
+                self.send(self.introduction)
+            self.joined()
+        elif link is self.link:
+            self.answer(message)
+
+    def link_closed(self, link: Link, reason: str) -> None:
+        """Forget a link.
+
+        :param link: that has ended.
+        :param reason: why.
+        """
+        if link is self.link:
+            self.link = None
+
+    def send(self, message: Any) -> bool:
+        """Send a message and return whether there is a link.
+
+        :param message: of a registered type.
+        """
+        if self.link is None or not self.link.send(message):
+            return False
+        self.fleet.sent += 1
+        return True
+
+    def joined(self) -> None:
+        """Do what comes first on a link."""
+
+    def answer(self, message: Any) -> None:
+        """Answer a message.
+
+        :param message: any message but an introduction.
+        """
+
+    def restart(self, address: str) -> None:
+        """End the link and come back as a new run.
+
+        :param address: of the process under measurement.
+        """
+        if self.link is not None:
+            self.link.close('restart')
+            self.fleet.reactor.callLater(HEARTBEAT, self.dial, address)
+        generation = self.introduction.generation + 1
+        self.introduction = self.introduction._replace(
+            generation=generation,
+            incarnation=f'{random.getrandbits(48):012x}',  # noqa: S311
+        )
+
+
+class StandInSide(StandIn):
+    """A side without a worker."""
+
+    def __init__(self, fleet: Fleet, introduction: Introduction) -> None:
+        """Start without links."""
+        super().__init__(fleet, introduction)
+        self.window = 0
+
+    def joined(self) -> None:
+        """Ask for the configuration and begin to send heartbeats."""
+        self.send(ConfigurationRequest(self.fleet.position))
+        self.beat()
+
+    def beat(self) -> None:
+        """Send a heartbeat."""
+        self.window += 1
+        running = random.randrange(64)  # noqa: S311
+        room = Room(64 - running, 262144 - running * 1000, 1, running)
+        self.send(Heartbeat(self.window, 0, room, False, self.fleet.position))
+
+    def answer(self, message: Any) -> None:
+        """Acknowledge changes of the configuration and refute suspicions.
+
+        :param message: any message.
+        """
+        if isinstance(message, ConfigurationUpdate | ConfigurationSnapshot):
+            self.send(ConfigurationApplied(message.position))
+        elif isinstance(message, Gossip):
+            own = self.introduction.node
+            self.fleet.suspicions += sum(
+                member.node == own and member.state > 0
+                for member in message.members
+            )
+
+
+class StandInEntry(StandIn):
+    """An entry without jobs."""
+
+    def joined(self) -> None:
+        """Tell a side which entries there are."""
+        if self.fleet.measures_side:
+            self.send(Gossip(tuple(self.fleet.entry_members())))
+
+    def answer(self, message: Any) -> None:
+        """Answer probes, heartbeats and requests for the table.
+
+        :param message: any message.
+        """
+        fleet = self.fleet
+        if isinstance(message, Heartbeat):
+            reply = HeartbeatReply(message.window, 0, fleet.position, 0.2)
+            self.send(reply)
+        elif isinstance(message, Probe):
+            fleet.learn(message.members)
+            digest = fleet.table.digest
+            self.send(ProbeReply(message.number, digest, fleet.news()))
+        elif isinstance(message, ProbeReply | Gossip):
+            fleet.learn(message.members)
+        elif isinstance(message, SyncRequest):
+            peer: Any = self
+            fleet.exchange.request_received(peer, message)
+
+    def push_change(self, offset: int, body: bytes) -> None:
+        """Send a change of the configuration to the side.
+
+        :param offset: of its record.
+        :param body: of its record.
+        """
+        records = (LogRecord(offset, body),)
+        self.send(ConfigurationUpdate(offset, offset + 1, records))
--- /dev/null
+++ b/benchmarks/control_cost.py
@@ -0,0 +1,345 @@
+"""Measures what control costs an entry and a side, by the number of workers.
+
+One real process and stand-in peers that speak the real messages. No task is
+run. Heartbeats and probes run at their real rate; changes and restarts run
+faster than their daily rates, and the cost of one is scaled to a day.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import time
+from contextlib import ExitStack
+from pathlib import Path
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from twisted.internet.defer import (
+    Deferred,
+    ensureDeferred,
+    gatherResults,
+)
+from twisted.internet.task import deferLater, react
+
+from benchmarks.control import nodes
+from benchmarks.control.deployment import (
+    CHANGES_A_DAY,
+    SECONDS_A_DAY,
+    Size,
+)
+from benchmarks.control.fleet import DIALS_A_SECOND, Fleet
+from benchmarks.control.log import append_change, make_change
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+WORKERS = (100, 500, 1000, 2000, 4000)
+#: Sizes at which all sides link to the entry, bounded by its link limit.
+FULL_WORKERS = (500, 1000, 2000)
+ROLES = ('entry', 'side', 'full')
+#: Limits for a node at 4,000 workers.
+TARGETS = MappingProxyType({'share': 0.017, 'bytes': 30000, 'memory': 128})
+#: Time for all links to open and the table to settle, in seconds.
+SETTLING = 9.0
+#: Length of each measurement, in seconds.
+PHASE = 10.0
+#: Changes and restarts a second in their measurements.
+EVENT_RATE = 2.0
+
+
+class Cost(NamedTuple):
+    """Use of a process over a time."""
+
+    #: Share of a core.
+    share: float
+    bytes_a_second: float
+    messages_a_second: float
+    #: Resident memory in MB at the end.
+    memory: float
+
+
+class Row(NamedTuple):
+    """The result of one run."""
+
+    role: str
+    #: `subset` or `full`.
+    links: str
+    workers: int
+    entries: int
+    linked: int
+    idle: Cost
+    #: Processor seconds and bytes of one change of the configuration.
+    change: tuple[float, float]
+    #: Processor seconds and bytes of one restart of a process.
+    restart: tuple[float, float]
+    #: The idle cost and that of a day's changes and restarts.
+    total: Cost
+
+
+class Meter:
+    """Measures a process and its traffic.
+
+    :param node: the process.
+    :param fleet: its peers.
+    """
+
+    #: Whether changes and restarts are left out.
+    only_rest = False
+
+    def __init__(self, node: nodes.Node, fleet: Fleet) -> None:
+        """Keep both."""
+        self.node = node
+        self.fleet = fleet
+
+    async def measure(
+        self, event: Callable[[], object] | None = None
+    ) -> tuple[Cost, int]:
+        """Return the cost over one phase, and the number of events in it.
+
+        :param event: called at the event rate, if any.
+        """
+        before = self.node.usage()
+        traffic = self.fleet.traffic()
+        started = time.monotonic()
+        events = 0
+        while time.monotonic() - started < PHASE:
+            if event is not None and events < EVENT_RATE * (PHASE - 2):
+                event()
+                events += 1
+            await deferLater(self.fleet.reactor, 1 / EVENT_RATE)
+        elapsed = time.monotonic() - started
+        after = self.node.usage()
+        now = self.fleet.traffic()
+        cost = Cost(
+            (after.processor - before.processor) / elapsed,
+            (now.bytes - traffic.bytes) / elapsed,
+            (now.messages - traffic.messages) / elapsed,
+            after.memory,
+        )
+        return cost, events
+
+    async def measure_event(
+        self, idle: Cost, event: Callable[[], object]
+    ) -> tuple[float, float]:
+        """Return the processor seconds and bytes of one event.
+
+        :param idle: the cost without events.
+        :param event: that happens.
+        """
+        cost, events = await self.measure(event)
+        processor = (cost.share - idle.share) * PHASE / events
+        sent = (cost.bytes_a_second - idle.bytes_a_second) * PHASE / events
+        return max(processor, 0), max(sent, 0)
+
+
+async def measure_entry(reactor: Any, size: Size, *, full: bool) -> Row:
+    """Measure an entry.
+
+    :param reactor: Twisted's reactor.
+    :param size: of the deployment.
+    :param full: whether all sides link to it.
+    """
+    with ExitStack() as stack:
+        log = nodes.start_stand_in(stack, 'log')
+        fleet = Fleet(reactor, size, measures_side=False)
+        stack.callback(fleet.stop)
+        entry, address = nodes.start_entry(stack, [nodes.free_address()], log)
+        await deferLater(reactor, 3)
+        fleet.start(address)
+        await deferLater(
+            reactor, SETTLING + len(fleet.linked_sides()) / DIALS_A_SECOND
+        )
+        meter = Meter(entry, fleet)
+        return await measure_row(
+            meter,
+            'entry',
+            'full' if full else 'subset',
+            lambda: append_change(reactor, log),
+        )
+
+
+async def measure_side(reactor: Any, size: Size) -> Row:
+    """Measure a side.
+
+    :param reactor: Twisted's reactor.
+    :param size: of the deployment.
+    """
+    with ExitStack() as stack:
+        fleet = Fleet(reactor, size, measures_side=True)
+        stack.callback(fleet.stop)
+        seeds = [fleet.entries[0].introduction.address]
+        side = nodes.start_side(stack, seeds)
+        await deferLater(reactor, SETTLING + 3)
+        meter = Meter(side, fleet)
+        return await measure_row(
+            meter, 'side', 'subset', lambda: fleet.change(make_change())
+        )
+
+
+async def measure_row(
+    meter: Meter, role: str, links: str, change: Callable[[], object]
+) -> Row:
+    """Measure a process at rest, under changes and under restarts.
+
+    :param meter: of the process.
+    :param role: of the process.
+    :param links: `subset` or `full`.
+    :param change: changes the configuration once.
+    """
+    size = meter.fleet.size
+    idle, _ = await meter.measure()
+    change_cost: tuple[float, float] = (0, 0)
+    restart_cost = change_cost
+    if not meter.only_rest:
+        change_cost = await meter.measure_event(idle, change)
+        restart_cost = await meter.measure_event(idle, meter.fleet.restart_one)
+    changes = CHANGES_A_DAY / SECONDS_A_DAY
+    restarts = size.restarts_a_second()
+    total = Cost(
+        idle.share + changes * change_cost[0] + restarts * restart_cost[0],
+        idle.bytes_a_second
+        + changes * change_cost[1]
+        + restarts * restart_cost[1],
+        idle.messages_a_second,
+        meter.node.usage().memory,
+    )
+    linked = sum(link.is_open for link in meter.fleet.links)
+    return Row(
+        role,
+        links,
+        size.workers,
+        size.entries,
+        linked,
+        idle,
+        change_cost,
+        restart_cost,
+        total,
+    )
+
+
+async def measure_all(
+    reactor: Any, sizes: tuple[int, ...], roles: tuple[str, ...]
+) -> list[Row]:
+    """Measure all sizes; an entry and a side run at the same time.
+
+    :param reactor: Twisted's reactor.
+    :param sizes: numbers of workers.
+    :param roles: `entry`, `side`, and `full` for an entry with all links.
+    """
+    rows: list[Row] = []
+    for workers in sizes:
+        size = Size.from_workers(workers)
+        runs = []
+        if 'entry' in roles:
+            runs.append(measure_entry(reactor, size, full=False))
+        if 'side' in roles:
+            runs.append(measure_side(reactor, size))
+        if 'full' in roles and workers in FULL_WORKERS:
+            every = Size.from_workers(workers, full=True)
+            runs.append(measure_entry(reactor, every, full=True))
+        done = gatherResults([ensureDeferred(one) for one in runs])
+        measured = await done
+        rows.extend(measured)
+        print('\n'.join(map(format_row, measured)), flush=True)
+    return sorted(rows)
+
+
+def format_row(row: Row) -> str:
+    """Return a line of the table.
+
+    :param row: the result of a run.
+    """
+    cells = (
+        row.role,
+        row.links,
+        str(row.workers),
+        str(row.linked),
+        f'{row.idle.share:.2%}',
+        f'{row.total.share:.2%}',
+        f'{row.total.bytes_a_second / 1000:.1f}',
+        f'{row.idle.messages_a_second:.0f}',
+        f'{row.total.memory:.1f}',
+        f'{row.change[0] * 1000:.1f}',
+        f'{row.restart[0] * 1000:.1f}',
+    )
+    return '| {0} |'.format(' | '.join(cells))
+
+
+HEADER = (
+    '| role | links | workers | open links | CPU at rest | CPU of a day '
+    '| KB/s | messages/s | MB | ms a change | ms a restart |\n'
+    '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |'
+)
+
+
+def find_slopes(rows: list[Row]) -> dict[str, dict[str, float]]:
+    """Return the growth a worker between the smallest and largest size.
+
+    :param rows: the results.
+    """
+    slopes: dict[str, dict[str, float]] = {}
+    for kind in sorted({(row.role, row.links) for row in rows}):
+        same = [row for row in rows if (row.role, row.links) == kind]
+        first, last = same[0], same[-1]
+        added = max(last.workers - first.workers, 1)
+        slopes[' '.join(kind)] = {
+            'share': (last.total.share - first.total.share) / added,
+            'bytes': (last.total.bytes_a_second - first.total.bytes_a_second)
+            / added,
+            'memory': (last.total.memory - first.total.memory) / added,
+        }
+    return slopes
+
+
+async def run(reactor: Any, arguments: argparse.Namespace) -> None:
+    """Measure, print and write the results.
+
+    :param reactor: Twisted's reactor.
+    :param arguments: of the command line.
+    """
+    print(HEADER, flush=True)
+    Meter.only_rest = arguments.rest
+    rows = await measure_all(
+        reactor, tuple(arguments.workers), tuple(arguments.roles)
+    )
+    report = {
+        'targets': dict(TARGETS),
+        'rows': [
+            {
+                **row._asdict(),
+                'idle': row.idle._asdict(),
+                'total': row.total._asdict(),
+            }
+            for row in rows
+        ],
+        'slopes_a_worker': find_slopes(rows),
+    }
+    text = json.dumps(report, indent=1)
+    if arguments.json is None:
+        print(text)
+    else:
+        arguments.json.write_text(f'{text}\n')
+
+
+def main() -> None:
+    """Read the command line and measure."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--workers', type=int, nargs='+', default=WORKERS)
+    parser.add_argument(
+        '--roles', nargs='+', choices=ROLES, default=ROLES, help='what to run'
+    )
+    parser.add_argument(
+        '--rest', action='store_true', help='leave changes and restarts out'
+    )
+    parser.add_argument('--json', type=Path, help='file for the results')
+    arguments = parser.parse_args()
+
+    def begin(reactor: Any) -> Deferred[None]:  # noqa: WPS430
+        return ensureDeferred(run(reactor, arguments))
+
+    react(begin)
+
+
+if __name__ == '__main__':
+    main()
