Spread no news of a whole table and find entries by an index

Cause: an entry that had received a table queued each of its records as news and passed it on 18 times; each message counted the entries by a scan of all members.

Change: what comes with a table is kept and not passed on. The table keeps its entries apart.

--- a/jackdawridge/membership/component.py
+++ b/jackdawridge/membership/component.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred
 
 from jackdawridge.logs import get_logger
+from jackdawridge.membership.announcer import Announcer
 from jackdawridge.membership.detector import SILENT_PERIODS, Watch
 from jackdawridge.membership.directory import Directory
 from jackdawridge.membership.duties import EntryDuties
@@ -77,9 +78,10 @@
         is_entry = table.own.role == 'entry'
         self.duties = EntryDuties(self) if is_entry else None
         self.timer: DelayedCall | None = None
+        self.reported_superseded = False
         #: After which the process announces itself; at the start if empty.
         self.ready_event = ''
-        self.introduce_again()
+        self.announcer = Announcer(peers, table)
         application.on_message(Gossip, self.gossip_received)
         application.events.connect('peer_joined', self.peer_joined)
         application.events.connect('draining', self.announce_leaving)
@@ -208,8 +210,23 @@
         :param members: the records.
         """
         now = self.clock.seconds()
-        was_superseded = self.table.superseded
-        merged = [self.table.merge(member, now) for member in members]
+        self.adopt(peer, [self.table.merge(member, now) for member in members])
+
+    def learn(self, peer: Peer, members: tuple[Member, ...]) -> None:
+        """Take a part of the table of an entry.
+
+        :param peer: the entry.
+        :param members: the records.
+        """
+        now = self.clock.seconds()
+        self.adopt(peer, [self.table.learn(member, now) for member in members])
+
+    def adopt(self, peer: Peer, merged: list[Member | None]) -> None:
+        """Act on what is news.
+
+        :param peer: who sent it.
+        :param merged: the news, and None for what was known.
+        """
         news = [record for record in merged if record is not None]
         if news:
             logger.info(
@@ -220,7 +237,8 @@
         if any(learned.role == 'entry' for learned in news):
             self.report_ended_runs()
             self.aim()
-        if self.table.superseded and not was_superseded:
+        if self.table.superseded and not self.reported_superseded:
+            self.reported_superseded = True
             logger.warning('a later run of this node lives', peer=peer.name)
             self.application.events.emit('superseded')
 
@@ -230,30 +248,11 @@
         :param member: the new record.
         """
         if member is self.table.own:
-            self.introduce_again()
-            self.tell_all(member)
+            self.announcer.announce()
         elif self.duties is not None:
             self.duties.pass_on(member)
         self.application.events.emit('member_changed', member)
 
-    def introduce_again(self) -> None:
-        """Use the record of this process in introductions from now on."""
-        own = self.table.own
-        self.peers.introduction = self.peers.introduction._replace(
-            generation=own.generation,
-            version=own.version,
-            leaving=own.leaving,
-        )
-
-    def tell_all(self, member: Member) -> None:
-        """Send a record to all linked peers.
-
-        :param member: the record.
-        """
-        gossip = Gossip((member,))
-        for peer in tuple(self.peers.by_link.values()):
-            peer.send(gossip)
-
     def announce_leaving(self) -> None:
         """Say that this process wants no new work."""
         self.publish(self.table.leave(self.clock.seconds()))
--- a/jackdawridge/membership/duties.py
+++ b/jackdawridge/membership/duties.py
@@ -14,7 +14,6 @@
     State,
 )
 from jackdawridge.membership.sides import SideWatch
-from jackdawridge.membership.targets import known_entries
 
 if TYPE_CHECKING:
     from jackdawridge.membership.component import Membership
@@ -44,9 +43,7 @@
             application.settings.integer('entries_per_side'),
             membership.period,
         )
-        self.exchange = TableExchange(
-            application, self.table, membership.receive
-        )
+        self.exchange = TableExchange(application, self.table, membership.learn)
         application.on_message(Probe, self.probe_received)
         application.on_message(ProbeReply, self.reply_received)
         application.on_message(ProbeRequest, self.request_received)
@@ -116,7 +113,7 @@
 
     def news(self) -> tuple[Member, ...]:
         """Return the news for one message."""
-        return self.table.queue.take(len(known_entries(self.table)))
+        return self.table.queue.take(len(self.table.entries))
 
     def probe_received(self, peer: Peer, probe: Probe) -> None:
         """Answer a probe.
@@ -163,7 +160,7 @@
         """
         if peer.introduction.role == 'side':
             self.sides.lost.pop(peer.name, None)
-            peer.send(Gossip(tuple(known_entries(self.table))))
+            peer.send(Gossip(tuple(self.table.entries.values())))
         elif not self.exchange.joined:
             self.exchange.ask(peer)
 
--- a/jackdawridge/membership/sides.py
+++ b/jackdawridge/membership/sides.py
@@ -101,20 +101,20 @@
         side = table.members.get(node)
         if side is None or side.state != State.alive:
             return False
-        entries = usable_entries(table.members)
+        entries = usable_entries(table)
         chosen = choose(node, entries, self.share)
         return any(entry.node == self.own for entry in chosen)
 
 
-def usable_entries(members: Mapping[str, Member]) -> list[Member]:
+def usable_entries(table: Table) -> list[Member]:
     """Return the entries that sides may choose.
 
-    :param members: all known members.
+    :param table: of the members.
     """
     return [
-        member
-        for member in members.values()
-        if member.role == 'entry' and member.is_present() and not member.leaving
+        entry
+        for entry in table.entries.values()
+        if entry.is_present() and not entry.leaving
     ]
 
 
--- a/jackdawridge/membership/state.py
+++ b/jackdawridge/membership/state.py
@@ -58,6 +58,10 @@
         #: Whether a later run of this node exists.
         self.superseded = False
         self.members: dict[str, Member] = {own.node: own}
+        #: The members that are entries.
+        self.entries: dict[str, Member] = {}
+        if own.role == 'entry':
+            self.entries[own.node] = own
         #: Order-independent digest of the present members.
         self.digest = fingerprint(own)
         #: When each suspected member is declared dead.
@@ -68,6 +72,17 @@
         self.queue = GossipQueue()
         self.queue.put(own)
 
+    def learn(self, member: Member, now: float) -> Member | None:
+        """Take a record of a whole table, which need not be passed on.
+
+        :param member: a record from a peer.
+        :param now: the time in seconds.
+        """
+        news = self.merge(member, now)
+        if news is member:
+            self.queue.forget(member.node)
+        return news
+
     def merge(self, member: Member, now: float) -> Member | None:
         """Take a record and return it if it was news.
 
@@ -156,6 +171,8 @@
             self.digest ^= fingerprint(known)
         self.digest ^= fingerprint(member)
         self.members[node] = member
+        if member.role == 'entry':
+            self.entries[node] = member
         self.runs.note(known, member, now)
         self.deadlines.pop(node, None)
         self.ended.pop(node, None)
@@ -202,6 +219,7 @@
         for node in drop_oldest(self.ended, horizon, MAX_TOMBSTONES):
             if node != self.own.node:
                 self.members.pop(node, None)
+                self.entries.pop(node, None)
                 self.queue.forget(node)
 
     def is_gone(self, address: str, incarnation: str, now: float) -> bool:
@@ -215,7 +233,7 @@
         """
         at_address = [
             member
-            for member in self.members.values()
+            for member in self.entries.values()
             if member.address == address
         ]
         return self.runs.is_gone(address, incarnation, at_address, now)
@@ -225,9 +243,10 @@
 
         :param role: `entry` or `side`.
         """
+        known = self.entries if role == 'entry' else self.members
         return [
             member
-            for member in self.members.values()
+            for member in known.values()
             if member.role == role and member.is_present()
         ]
 
--- a/jackdawridge/membership/targets.py
+++ b/jackdawridge/membership/targets.py
@@ -113,7 +113,7 @@
         :param links: to entries.
         :param now: the time in seconds.
         """
-        entries = known_entries(table)
+        entries = list(table.entries.values())
         seeds = set(self.landings.seeds)
         if self.is_starting(now):
             return seeds
@@ -165,7 +165,7 @@
         """
         own = table.own
         others = [
-            entry for entry in known_entries(table) if entry.node != own.node
+            entry for entry in table.entries.values() if entry.node != own.node
         ]
         accepted = links.nodes.difference(links.dialled.values())
         wanted = {
@@ -191,16 +191,6 @@
         return set(self.landings.seeds) - known
 
 
-def known_entries(table: Table) -> list[Member]:
-    """Return all entries of a table, whatever their state.
-
-    :param table: of the members.
-    """
-    return [
-        member for member in table.members.values() if member.role == 'entry'
-    ]
-
-
 def holders(entries: Collection[Member]) -> list[Member]:
     """Return the entry that is expected behind each address.
 
