Place and judge at a heartbeat only if there is reason to

Cause: each heartbeat scheduled a round of placement, and four times a second the health of every side was judged, also with nothing queued or running.

Change: a heartbeat asks for a round only while tasks are queued; sides that run nothing and have no record of failures are not judged.

--- a/jackdawridge/placement/health.py
+++ b/jackdawridge/placement/health.py
@@ -174,6 +174,14 @@
         many = late >= MIN_LATE_TASKS and late >= running * LATE_PART
         self.of(side_id).is_late = many
 
+    def is_limited(self, side_id: str) -> bool:
+        """Return whether a side has given reason to be limited.
+
+        :param side_id: identifies the side.
+        """
+        health = self.sides.get(side_id)
+        return health is not None and health.is_limited()
+
     def judge(self, side_id: str, fleet: int) -> Verdict:
         """Return what follows for a side.
 
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -60,10 +60,6 @@
         self.learner = Learner()
         self.assignments: dict[Key, Assignment] = {}
         self.placed = 0
-        #: Starts that came back because the side did not take them.
-        self.refusals = 0
-        #: Offers of room from sides.
-        self.offered = 0
 
     def need(self, request: Request) -> Need:
         """Return the estimate for a task, within what a worker has.
@@ -143,7 +139,6 @@
         assignment = self.release(key)
         if assignment is None:
             return
-        self.refusals += 1
         self.queues.put_back(assignment.request, assignment.standing)
         side = self.sides.get(side_id)
         if side is None:
@@ -204,5 +199,7 @@
                 late[side_id] = late.get(side_id, 0) + 1
         for side_id, side in self.sides.items():
             count = late.get(side_id, 0)
+            if not side.outstanding and not self.health.is_limited(side_id):
+                continue
             self.health.late_tasks(side_id, count, side.outstanding)
             self.judge(side_id)
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -148,6 +148,11 @@
             self.cancelled.append(ticket)
             self.place_soon()
 
+    def place_if_waiting(self) -> None:
+        """Place at the end of this turn of the loop if anything is queued."""
+        if self.placer.queues.queued:
+            self.place_soon()
+
     def place_soon(self) -> None:
         """Place and cancel at the end of this turn of the loop."""
         if not self.placing:
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -155,7 +155,7 @@
                 heartbeat.processed,
                 self.clock.seconds(),
             )
-            self.engine.place_soon()
+            self.engine.place_if_waiting()
 
     def outcomes_received(self, peer: Peer, batch: OutcomeBatch) -> None:
         """Take the outcomes of starts.
