Send heartbeats to the entries of a side in turn

Cause: a side sent heartbeats to all of its entries at the same moment, so the age of the youngest word that it had from any of them was a whole interval. That forced one interval for everything, and at 300 sides an entry one second is over budget.

Change: the heartbeats of a side are spread over the interval, one entry after another. With five entries and an interval of 3 s a side hears an entry each 0.6 s, within the 3 s that the freshness of its configuration asks for.

--- a/jackdawridge/execution/heart.py
+++ b/jackdawridge/execution/heart.py
@@ -5,9 +5,12 @@
 from typing import TYPE_CHECKING
 
 from jackdawridge.execution.messages import Heartbeat
+from jackdawridge.execution.turns import TURNS, Turns
 from jackdawridge.util.clock import make_loop
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from jackdawridge.application import Application
     from jackdawridge.execution.sessions import EntryRecord
     from jackdawridge.execution.state import SideState
@@ -30,11 +33,13 @@
         self.clock = application.clock
         self.peers = peers
         self.state = state
-        self.loop = make_loop(self.clock, self.beat)
+        self.interval = application.settings.number('heartbeat')
+        self.turns = Turns(self.interval)
+        self.loop = make_loop(self.clock, self.beat_in_turn)
 
     def start(self) -> None:
-        """Beat at the interval of the settings."""
-        self.loop.start(self.application.settings.number('heartbeat'))
+        """Send each entry a heartbeat in each interval of the settings."""
+        self.loop.start(self.interval / TURNS)
 
     def stop(self) -> None:
         """Stop beating."""
@@ -46,19 +51,32 @@
 
         :param peer: the entry.
         """
-        now = self.clock.seconds()
-        window = self.state.sessions.windows.open(now)
-        self.state.gate.heartbeat_sent(window)
-        incarnation = peer.introduction.incarnation
-        record = self.state.sessions.entry(incarnation, now)
-        peer.send(self.write(record, window))
+        self.turns.join(peer.introduction.incarnation, self.clock.seconds())
+        self.send((peer,))
 
     def beat(self) -> None:
         """Send a heartbeat to every entry."""
+        self.send(self.peers.of_role('entry'))
+
+    def beat_in_turn(self) -> None:
+        """Send a heartbeat to the entries whose turn it is."""
+        linked = {
+            peer.introduction.incarnation: peer
+            for peer in self.peers.of_role('entry')
+        }
+        due = self.turns.take(linked.keys(), self.clock.seconds())
+        if due:
+            self.send([linked[incarnation] for incarnation in due])
+
+    def send(self, entries: Iterable[Peer]) -> None:
+        """Open a window and send a heartbeat to some entries.
+
+        :param entries: to send to.
+        """
         now = self.clock.seconds()
         window = self.state.sessions.windows.open(now)
         self.state.gate.heartbeat_sent(window)
-        for peer in self.peers.of_role('entry'):
+        for peer in entries:
             incarnation = peer.introduction.incarnation
             record = self.state.sessions.entry(incarnation, now)
             peer.send(self.write(record, window))
