Show the whole path in a demo, and add the commands for jobs

Cause: a newcomer had nothing to run, and callers no command. Change: 'demo' runs a deployment in one process and counts from the stand-ins' records; 'submit', 'cancel', 'status'; example settings; an entry is healthy only once it knows the configuration; a leaving entry acknowledges the last outcomes; the event stream of a worker could not be closed (its transport has no abortConnection) and now can.

--- a/jackdawridge/application.py
+++ b/jackdawridge/application.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING, Any, Protocol
 
 from twisted.internet.defer import Deferred, maybeDeferred
@@ -84,6 +84,8 @@
         self.codec = Codec()
         self.components: list[Component] = []
         self.handlers: dict[type[Any], Callable[[Peer, Any], None]] = {}
+        #: Messages from peers by the name of their type.
+        self.received: Counter[str] = Counter()
         #: Whether the process is leaving and takes no new work.
         self.draining = False
 
@@ -112,6 +114,7 @@
         :param peer: who sent it.
         :param message: an instance of a registered type.
         """
+        self.received[type(message).__name__] += 1
         handler = self.handlers.get(type(message))
         if handler is None:
             name = type(message).__name__
--- a/jackdawridge/cmd/main.py
+++ b/jackdawridge/cmd/main.py
@@ -6,7 +6,7 @@
 import sys
 from typing import TYPE_CHECKING
 
-from jackdawridge.cmd import config, daemon, domain, standin
+from jackdawridge.cmd import config, daemon, demo, domain, jobs, standin
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -27,7 +27,9 @@
     subparsers = parser.add_subparsers(
         title='commands', dest='command', required=True, metavar='COMMAND'
     )
+    demo.add_parser(subparsers)
     daemon.add_parsers(subparsers)
+    jobs.add_parsers(subparsers)
     standin.add_parser(subparsers)
     config.add_parser(subparsers)
     domain.add_parser(subparsers)
--- /dev/null
+++ b/jackdawridge/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A small deployment in one process that shows the whole path."""
--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -81,6 +81,7 @@
     submission.desk.agreements = ConfiguredJobs(
         application, submission.engine, followed.configuration
     )
+    daemon.resource.is_ready = followed.is_ready
     forwarding.use(ConfiguredRules(followed.configuration))
     daemon.operators.mount_klein(
         '/v1/configuration', ConfigurationResource(followed).app
--- a/jackdawridge/execution/worker_events.py
+++ b/jackdawridge/execution/worker_events.py
@@ -211,6 +211,5 @@
 
     def abort(self) -> None:
         """Close the connection."""
-        transport = self.transport
-        if transport is not None:
-            transport.abortConnection()
+        if self.transport is not None:
+            self.transport.loseConnection()
--- a/jackdawridge/operations/resource.py
+++ b/jackdawridge/operations/resource.py
@@ -36,6 +36,8 @@
         self.registry = registry
         #: Functions that return a NamedTuple as a section of the status.
         self.sections: dict[str, Callable[[], Any]] = {}
+        #: Returns whether the process can take work at all.
+        self.is_ready: Callable[[], bool] = lambda: True
 
     @app.route('/healthz', methods=['GET', 'HEAD'])
     def health(self, request: WebRequest) -> bytes:
@@ -44,10 +46,12 @@
         :param request: of the balancer.
         """
         request.setHeader('Content-Type', 'application/json')
-        if self.application.draining:
+        status = 'leaving' if self.application.draining else 'ok'
+        if not self.is_ready():
+            status = 'starting'
+        if status != 'ok':
             request.setResponseCode(_UNAVAILABLE)
-            return b'{"status":"leaving"}'
-        return b'{"status":"ok"}'
+        return msgspec.json.encode({'status': status})
 
     @app.route('/metrics', methods=['GET'])
     def metrics(self, request: WebRequest) -> bytes:
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -64,8 +64,11 @@
         self.sweeper.start(SWEEP_INTERVAL)
 
     def stop(self) -> None:
-        """Stop looking."""
+        """Stop looking and acknowledge the last outcomes."""
         self.sweeper.stop()
+        for record in self.engine.sides.values():
+            if record.peer is not None:
+                self.reply(record, record.peer, 0)
 
     def peer_joined(self, peer: Peer) -> None:
         """Begin a session with a side and ask about starts in doubt.
@@ -138,12 +141,7 @@
         if record is None:
             return
         record.window = max(record.window, heartbeat.window)
-        known = self.engine.configuration
-        peer.send(
-            HeartbeatReply(
-                heartbeat.window, record.received, known.position, known.age()
-            )
-        )
+        self.reply(record, peer, heartbeat.window)
         if heartbeat.draining:
             self.retire(record)
         elif not record.ready and not record.resolving:
@@ -157,6 +155,18 @@
             )
             self.engine.place_if_waiting()
 
+    def reply(self, record: SideRecord, peer: Peer, window: int) -> None:
+        """Renew the leases at a side and acknowledge its outcomes.
+
+        :param record: of the side.
+        :param peer: the current link.
+        :param window: of the heartbeat; 0 renews nothing.
+        """
+        known = self.engine.configuration
+        peer.send(
+            HeartbeatReply(window, record.received, known.position, known.age())
+        )
+
     def outcomes_received(self, peer: Peer, batch: OutcomeBatch) -> None:
         """Take the outcomes of starts.
 
