--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -22,6 +22,7 @@
 _BOTH = _ENTRY | _SIDE
 _MAX_PORT = 65535
 _MIN_KEY_LENGTH = 16
+_NO_DELAY = float(0)
 
 
 class Setting(NamedTuple):
@@ -343,6 +344,7 @@
     number_row('request_limit', _ENTRY, 4096, (1, 1000000), 'open requests'),
     number_row('request_queue', _ENTRY, 1024, (1, 1000000), 'waiting requests'),
     number_row('queue_limit', _ENTRY, 50000, (1, 10000000), 'queued tasks'),
+    number_row('link_delay', _BOTH, _NO_DELAY, (0, 1), 'seconds, for trials'),
     number_row('freshness', _SIDE, 2.5, (0.2, 60), 'seconds'),
     text_row('log_stream', _ENTRY, default='configuration'),
     number_row('log_poll', _ENTRY, 0.3, (0.05, 10), 'seconds'),
--- a/jackdawridge/daemon.py
+++ b/jackdawridge/daemon.py
@@ -35,6 +35,14 @@
 )
 
 
+class LinkStatus(NamedTuple):
+    """What operators see of the links of a process."""
+
+    open: int
+    #: Messages sent, by the name of their type.
+    sent: dict[str, int]
+
+
 class Daemon(NamedTuple):
     """The parts of a process that the slices are wired to."""
 
@@ -62,8 +70,12 @@
             settings.text('deployment'), settings.text('shared_key')
         )
         peers = Peers(application, identity, introduce(settings, incarnation))
+        peers.context.delay = settings.number('link_delay')
         registry = make_registry()
         resource = OperatorResource(application, registry)
+        resource.sections['links'] = lambda: LinkStatus(
+            len(peers.by_link), dict(peers.context.sent)
+        )
         operators = Router()
         for prefix in ('/healthz', '/metrics', '/v1/status'):
             operators.mount_klein(prefix, resource.app)
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -21,7 +21,7 @@
     from jackdawridge.placement.request import Placement, Request
 
 #: Response time over the ideal that the order of jobs aims at.
-TARGET_SLOWDOWN = 2.0
+TARGET_SLOWDOWN = 8.0
 
 #: Wait after which a task that fits no worker fails, in seconds.
 IMPOSSIBLE_AFTER = 3.0
@@ -148,6 +148,7 @@
         :param now: the time.
         """
         super().offer_received(side_id, offer, now)
+        self.offered += 1
         waiting = self.asking.answered(side_id)
         if waiting is not None:
             self.offers.append((side_id, waiting))
--- a/jackdawridge/placement/queues.py
+++ b/jackdawridge/placement/queues.py
@@ -65,6 +65,8 @@
         for request in requests:
             self.group(request).requests.append(request)
             self.queued += 1
+        #: Tasks when the job was queued.
+        self.size = self.queued
 
     def order(self) -> tuple[float, int]:
         """Return where the job stands among those of its team."""
--- a/jackdawridge/placement/rounds.py
+++ b/jackdawridge/placement/rounds.py
@@ -28,6 +28,25 @@
 #: Sides at which room is asked for at a time.
 MAX_ASKED = 2
 
+#: Tasks of a job from which it has to leave headroom.
+BULK = 20
+
+#: Part of each worker that a large job leaves free at first.
+HEADROOM = 0.15
+
+#: Wait after which a large job leaves nothing free, in seconds.
+HEADROOM_TIME = 1.0
+
+#: Time for which the whole room may serve one team ahead of its share, in
+#: seconds. Within it the most urgent job goes first, whosever it is.
+ALLOWANCE = 2.0
+
+#: Tasks that are placed before the teams are compared again.
+SERVED_TOGETHER = 16
+
+#: After all deadlines.
+LAST = (float('inf'), 0)
+
 #: Groups of tasks that are tried in vain for each team in one pass.
 LOOKAHEAD = 64
 
@@ -51,6 +70,12 @@
         self.current = next(candidates, None)
         self.skipped = 0
 
+    def deadline(self) -> tuple[float, int]:
+        """Return how urgent the current group is."""
+        if self.current is None:
+            return LAST
+        return self.current[0].order()
+
     def advance(self) -> None:
         """Go on to the next group that has tasks."""
         self.current = next(self.candidates, None)
@@ -65,7 +90,9 @@
 
 
 class Round:
-    """One pass, which serves the team that had least for its weight.
+    """One pass, which serves the most urgent job of the teams.
+
+    A team that had more than its share has to wait for the others.
 
     :param placer: whose queues and sides are joined.
     :param now: the time.
@@ -79,24 +106,40 @@
         #: Needs that no side fits.
         self.misfits: list[Need] = []
 
-    def run(self) -> list[Placement]:
+    def run(self) -> None:
         """Place tasks until none fits."""
         learner = self.placer.learner
-        heap = [
-            (team.virtual_time, team.name, Walk(team, team.candidates(learner)))
+        walks = [
+            Walk(team, team.candidates(learner))
             for team in self.placer.queues.teams.values()
             if team.queued
         ]
+        while walks:
+            self.serve_some(walks)
+            walks = [walk for walk in walks if walk.current is not None]
+
+    def serve_some(self, walks: list[Walk]) -> None:
+        """Place the most urgent tasks of the teams that are not ahead.
+
+        :param walks: of all teams that have tasks to try.
+        """
+        floor = min(walk.team.virtual_time for walk in walks)
+        self.placer.queues.virtual_time = floor
+        heap = [
+            (walk.deadline(), number, walk)
+            for number, walk in enumerate(walks)
+            if walk.team.virtual_time <= floor + ALLOWANCE
+        ]
         heapq.heapify(heap)
-        while heap:
-            walk = heap[0][2]
+        for _ in range(SERVED_TOGETHER):
+            if not heap:
+                return
+            _, number, walk = heap[0]
             self.serve(walk)
             if walk.current is None:
                 heapq.heappop(heap)
             else:
-                team = walk.team
-                heapq.heapreplace(heap, (team.virtual_time, team.name, walk))
-        return self.placements
+                heapq.heapreplace(heap, (walk.deadline(), number, walk))
 
     def serve(self, walk: Walk) -> None:
         """Place one task of a team, or skip a group.
@@ -107,21 +150,41 @@
             return
         job, group = walk.current
         need = self.placer.need(group.sample)
-        if self.is_hopeless(need) or not walk.team.within_quota(need):
+        if self.is_hopeless(
+            self.with_headroom(need, job)
+        ) or not walk.team.within_quota(need):
             walk.skip()
             return
         policy = self.placer.policy
-        side = policy.choose(need, self.placer.open_sides, self.now)
+        wanted = self.with_headroom(need, job)
+        side = policy.choose(wanted, self.placer.open_sides, self.now)
         if side is None:
-            self.misfits.append(need)
+            self.misfits.append(wanted)
             walk.skip()
             return
         request = self.placer.queues.take(job, group)
-        self.placer.queues.virtual_time = walk.team.virtual_time
         self.assign(job, request, side, 'most room')
         if not group.requests:
             walk.advance()
 
+    def with_headroom(self, need: Need, job: Job) -> Need:
+        """Return the room that has to be free for a task to be placed.
+
+        A large job that fills everything at once leaves no room until its
+        first tasks end, which holds up all short jobs. So a part of each
+        worker is kept free of it, less the longer it has waited.
+
+        :param need: the estimate for the task.
+        :param job: which it is part of.
+        """
+        waited = self.now - job.standing.queued_at
+        if job.size < BULK or waited >= HEADROOM_TIME:
+            return need
+        part = HEADROOM * (1 - waited / HEADROOM_TIME)
+        fleet = self.placer
+        cores = part * fleet.capacity.cores / max(len(fleet.open_sides), 1)
+        return need._replace(cores=need.cores + cores)
+
     def assign(
         self, job: Job, request: Request, side: Side, reason: str
     ) -> None:
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -60,6 +60,10 @@
         self.learner = Learner()
         self.assignments: dict[Key, Assignment] = {}
         self.placed = 0
+        #: Starts that came back because the side did not take them.
+        self.refusals = 0
+        #: Offers of room from sides.
+        self.offered = 0
 
     def need(self, request: Request) -> Need:
         """Return the estimate for a task, within what a worker has.
@@ -139,6 +143,7 @@
         assignment = self.release(key)
         if assignment is None:
             return
+        self.refusals += 1
         self.queues.put_back(assignment.request, assignment.standing)
         side = self.sides.get(side_id)
         if side is None:
--- a/jackdawridge/submission/status.py
+++ b/jackdawridge/submission/status.py
@@ -14,6 +14,10 @@
     open_jobs: int
     kept_answers: int
     queued_tasks: int
+    #: Starts that were decided, came back refused, and offers of room.
+    placed: int
+    refused: int
+    offered: int
     #: Nodes of the sides that work may be placed at.
     sides: list[str]
 
@@ -27,5 +31,8 @@
         len(engine.jobs),
         len(engine.answers.kept),
         engine.placer.queues.queued,
+        engine.placer.placed,
+        engine.placer.refusals,
+        engine.placer.offered,
         sorted(record.node for record in engine.sides.values() if record.ready),
     )
--- a/jackdawridge/wire/link.py
+++ b/jackdawridge/wire/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from collections import Counter, deque
 from typing import TYPE_CHECKING, Any, Protocol
 
 from twisted.internet.defer import Deferred
@@ -85,6 +86,8 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self.answered = False
+        #: Frames that are held back by the delay of the settings.
+        self.held: deque[tuple[bytes, bytes]] = deque()
         #: Fires when the handshake is complete; never if it fails.
         self.opened: Deferred[None] = Deferred()
         #: Fires when the connection has ended.
@@ -150,7 +153,18 @@
 
         :param frame: part of the handshake or a message.
         """
-        self.transport.writeSequence((_LENGTH.pack(len(frame)), frame))
+        packed = (_LENGTH.pack(len(frame)), frame)
+        if not self.context.delay:
+            self.transport.writeSequence(packed)
+            return
+        self.held.append(packed)
+        self.context.clock.callLater(self.context.delay, self.write_held)
+
+    def write_held(self) -> None:
+        """Send the frame that was held back longest."""
+        packed = self.held.popleft()
+        if not self.close_reason:
+            self.transport.writeSequence(packed)
 
     def send(self, message: Any) -> bool:
         """Send a message and return whether the link could take it.
@@ -160,6 +174,7 @@
         if not self.is_open or self.close_reason:
             return False
         frame = self.context.codec.encode(message)
+        self.context.sent[type(message).__name__] += 1
         self.bytes_sent += len(frame)
         self.write_frame(frame)
         return True
@@ -252,6 +267,10 @@
         self.handler = handler
         self.clock = clock
         self.limit = limit
+        #: Time for which each frame is held back, in seconds.
+        self.delay: float = 0
+        #: Messages sent, by the name of their type.
+        self.sent: Counter[str] = Counter()
         #: All links, open or in their handshake.
         self.links: set[Link] = set()
 
