Hedge only with slack or for a slow minion, and close links in order

Cause: hedges of requests that simply run long took slots that are scarce near full load, and a process that stops aborted its links, so that a late reader, or a proxy between, could lose answers that were written.

Change: a hedge needs known load under 70% of the slots, or a first minion that is slower than the others; links are closed after what was written has left, with a bound; a minion call that is given up while its body arrives is closed by a method that the transport has. The transport in memory of the membership's tests closes in order too: its bytes arrive before its end as before.

--- a/jackdawridge/forwarding/minion_call.py
+++ b/jackdawridge/forwarding/minion_call.py
@@ -168,7 +168,7 @@
     def stop(self) -> None:
         """Break the request off."""
         if self.sink is not None:
-            self.sink.transport.abortConnection()
+            self.sink.transport.loseConnection()
         elif self.responded is not None:
             self.responded.cancel()
 
--- a/jackdawridge/forwarding/minions.py
+++ b/jackdawridge/forwarding/minions.py
@@ -29,6 +29,8 @@
 LATENCY_WEIGHT = 0.1
 #: A minion slower than its service by this factor is chosen less often.
 SLOW_FACTOR = 1.5
+#: Share of the slots in use up to which any request may be hedged.
+SLACK = 0.7
 #: The most that slowness counts for.
 SLOW_CEILING = 8.0
 
@@ -152,6 +154,23 @@
         far = minion.domain != self.domain
         return (round(share, 1), far, self.choices.random())
 
+    def has_slack(self, now: float) -> bool:
+        """Return whether there is room for requests that may be in vain.
+
+        :param now: in seconds.
+        """
+        usable = self.usable(now)
+        slots = sum(minion.slots for minion in usable)
+        return sum(minion.load(now) for minion in usable) < SLACK * slots
+
+    def is_slow(self, minion: Minion) -> bool:
+        """Return whether a minion takes far longer than the others.
+
+        :param minion: of this service.
+        """
+        usual = self.usual_latency()
+        return usual > 0 and minion.latency > SLOW_FACTOR * usual
+
     def usable(self, now: float) -> list[Minion]:
         """Return the minions that may be sent requests.
 
--- a/jackdawridge/forwarding/router.py
+++ b/jackdawridge/forwarding/router.py
@@ -225,8 +225,12 @@
         if not exchange.may_hedge(now):
             return
         pool = self.book.pool(exchange.call.service)
-        taken = {attempt.minion.side for attempt in exchange.attempts.values()}
-        minion = pool.minions.choose(now, exchange.avoided | taken)
+        first = next(iter(exchange.attempts.values())).minion
+        minions = pool.minions
+        # A long run time is not mended by a second run, and costs slots.
+        if not (minions.is_slow(first) or minions.has_slack(now)):
+            return
+        minion = minions.choose(now, exchange.avoided | {first.side})
         idle = minion is not None and minion.load(now) < minion.slots
         if minion is None or not idle or not pool.repeats.spend():
             return
--- a/jackdawridge/wire/link.py
+++ b/jackdawridge/wire/link.py
@@ -35,6 +35,8 @@
 HANDSHAKE_TIMEOUT = 5.0
 #: A link whose peer does not read is closed after this time, in seconds.
 STALL_TIMEOUT = 10.0
+#: Time for written bytes to leave before a link is closed, in seconds.
+FINISH_TIMEOUT = 2.0
 #: Reason that Twisted gives for an orderly end.
 CONNECTION_DONE = Failure(ConnectionDone())
 
@@ -188,6 +190,19 @@
             self.close_reason = reason
             self.transport.abortConnection()
 
+    def finish(self, reason: str) -> None:
+        """Close the link once everything written has left the process.
+
+        :param reason: kept for the log and the handler.
+        """
+        if not self.close_reason:
+            self.close_reason = reason
+            self.clear_timer()
+            self.timer = self.context.clock.callLater(
+                FINISH_TIMEOUT, self.transport.abortConnection
+            )
+            self.transport.loseConnection()
+
     def lengthLimitExceeded(self, length: int) -> None:
         """Close a link whose peer announces too long a frame.
 
--- a/jackdawridge/wire/peers.py
+++ b/jackdawridge/wire/peers.py
@@ -199,7 +199,7 @@
     def stop(self) -> Any:
         """Stop listening and close all links."""
         for link in tuple(self.peers.context.links):
-            link.close('process stops')
+            link.finish('process stops')
         return self.port.stopListening()
 
 
@@ -311,4 +311,4 @@
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         if self.link is not None:
-            self.link.close('address is no longer wanted')
+            self.link.finish('address is no longer wanted')
--- a/tests/test_membership/memory.py
+++ b/tests/test_membership/memory.py
@@ -48,6 +48,10 @@
         if self.other and not self.network.is_cut(self.ends):
             self.network.callLater(LATENCY, self.other.end)
 
+    def loseConnection(self) -> None:
+        """Close in order; what was written arrives before the end."""
+        self.abortConnection()
+
     def end(self) -> None:
         if self.is_open:
             self.is_open = False
