Measure the placement on real processes

Cause: the in-memory trial leaves out what processes cost.

Change: a cluster of two entries, eleven sides and workers at the stated latencies, an open-loop generator, and runs of loads, a burst, a flood and faults, with a report as JSON, a table and plots.

--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,43 @@
+"""Runs the benchmarks: `python -m benchmarks [name ...]`."""
+
+from __future__ import annotations
+
+import argparse
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.task import react
+
+from benchmarks.placement import run_consortium, run_fiscalia
+from benchmarks.report import write_report
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+#: Parts of the benchmark of the placement.
+PARTS = ('fiscalia', 'consortium')
+
+
+async def run(reactor: Any, names: Sequence[str]) -> None:
+    """Run the named parts and write one report.
+
+    :param reactor: Twisted's reactor.
+    :param names: of the parts.
+    """
+    rows = []
+    if 'fiscalia' in names:
+        rows.extend(await run_fiscalia(reactor))
+    if 'consortium' in names:
+        rows.extend(await run_consortium(reactor))
+    write_report(rows)
+
+
+def main() -> None:
+    """Run what the command line names, or everything."""
+    parser = argparse.ArgumentParser(prog='python -m benchmarks')
+    parser.add_argument('names', nargs='*', choices=[*PARTS, []])
+    arguments = parser.parse_args()
+    react(run, (arguments.names or PARTS,))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,407 @@
+"""Response times, messages and faults of the placement, on real processes."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from benchmarks.cluster import Cluster, ask
+from benchmarks.figures import Slowdowns, percentile
+from benchmarks.load import Action, Load
+from benchmarks.records import Recorded
+from benchmarks.workload import CONSORTIUM, FISCALIA, Job, Task, Workload
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from benchmarks.load import Answered
+    from benchmarks.workload import Deployment
+
+#: Time at the beginning of a run whose jobs are not counted, in seconds.
+WARM_UP = 2.0
+
+#: Length of a run without faults, in seconds.
+LENGTH = 8.0
+
+#: Seed of all jobs.
+SEED = 1
+
+#: Baselines that are compared with the policy `room`.
+BASELINES = ('random', 'round-robin', 'least-load')
+
+#: Failure domain that is taken out, when, and when it returns.
+DOMAIN = 'soweto'
+OUT_AT = 4.0
+IN_AT = 10.0
+
+#: When other faults begin and end.
+FAULT_AT = 3.0
+FAULT_UNTIL = 8.0
+
+#: Jobs that are cancelled together.
+WAVE = 150
+
+Row = dict[str, Any]
+
+
+class Run(NamedTuple):
+    """What one run left."""
+
+    answers: list[Answered]
+    recorded: Recorded
+    row: Row
+
+
+class Bench:
+    """Runs variants on one deployment.
+
+    :param reactor: Twisted's reactor.
+    :param deployment: the fleet.
+    """
+
+    def __init__(self, reactor: Any, deployment: Deployment) -> None:
+        """Start the processes."""
+        self.reactor = reactor
+        self.deployment = deployment
+        self.cluster = Cluster(deployment, 'room')
+        self.rows: list[Row] = []
+
+    async def run(
+        self,
+        variant: str,
+        jobs: Sequence[Job],
+        actions: Sequence[Action] = (),
+    ) -> Run:
+        """Run one variant and keep its figures.
+
+        :param variant: its name.
+        :param jobs: that are submitted.
+        :param actions: done by the way.
+        """
+        cluster = self.cluster
+        load = Load(
+            self.reactor, cluster.callers, self.deployment.client_latency
+        )
+        before = self.counts()
+        answers = await load.run(jobs, actions)
+        after = self.counts()
+        await load.close()
+        recorded = Recorded(cluster.records(), answers, load.began_monotonic)
+        row: Row = {
+            'deployment': self.deployment.name,
+            'policy': cluster.policy,
+            'variant': variant,
+            **self.response_times(answers),
+            **per_task(jobs, before, after),
+            'failed': sum(answer.status != 200 for answer in answers),
+            'double_starts': recorded.double_starts(),
+        }
+        self.rows.append(row)
+        return Run(answers, recorded, row)
+
+    def counts(self) -> dict[str, float]:
+        """Return what is compared before and after a run."""
+        statuses = [self.cluster.status(number) for number in (0, 1)]
+        return {
+            'refused': sum(status['refused'] for status in statuses),
+            'offered': sum(status['offered'] for status in statuses),
+            'entry': sum(
+                entry.processor_time() for entry in self.cluster.entries
+            ),
+            'side': sum(side.processor_time() for side in self.cluster.sides),
+        }
+
+    def response_times(self, answers: Sequence[Answered]) -> Row:
+        """Return the response times over the ideal ones.
+
+        :param answers: of a run.
+        """
+        deployment = self.deployment
+        slowdowns = Slowdowns(
+            deployment.cores * deployment.workers,
+            2 * deployment.client_latency,
+        )
+        for answer in answers:
+            if answer.status == 200 and answer.job.at >= WARM_UP:
+                slowdowns.add(answer.job, answer.response)
+        return {
+            'jobs': len(answers),
+            'p50': round(percentile(slowdowns.values, 0.5), 3),
+            'p99': round(percentile(slowdowns.values, 0.99), 3),
+        }
+
+    async def loads(self, loads: Sequence[float]) -> None:
+        """Run some loads without faults.
+
+        :param loads: work offered over the cores.
+        """
+        for load in loads:
+            jobs = self.workload().arrivals(load, 0, LENGTH)
+            await self.run(f'load {load}', jobs)
+
+    async def burst(self) -> None:
+        """Run load 0.6 with three times as much for a second and a half."""
+        workload = self.workload()
+        jobs = workload.arrivals(0.6, 0, LENGTH)
+        jobs += workload.arrivals(1.2, FAULT_AT, FAULT_AT + 1.5)
+        jobs.sort(key=submission_time)
+        await self.run('burst 3x', jobs)
+
+    async def fairness(self) -> None:
+        """Overload by one team, with another that asks for its share."""
+        workload = self.workload()
+        jobs = [
+            job._replace(team=team)
+            for team, load in (('flood', 1.0), ('modest', 0.4))
+            for job in workload.arrivals(load, 0, LENGTH)
+        ]
+        jobs.sort(key=submission_time)
+        run = await self.run('one team floods', jobs)
+        for team in ('flood', 'modest'):
+            answers = [one for one in run.answers if one.job.team == team]
+            run.row[f'p50_{team}'] = self.response_times(answers)['p50']
+
+    async def domain(self) -> None:
+        """Take a failure domain out at load 0.9 and bring it back."""
+        deployment = self.deployment
+        cluster = self.cluster
+        away = [
+            worker
+            for worker in range(deployment.workers)
+            if deployment.domain(worker) == DOMAIN
+        ]
+        everyone = range(deployment.workers)
+        rest = [worker for worker in everyone if worker not in away]
+        jobs = self.workload().arrivals(0.9, 0, IN_AT + 8)
+        run = await self.run(
+            'failure domain',
+            jobs,
+            (
+                Action(
+                    OUT_AT,
+                    lambda: cluster.change_domain(DOMAIN, in_service=False),
+                ),
+                Action(
+                    IN_AT,
+                    lambda: cluster.change_domain(DOMAIN, in_service=True),
+                ),
+            ),
+        )
+        cores = deployment.cores
+        recorded = run.recorded
+        run.row['used_away'] = round(
+            recorded.used(rest, cores, OUT_AT + 1, IN_AT), 3
+        )
+        run.row['used_back'] = round(
+            recorded.used(everyone, cores, IN_AT + 5, IN_AT + 7), 3
+        )
+        run.row['late_starts'] = recorded.started_between(
+            away, OUT_AT + 3, IN_AT
+        )
+        run.row['timeline'] = [
+            round(recorded.used(everyone, cores, second, second + 1), 3)
+            for second in range(int(IN_AT) + 8)
+        ]
+
+    async def failing_worker(self) -> None:
+        """Let one worker fail everything for a while."""
+        await self.fault(
+            'worker fails all', {'fail_all': True}, {'fail_all': False}
+        )
+
+    async def straggler(self) -> None:
+        """Let one worker be slow for a while."""
+        await self.fault('straggler', {'slowdown': 8.0}, {'slowdown': 1.0})
+
+    async def fault(
+        self, variant: str, begin: dict[str, Any], end: dict[str, Any]
+    ) -> None:
+        """Give one worker a fault at load 0.7.
+
+        :param variant: its name.
+        :param begin: the fault.
+        :param end: what ends it.
+        """
+        cluster = self.cluster
+        jobs = self.workload().arrivals(0.7, 0, FAULT_UNTIL + 3)
+        await self.run(
+            variant,
+            jobs,
+            (
+                Action(FAULT_AT, lambda: cluster.fault(0, **begin)),
+                Action(FAULT_UNTIL, lambda: cluster.fault(0, **end)),
+            ),
+        )
+
+    async def killed_side(self) -> None:
+        """Kill a side and replace it a second later."""
+        cluster = self.cluster
+
+        def replace() -> None:  # noqa: WPS430
+            cluster.sides[0].kill()
+            time.sleep(1)
+            cluster.sides[0] = cluster.start_side(0)
+
+        jobs = self.workload().arrivals(0.7, 0, LENGTH)
+        await self.run('side killed', jobs, (Action(FAULT_AT, replace),))
+
+    async def killed_entry(self) -> None:
+        """Kill an entry and replace it a second later."""
+        cluster = self.cluster
+
+        def replace() -> None:  # noqa: WPS430
+            cluster.entries[1].kill()
+            time.sleep(1)
+            cluster.entries[1] = cluster.start_entry(1)
+
+        jobs = self.workload().arrivals(0.7, 0, LENGTH)
+        run = await self.run('entry killed', jobs, (Action(FAULT_AT, replace),))
+        run.row['failed_after'] = sum(
+            answer.status != 200 and answer.submitted > FAULT_AT + 5
+            for answer in run.answers
+        )
+
+    async def cancellations(self) -> None:
+        """Cancel many jobs at once while others go on."""
+        address = self.cluster.callers[0]
+        body = long_job()
+        seconds: list[float] = []
+
+        def wave() -> None:  # noqa: WPS430
+            tickets = []
+            for _ in range(WAVE):
+                ticket = ask(address, 'POST', '/v1/tickets')['ticket']
+                ask(address, 'PUT', f'/v1/jobs/{ticket}?wait=0', body)
+                tickets.append(ticket)
+            began = time.monotonic()
+            for cancelled in tickets:
+                ask(address, 'DELETE', f'/v1/jobs/{cancelled}')
+            seconds.append(time.monotonic() - began)
+
+        jobs = self.workload().arrivals(0.5, 0, LENGTH)
+        run = await self.run('cancellations', jobs, (Action(FAULT_AT, wave),))
+        run.row['cancelled'] = WAVE
+        run.row['cancel_seconds'] = [round(took, 2) for took in seconds]
+
+    async def impossible(self) -> None:
+        """Submit jobs that fit no worker."""
+        task = Task('huge', self.deployment.cores * 2, 1, 1, 1, 1, 1)
+        jobs = [Job(number / 5, 'audit', (task,)) for number in range(5)]
+        run = await self.run('cannot run', jobs)
+        run.row['slowest'] = round(
+            max(answer.response for answer in run.answers), 2
+        )
+        run.row['reason'] = run.answers[0].reason
+
+    def workload(self) -> Workload:
+        """Return a workload that begins anew."""
+        return Workload(self.deployment, SEED)
+
+
+def per_task(
+    jobs: Sequence[Job], before: dict[str, float], after: dict[str, float]
+) -> Row:
+    """Return messages and processor time for each task.
+
+    A refused start wastes a start and a refusal.
+
+    :param jobs: of the run.
+    :param before: counts before the run.
+    :param after: counts after the run.
+    """
+    tasks = sum(len(job.tasks) for job in jobs)
+    # A process that was replaced has begun to count anew.
+    change = {name: max(after[name] - before[name], 0) for name in before}
+    wasted = 2 * change['refused'] + change['offered']
+    return {
+        'tasks': tasks,
+        'wasted': round(wasted / tasks, 3),
+        'entry_us': round(change['entry'] / tasks * 1e6),
+        'side_us': round(change['side'] / tasks * 1e6),
+    }
+
+
+def submission_time(job: Job) -> float:
+    """Return when a job is submitted.
+
+    :param job: the job.
+    """
+    return job.at
+
+
+def long_job() -> dict[str, Any]:
+    """Return the document of a job that lasts until it is cancelled."""
+    task = {'kind': 'long', 'cores': 1, 'payload': '{"seconds": 30}'}
+    return {'team': 'audit', 'tasks': [task for _ in range(20)]}
+
+
+async def run_fiscalia(reactor: Any) -> list[Row]:
+    """Compare all policies at the loads of the smaller fleet.
+
+    :param reactor: Twisted's reactor.
+    """
+    bench = Bench(reactor, FISCALIA)
+    try:
+        await compare(bench)
+    finally:
+        bench.cluster.close()
+    return bench.rows
+
+
+async def compare(bench: Bench) -> None:
+    """Run all loads with all policies.
+
+    :param bench: of the smaller fleet.
+    """
+    for policy in ('room', *BASELINES):
+        bench.cluster.change_policy(policy)
+        await bench.loads((0.5, 0.7, 0.9))
+        await bench.burst()
+
+
+async def run_consortium(reactor: Any) -> list[Row]:
+    """Compare policies at the larger fleet, with faults.
+
+    :param reactor: Twisted's reactor.
+    """
+    bench = Bench(reactor, CONSORTIUM)
+    try:
+        await run_all(bench)
+    finally:
+        bench.cluster.close()
+    return bench.rows
+
+
+async def run_all(bench: Bench) -> None:
+    """Run loads and faults, fewer of them with the baselines.
+
+    :param bench: of the larger fleet.
+    """
+    await bench.loads((0.5, 0.7, 0.9))
+    await bench.burst()
+    await run_faults(bench)
+    for policy in BASELINES:
+        bench.cluster.change_policy(policy)
+        await bench.loads((0.7, 0.9))
+        await bench.domain()
+        await bench.failing_worker()
+        await bench.straggler()
+
+
+async def run_faults(bench: Bench) -> None:
+    """Run all faults.
+
+    :param bench: of the larger fleet.
+    """
+    faults: tuple[Callable[[], Any], ...] = (
+        bench.fairness,
+        bench.domain,
+        bench.failing_worker,
+        bench.straggler,
+        bench.cancellations,
+        bench.impossible,
+        bench.killed_side,
+        bench.killed_entry,
+    )
+    for fault in faults:
+        await fault()
--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,139 @@
+"""Writes the figures of the placement as JSON, a table and plots."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+#: Where the figures go.
+PLACE = Path('docs/measurements')
+
+#: Columns of the table that every variant has.
+COLUMNS = (
+    'deployment',
+    'variant',
+    'policy',
+    'jobs',
+    'tasks',
+    'p50',
+    'p99',
+    'wasted',
+    'entry_us',
+    'side_us',
+    'failed',
+    'double_starts',
+)
+
+Row = dict[str, Any]
+
+
+def write_report(rows: Sequence[Row]) -> None:
+    """Write everything.
+
+    :param rows: one for each variant.
+    """
+    PLACE.mkdir(parents=True, exist_ok=True)
+    text = json.dumps(list(rows), indent=1)
+    (PLACE / 'placement.json').write_text(f'{text}\n')
+    table = write_table(rows)
+    (PLACE / 'placement.md').write_text(f'{table}\n')
+    plot_loads(rows)
+    plot_domain(rows)
+    print(table)
+
+
+def write_table(rows: Sequence[Row]) -> str:
+    """Return a table in Markdown.
+
+    :param rows: one for each variant.
+    """
+    heads = (*COLUMNS, 'besides')
+    lines = [line_of(heads), line_of(['---' for _ in heads])]
+    lines.extend(
+        line_of([*(row[name] for name in COLUMNS), besides(row)])
+        for row in rows
+    )
+    return '\n'.join(lines)
+
+
+def besides(row: Row) -> str:
+    """Return the figures that only some variants have.
+
+    :param row: of a variant.
+    """
+    extra = {
+        name: value
+        for name, value in row.items()
+        if name not in COLUMNS and name != 'timeline'
+    }
+    return ', '.join(f'{name} {value}' for name, value in extra.items())
+
+
+def line_of(cells: Sequence[object]) -> str:
+    """Return one line of a table.
+
+    :param cells: of the line.
+    """
+    return '| {0} |'.format(' | '.join(str(cell) for cell in cells))
+
+
+def plot_loads(rows: Sequence[Row]) -> None:
+    """Plot the 99th percentile of the slowdown by load and policy.
+
+    :param rows: one for each variant.
+    """
+    pyplot = load_pyplot()
+    names = sorted({row['deployment'] for row in rows})
+    figure, axes = pyplot.subplots(
+        1, max(len(names), 1), figsize=(10, 4), squeeze=False
+    )
+    for axis, name in zip(axes[0], names, strict=False):
+        here = [
+            row
+            for row in rows
+            if row['deployment'] == name and row['variant'].startswith('load')
+        ]
+        for policy in dict.fromkeys(row['policy'] for row in here):
+            points = [row for row in here if row['policy'] == policy]
+            axis.plot(
+                [row['variant'] for row in points],
+                [row['p99'] for row in points],
+                marker='o',
+                label=policy,
+            )
+        axis.set_title(name)
+        axis.set_ylabel('slowdown, 99th percentile')
+        axis.set_yscale('log')
+        axis.legend()
+    figure.tight_layout()
+    figure.savefig(PLACE / 'placement-loads.png', dpi=80)
+
+
+def plot_domain(rows: Sequence[Row]) -> None:
+    """Plot the busy part of all cores while a failure domain is away.
+
+    :param rows: one for each variant.
+    """
+    pyplot = load_pyplot()
+    figure, axis = pyplot.subplots(figsize=(8, 4))
+    for row in rows:
+        timeline = row.get('timeline')
+        if timeline:
+            axis.plot(timeline, marker='.', label=row['policy'])
+    axis.set_xlabel('seconds')
+    axis.set_ylabel('busy part of all cores')
+    axis.legend()
+    figure.tight_layout()
+    figure.savefig(PLACE / 'placement-domain.png', dpi=80)
+
+
+def load_pyplot() -> Any:
+    """Return the plotting module, without a display."""
+    from matplotlib import pyplot  # noqa: WPS433
+
+    pyplot.switch_backend('Agg')
+    return pyplot
