Let one process host many fault proxies, and requests outlive their clients

Cause: a proxy between each two roles of a deployment would be a process each, which is more than a failure test should start. And a request that a fault held back was dropped once its client had given up, while a real service acts on what it has received.

Change: `standin proxy` serves only the control; proxies are opened by `POST /proxies`, each with its own faults, and cut after a number of bytes in either direction. Requests that act go on when their client has gone.

Conclusion: a start that takes effect after the caller has given it up can now be brought about.

--- a/jackdawridge/cmd/standin.py
+++ b/jackdawridge/cmd/standin.py
@@ -10,7 +10,6 @@
 
 from jackdawridge.standins.log import LogService
 from jackdawridge.standins.minion import Minion
-from jackdawridge.standins.proxy import FaultProxy
 from jackdawridge.standins.proxy_control import ProxyControl
 from jackdawridge.standins.sharing import Size
 from jackdawridge.standins.worker import Worker
@@ -53,10 +52,11 @@
     worker.add_argument('--accelerators', type=int, default=0)
     _add_place(worker)
     _add_place(_add_kind(kinds, 'minion', run_minion, 'a minion'))
-    proxy = _add_kind(kinds, 'proxy', run_proxy, 'a TCP fault proxy')
-    proxy.add_argument('target', help='ip:port to pass connections to')
-    proxy.add_argument(
-        '--control', default=_ANY_PORT, help='ip:port of its HTTP control'
+    _add_kind(
+        kinds,
+        'proxy',
+        run_proxy,
+        'TCP fault proxies, opened by POST /proxies {"name", "target"}',
     )
 
 
@@ -105,21 +105,13 @@
 
 
 def run_proxy(arguments: argparse.Namespace) -> int:
-    """Run a fault proxy and its control.
+    """Run the control of fault proxies.
 
     :param arguments: of the command line.
     """
-    from twisted.internet import reactor  # noqa: WPS433
-
-    proxy = FaultProxy(reactor, arguments.target, arguments.seed)
-    control = ProxyControl(reactor, proxy)
-    _announce(
-        'proxy',
-        address=proxy.start(arguments.address),
-        control=control.start(arguments.control),
+    return _serve(
+        arguments, lambda reactor: ProxyControl(reactor, arguments.seed)
     )
-    _run(reactor)
-    return 0
 
 
 def _add_kind(
@@ -155,17 +147,16 @@
     from twisted.internet import reactor  # noqa: WPS433
 
     service = make(reactor)
-    _announce(arguments.kind, address=service.start(arguments.address))
+    line = {
+        'kind': arguments.kind,
+        'pid': os.getpid(),
+        'address': service.start(arguments.address),
+    }
+    print(json.dumps(line), flush=True)
     _run(reactor)
     return 0
 
 
-def _announce(kind: str, **addresses: str) -> None:
-    """Print one line that says where the service listens."""
-    line = {'kind': kind, 'pid': os.getpid(), **addresses}
-    print(json.dumps(line), flush=True)
-
-
 def _run(reactor: Any) -> None:
     """Run the reactor until a signal ends it."""
     reactor.run()
--- a/jackdawridge/standins/faults.py
+++ b/jackdawridge/standins/faults.py
@@ -66,5 +66,7 @@
     jitter: float
     #: Direction whose bytes vanish: `up`, `down`, `both` or empty.
     drop: str
-    #: Number of further bytes upwards after which a connection is cut.
-    cut_after: int
+    #: Number of further bytes after which a connection is cut, upwards.
+    cut_after_up: int
+    #: Likewise downwards.
+    cut_after_down: int
--- a/jackdawridge/standins/log.py
+++ b/jackdawridge/standins/log.py
@@ -16,6 +16,7 @@
 from jackdawridge.standins.messages import Trim
 from jackdawridge.standins.web import (
     StandIn,
+    act_anyway,
     read_body,
     read_json,
     read_number,
@@ -86,6 +87,7 @@
         return refuse(request, failure)
 
     @app.route('/v1/streams/<stream>/records', methods=['POST'])
+    @act_anyway
     async def append(self, request: Any, stream: str) -> bytes:
         """Append a record."""
         body = msgspec.json.encode(msgspec.json.decode(read_body(request)))
@@ -119,6 +121,7 @@
         return await self.answer(request, body)
 
     @app.route('/v1/streams/<stream>/trim', methods=['POST'])
+    @act_anyway
     async def trim(self, request: Any, stream: str) -> bytes:
         """Drop the first records of a stream."""
         before = read_json(request, _TRIM)['before']
--- a/jackdawridge/standins/minion.py
+++ b/jackdawridge/standins/minion.py
@@ -16,6 +16,7 @@
 from jackdawridge.standins.messages import Behaviour, Record
 from jackdawridge.standins.web import (
     StandIn,
+    act_anyway,
     read_body,
     refuse,
     reply,
@@ -89,6 +90,7 @@
         return reply(request, self.change_faults(request))
 
     @app.route('/', methods=_METHODS, branch=True)
+    @act_anyway
     async def serve(self, request: Any) -> bytes:
         """Handle a request in a slot."""
         behaviour = read_behaviour(request)
--- a/jackdawridge/standins/proxy.py
+++ b/jackdawridge/standins/proxy.py
@@ -37,6 +37,8 @@
         self.connection = connection
         self.direction = direction
         self.is_open = False
+        #: Bytes since the faults were last changed.
+        self.received = 0
         #: Time before which nothing may be delivered, to keep the order.
         self.earliest: float = 0
         #: Bytes that are held back while the proxy is frozen.
@@ -95,7 +97,6 @@
         self.target = End(self, DOWN)
         #: Bytes of the client for a target that is not connected yet.
         self.early: list[bytes] = []
-        self.bytes_up = 0
         #: Whether bytes vanished, so that it is of no further use.
         self.is_damaged = False
 
@@ -120,24 +121,24 @@
             self.is_damaged = True
             self.proxy.bytes_dropped += len(data)
             return
-        if end.direction == UP:
-            data = self.cut_upwards(data)
+        data = self.cut_off(end, data)
         delay = self.proxy.choose_delay()
         if delay or end.earliest:
             self.deliver_later(end, data, delay)
         else:
             self.deliver(end, data)
 
-    def cut_upwards(self, data: bytes) -> bytes:
-        """Count bytes upwards; cut the connection after the allowed ones."""
-        allowed = self.proxy.faults.get('cut_after')
-        self.bytes_up += len(data)
-        if allowed is None or self.bytes_up < allowed:
+    def cut_off(self, end: End, data: bytes) -> bytes:
+        """Count bytes of one direction; cut after the allowed ones."""
+        allowed = self.proxy.allowed_bytes(end.direction)
+        end.received += len(data)
+        if allowed is None or end.received < allowed:
             return data
-        excess = self.bytes_up - allowed
-        self.target.write(data[: len(data) - excess])
-        self.client.abort()
-        self.target.close()
+        excess = end.received - allowed
+        other = self.target if end is self.client else self.client
+        other.write(data[: len(data) - excess])
+        other.close()
+        end.abort()
         return b''
 
     def deliver_later(self, end: End, data: bytes, delay: float) -> None:
@@ -242,7 +243,8 @@
         """
         self.faults = faults
         for connection in list(self.connections):
-            connection.bytes_up = 0
+            connection.client.received = 0
+            connection.target.received = 0
             if faults.get('mode') == 'refuse':
                 connection.cut()
             elif faults.get('mode') != 'freeze':
@@ -256,6 +258,15 @@
             delay += self.random.uniform(0, jitter)
         return delay
 
+    def allowed_bytes(self, direction: str) -> int | None:
+        """Return after how many bytes connections are cut, if ever.
+
+        :param direction: `up` or `down`.
+        """
+        if direction == UP:
+            return self.faults.get('cut_after_up')
+        return self.faults.get('cut_after_down')
+
     def dial(self, connection: Connection) -> None:
         """Connect to the target.
 
--- a/jackdawridge/standins/web.py
+++ b/jackdawridge/standins/web.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import random
+from functools import wraps
 from typing import TYPE_CHECKING, Any, TypeVar, cast
 
 import msgspec
 from klein import Klein
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import deferLater
 from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 from twisted.web.http import BAD_REQUEST
@@ -17,7 +18,7 @@
 from jackdawridge.standins.faults import Faults
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Coroutine, Mapping
 
     from twisted.web.iweb import IRequest
 
@@ -186,10 +187,35 @@
             await deferLater(self.reactor, delay, _nothing)
         lost = self.faults.get('lose_answers', 0)
         if self.is_dead or (lost and self.random.random() < lost):
-            request.transport.abortConnection()
+            if request.transport is not None:
+                request.transport.abortConnection()
             await Deferred()
 
 
+def act_anyway(
+    route: Callable[..., Coroutine[Any, Any, bytes]],
+) -> Callable[..., Deferred[bytes]]:
+    """Let a route finish also when its client has gone.
+
+    :param route: a method that handles a request.
+    """
+
+    @wraps(route)
+    def handle(*args: Any, **names: Any) -> Deferred[bytes]:  # noqa: WPS430
+        answered: Deferred[bytes] = Deferred()
+        acted = ensureDeferred(route(*args, **names))
+        acted.addBoth(_pass_on, answered)
+        return answered
+
+    return handle
+
+
+def _pass_on(outcome: Any, answered: Deferred[bytes]) -> None:
+    """Give an outcome to those who still wait for it."""
+    if not answered.called:
+        answered.callback(outcome)
+
+
 def read_faults(body: bytes, fault_type: type[Any]) -> Mapping[str, Any]:
     """Return checked faults.
 
--- a/jackdawridge/standins/worker.py
+++ b/jackdawridge/standins/worker.py
@@ -23,6 +23,7 @@
 from jackdawridge.standins.runner import USAGE_LAG, Runner, encode_line
 from jackdawridge.standins.web import (
     StandIn,
+    act_anyway,
     read_json,
     read_number,
     refuse,
@@ -109,6 +110,7 @@
         return refuse(request, failure)
 
     @app.route('/v1/tasks', methods=['POST'])
+    @act_anyway
     async def start_tasks(self, request: Any) -> bytes:
         """Start tasks whether they fit or not."""
         body = read_json(request, _START)
@@ -117,6 +119,7 @@
         return await self.answer(request, {'results': results})
 
     @app.route('/v1/tasks', methods=['GET'])
+    @act_anyway
     async def list_tasks(self, request: Any) -> bytes:
         """List the tasks that run, and those ended and not forgotten."""
         await self.before()
@@ -131,6 +134,7 @@
         return await self.answer(request, body)
 
     @app.route('/v1/tasks/stop', methods=['POST'])
+    @act_anyway
     async def stop_tasks(self, request: Any) -> bytes:
         """Stop tasks."""
         ids = read_json(request, _IDS)['ids']
@@ -141,6 +145,7 @@
         return await self.answer(request, {})
 
     @app.route('/v1/tasks/throttle', methods=['POST'])
+    @act_anyway
     async def throttle_tasks(self, request: Any) -> bytes:
         """Limit tasks to a share of their speed."""
         body = read_json(request, _THROTTLE)
@@ -153,6 +158,7 @@
         return await self.answer(request, {})
 
     @app.route('/v1/tasks/checkpoint', methods=['POST'])
+    @act_anyway
     async def checkpoint_tasks(self, request: Any) -> bytes:
         """Suspend tasks and release their memory."""
         ids = read_json(request, _IDS)['ids']
@@ -163,6 +169,7 @@
         return await self.answer(request, {})
 
     @app.route('/v1/tasks/renew', methods=['POST'])
+    @act_anyway
     async def renew_tasks(self, request: Any) -> bytes:
         """Renew the leases of some tasks or of all."""
         body = read_json(request, _RENEWAL)
@@ -174,6 +181,7 @@
         return await self.answer(request, {})
 
     @app.route('/v1/tasks/forget', methods=['POST'])
+    @act_anyway
     async def forget_tasks(self, request: Any) -> bytes:
         """Drop the reports of ended tasks."""
         through = read_json(request, _FORGET)['through']
--- a/tests/test_standins/test_services.py
+++ b/tests/test_standins/test_services.py
@@ -174,18 +174,25 @@
 class TestProxy:
     @pytest.fixture
     def proxied(self, start: Start) -> tuple[str, str]:
-        minion = start('minion')['address']
-        proxy = start('proxy', minion)
-        return proxy['address'], proxy['control']
+        control = start('proxy')['address']
+        order = {'name': 'a', 'target': start('minion')['address']}
+        opened = request(control, 'POST', '/proxies', order)
+        return opened.body['address'], control
 
     def test_passes(self, proxied: tuple[str, str]) -> None:
         address, _ = proxied
         reply = request(address, 'GET', '/?answer=yes')
         assert reply.body == 'yes'
 
+    def test_unknown_proxy_is_named(self, proxied: tuple[str, str]) -> None:
+        _, control = proxied
+        reply = request(control, 'POST', '/proxies/b/cut')
+        assert reply.status == 404
+        assert "'b'" in reply.body['error']
+
     def test_delay(self, proxied: tuple[str, str]) -> None:
         address, control = proxied
-        request(control, 'POST', '/faults', {'delay': 0.1})
+        request(control, 'POST', '/proxies/a/faults', {'delay': 0.1})
         begin = time.monotonic()
         assert request(address, 'GET', '/?answer=yes').body == 'yes'
         waited = time.monotonic() - begin
@@ -194,10 +201,10 @@
     @pytest.mark.parametrize('mode', ['freeze', 'refuse'])
     def test_nothing_passes(self, proxied: tuple[str, str], mode: str) -> None:
         address, control = proxied
-        request(control, 'POST', '/faults', {'mode': mode})
+        request(control, 'POST', '/proxies/a/faults', {'mode': mode})
         with pytest.raises((OSError, http.client.HTTPException)):
             request(address, 'GET', '/', timeout=0.3)
-        request(control, 'POST', '/faults', {})
+        request(control, 'POST', '/proxies/a/faults', {})
         assert request(address, 'GET', '/').status == 200
 
     @pytest.mark.parametrize(('direction', 'starts'), [('up', 0), ('down', 1)])
@@ -205,19 +212,19 @@
         self, proxied: tuple[str, str], direction: str, starts: int
     ) -> None:
         address, control = proxied
-        request(control, 'POST', '/faults', {'drop': direction})
+        request(control, 'POST', '/proxies/a/faults', {'drop': direction})
         with pytest.raises(OSError, match='timed out'):
             request(address, 'GET', '/', timeout=0.3)
-        request(control, 'POST', '/faults', {})
+        request(control, 'POST', '/proxies/a/faults', {})
         record = request(address, 'GET', '/record').body
         assert len(record['starts']) == starts
 
     def test_cut_after_bytes(self, proxied: tuple[str, str]) -> None:
         address, control = proxied
-        request(control, 'POST', '/faults', {'cut_after': 10})
+        request(control, 'POST', '/proxies/a/faults', {'cut_after_up': 10})
         with pytest.raises((OSError, http.client.HTTPException)):
             request(address, 'GET', '/')
-        request(control, 'POST', '/faults', {})
+        request(control, 'POST', '/proxies/a/faults', {})
         record = request(address, 'GET', '/record').body
         assert not record['starts']
 
@@ -225,8 +232,8 @@
         address, control = proxied
         connection = http.client.HTTPConnection(address, timeout=10)
         connection.request('GET', '/?seconds=0.2&answer=late')
-        request(control, 'POST', '/faults', {'mode': 'freeze'})
+        request(control, 'POST', '/proxies/a/faults', {'mode': 'freeze'})
         time.sleep(0.3)
-        request(control, 'POST', '/faults', {})
+        request(control, 'POST', '/proxies/a/faults', {})
         assert connection.getresponse().read() == b'late'
         connection.close()
