Ask the worker after an interruption until it answers

Cause: when the stream of a worker's events broke, the side asked once for the worker's tasks. If that question failed too and the stream came back at the next attempt, nobody asked again: tasks that a worker had lost in a restart of 0.5 s stayed open, and their callers got no answer within their 30 s.

Change: the side asks until the worker has answered, and an interruption during the question leads to another one.

Conclusion: a worker that restarts quickly fails its jobs at once.

--- a/jackdawridge/execution/watch.py
+++ b/jackdawridge/execution/watch.py
@@ -58,6 +58,8 @@
             worker, self.clock, self, self.lease, state.gate.refusal
         )
         self.ledger = EventLedger()
+        #: Whether the worker is being asked after an interruption.
+        self.reconciling = False
 
     async def adopt(self) -> None:
         """Take over what the worker runs, as soon as it answers."""
@@ -149,28 +151,37 @@
 
     def events_interrupted(self) -> None:
         """Look for tasks that have vanished with a worker's restart."""
-        confirmed = {
-            key
-            for key, task in self.state.tasks.items()
-            if task.life.is_confirmed()
-        }
-        if confirmed:
-            ensureDeferred(self.reconcile(confirmed))
+        if not self.reconciling:
+            ensureDeferred(self.reconcile())
 
-    async def reconcile(self, confirmed: set[TaskKey]) -> None:
+    async def reconcile(self) -> None:
         """Report running tasks that the worker no longer knows.
 
-        :param confirmed: tasks that the worker ran before it is asked.
+        The worker is asked until it answers, because the stream of events
+        may be there again before another interruption is noticed.
         """
-        listed = await self.starter.list()
-        if listed is None:
-            return
+        listed = None
+        while listed is None:
+            self.reconciling = True
+            await self.starter.pause()
+            # An interruption during the question asks for another one.
+            self.reconciling = False
+            confirmed = self.confirmed()
+            listed = await self.starter.list()
         known = {status.id for status in listed.tasks}
         for key in confirmed:
             if write_id(key) not in known:
                 self.start_lost(key, 'worker has lost the task')
         self.pass_on_ended(listed)
 
+    def confirmed(self) -> set[TaskKey]:
+        """Return the tasks that the worker has said to run."""
+        return {
+            key
+            for key, task in self.state.tasks.items()
+            if task.life.is_confirmed()
+        }
+
     def pass_on_ended(self, listed: TaskList) -> None:
         """Pass on the ends that the event stream would not repeat.
 
