Never call a start 'not arrived' that a side may have forgotten

Cause: a side forgets an entry whose lease has lapsed and whose link is gone, with the outcomes that the entry has not received. An entry that had only been paused came back, asked about its starts and was told that they had never arrived, so that it sent them again: a double start.

Change: a side remembers the incarnations that it has forgotten and says neither 'running' nor 'never arrived' about their starts, so that their jobs fail as unknown.

--- a/jackdawridge/execution/sessions.py
+++ b/jackdawridge/execution/sessions.py
@@ -49,6 +49,9 @@
         self.task_lease = task_lease
         #: Records by the incarnation of the entry.
         self.entries: dict[str, EntryRecord] = {}
+        #: Incarnations whose outcomes were forgotten. An entry that was only
+        #: paused may still ask about them.
+        self.forgotten: set[str] = set()
         #: Numbers of outcome batches, which never repeat in a run of a side.
         self.numbers = count(1)
 
@@ -121,3 +124,4 @@
         for record in self.lapsed(now):
             if not record.keys and not record.linked:
                 self.entries.pop(record.incarnation)
+                self.forgotten.add(record.incarnation)
--- a/jackdawridge/execution/state.py
+++ b/jackdawridge/execution/state.py
@@ -366,6 +366,9 @@
         ]
         for key in unknown:
             self.fences.add(key, now)
+        if incarnation in self.sessions.forgotten:
+            # A key that is not known may have been started and forgotten.
+            knows_all = False
         return Resolution(running, tuple(unknown) if knows_all else ())
 
     def cancel(
--- /dev/null
+++ b/tests/test_execution/test_forgotten.py
@@ -0,0 +1,51 @@
+"""Tests of what a side may say after it has forgotten an entry."""
+
+from __future__ import annotations
+
+from jackdawridge.execution.messages import Ending, Room, Start, StartBatch
+from jackdawridge.execution.room import RoomLedger
+from jackdawridge.execution.sessions import Sessions
+from jackdawridge.execution.state import OpenGate, SideState
+from jackdawridge.execution.windows import SendWindows
+
+INCARNATION = 'run'
+TICKET = f'127.0.0.1:1~{INCARNATION}~1~code'
+START = Start(TICKET, 0, 1, 'k', 'team', 1, 1, 0, 0.1, '', 0, b'')
+
+
+def make_state() -> SideState:
+    """Return a side that has started and ended one task of an entry."""
+    state = SideState(
+        Sessions(SendWindows(1), 2), RoomLedger(Room(4, 100, 0, 0)), OpenGate()
+    )
+    window = state.sessions.windows.open(0)
+    state.sessions.open(INCARNATION, 0)
+    batch = StartBatch(1, window, 0, (START,))
+    assert state.admit(INCARNATION, batch, 0) == (START,)
+    ending = Ending(START.key(), 'stopped', 'lease lapsed', b'', 0, 0, 0)
+    state.end(ending, 1, 0)
+    return state
+
+
+class TestForgottenEntry:
+    """An entry comes back from a pause after it was forgotten."""
+
+    def test_ended_start_is_not_called_fenced(self) -> None:
+        """Its starts may have run, so that none may be sent again."""
+        state = make_state()
+        state.sessions.close(INCARNATION)
+        state.sweep(10)
+        assert INCARNATION not in state.sessions.entries
+        state.sessions.open(INCARNATION, 20)
+        resolution = state.resolve(
+            INCARNATION, (START.key(),), knows_all=True, now=20
+        )
+        assert not resolution.fenced
+        assert not resolution.running
+
+    def test_start_that_never_arrived_is_fenced_before(self) -> None:
+        """Until then the side knows all starts of the entry."""
+        state = make_state()
+        other = START._replace(task=1, lease=2).key()
+        resolution = state.resolve(INCARNATION, (other,), knows_all=True, now=0)
+        assert resolution.fenced == (other,)
