Test failures with real processes

Cause: the promises were shown by tests of single parts only.

Change: a harness starts entries, sides, stand-ins and fault proxies as processes on loopback, kills, pauses, terminates and replaces them, and reads the workers' records. Tests bring about entries killed and paused past their leases, sides and workers killed and replaced, links cut, silent, frozen and slow, lost and late answers of workers, SIGTERM under load, one ticket at two entries, and waves of cancellations. In each no task starts twice, answers are whole, and 'not run' is true.

--- a/tests/processes/http.py
+++ b/tests/processes/http.py
@@ -62,3 +62,10 @@
         return json.loads(text)
     except ValueError:
         return text.decode(errors='replace')
+
+
+def get_ticket(address: str) -> str:
+    """Return a new ticket of an entry."""
+    reply = request(address, 'POST', '/v1/tickets')
+    assert reply.status == 201, reply
+    return str(reply.body['ticket'])
--- /dev/null
+++ b/tests/processes/nodes.py
@@ -0,0 +1,165 @@
+"""The processes of a deployment under test, by role."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from jackdawridge.config import SETTINGS
+from tests.processes.http import Reply, request
+from tests.processes.ports import find_free_addresses
+from tests.processes.process import Process
+
+
+class StandInNode:
+    """A stand-in as a process.
+
+    :param directory: for its log.
+    :param name: of the process.
+    :param arguments: after `standin`.
+    """
+
+    def __init__(
+        self, directory: Path, name: str, arguments: list[str]
+    ) -> None:
+        """Start the process without waiting for it."""
+        self.name = name
+        self.address = find_free_addresses(1)[0]
+        self.process = Process(
+            name,
+            [
+                'jackdawridge.cmd.standin',
+                'standin',
+                *arguments,
+                '--address',
+                self.address,
+            ],
+            directory / f'{name}.log',
+        )
+
+    def wait_ready(self) -> str:
+        """Wait until the stand-in listens and return its address."""
+        if not self.process.ready:
+            self.process.wait_ready()
+        return self.address
+
+    def set(self, **faults: Any) -> None:
+        """Add faults to the present ones."""
+        reply = request(self.address, 'POST', '/faults', faults)
+        assert reply.status == 200, reply.body
+
+    def record(self) -> Any:
+        """Return what the stand-in has recorded."""
+        return request(self.address, 'GET', '/record').body
+
+    def close(self) -> None:
+        """End the process."""
+        self.process.close()
+
+
+class Node:
+    """An entry or a side as a process that can be replaced.
+
+    :param directory: for its settings and its log.
+    :param document: its settings.
+    """
+
+    def __init__(self, directory: Path, document: dict[str, Any]) -> None:
+        """Write the settings without starting anything."""
+        self.directory = directory
+        self.document = document
+        self.name: str = document['node']
+        self.operator: str = document['operator_address']
+        self.settings = directory / f'{self.name}.json'
+        self.process: Process | None = None
+        self.write()
+
+    def write(self) -> None:
+        """Write the settings of the role for the next start."""
+        role = self.document['role']
+        names = {row.name for row in SETTINGS if role in row.roles}
+        known = {
+            name: setting
+            for name, setting in self.document.items()
+            if name in names
+        }
+        self.settings.write_text(json.dumps(known))
+
+    def has_to_run(self) -> bool:
+        """Return whether the process was started and not ended by the test.
+
+        :raises AssertionError: if it has ended by itself.
+        """
+        if self.process is None or self.process.is_ended:
+            return False
+        code = self.process.popen.poll()
+        assert code is None, f'{self.name} ended: {self.process.tail()}'
+        return True
+
+    @property
+    def running(self) -> Process:
+        """The process, which was started."""
+        assert self.process is not None
+        return self.process
+
+    @property
+    def caller(self) -> str:
+        """Address for callers of an entry."""
+        return str(self.document['caller_address'])
+
+    @property
+    def peer(self) -> str:
+        """Address for peers of an entry."""
+        return str(self.document['peer_address'])
+
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self.running.popen.pid
+
+    def start(self) -> None:
+        """Start the process, or replace one that has ended."""
+        if self.process is not None:
+            self.process.close()
+        self.process = Process(
+            self.name,
+            [
+                'jackdawridge',
+                self.document['role'],
+                '--settings',
+                str(self.settings),
+            ],
+            self.directory / f'{self.name}.log',
+            announces=False,
+        )
+
+    def ask(self, method: str, path: str, body: Any = None) -> Reply:
+        """Send a request to the operators' address."""
+        return request(self.operator, method, path, body)
+
+    def status(self) -> Any:
+        """Return what the process tells operators, None if it does not."""
+        try:
+            return self.ask('GET', '/v1/status').body
+        except OSError:
+            return None
+
+    def known_sides(self) -> list[str]:
+        """Return the nodes of the sides that an entry may place work at."""
+        status = self.status() or {}
+        return list(status.get('jobs', {}).get('sides', []))
+
+    def log_lines(self) -> list[dict[str, Any]]:
+        """Return the log of all runs of the process."""
+        text = (self.directory / f'{self.name}.log').read_text()
+        return [
+            json.loads(line)
+            for line in text.splitlines()
+            if line.startswith('{')
+        ]
+
+    def close(self) -> None:
+        """End the process."""
+        if self.process is not None:
+            self.process.close()
--- a/tests/processes/process.py
+++ b/tests/processes/process.py
@@ -14,6 +14,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 #: Time for a process to say that it is ready, in seconds.
 READY_TIMEOUT = 30
+#: Length of the part of a log that an error shows, in characters.
+TAIL = 2000
 
 
 class Process:
@@ -21,10 +23,19 @@
 
     :param name: shown in messages.
     :param arguments: of `python -m`.
-    :param log: file that takes its error stream.
+    :param log: file that takes its error stream, and what it prints unless
+        it announces itself.
+    :param announces: whether it prints a line when it is ready.
     """
 
-    def __init__(self, name: str, arguments: list[str], log: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        arguments: list[str],
+        log: Path,
+        *,
+        announces: bool = True,
+    ) -> None:
         """Start the process."""
         self.name = name
         self.log = log
@@ -32,10 +43,12 @@
             self.popen = subprocess.Popen(  # noqa: S603
                 [sys.executable, '-m', *arguments],
                 cwd=ROOT,
-                stdout=subprocess.PIPE,
+                stdout=subprocess.PIPE if announces else stream,
                 stderr=stream,
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
             )
+        #: Whether the test has ended it.
+        self.is_ended = False
         #: What the process said when it was ready.
         self.ready: dict[str, Any] = {}
 
@@ -49,14 +62,17 @@
         finally:
             timer.cancel()
         if not line:
-            raise AssertionError(
-                f'{self.name} did not start: {self.log.read_text()[-2000:]}'
-            )
+            raise AssertionError(f'{self.name} did not start: {self.tail()}')
         self.ready = json.loads(line)
         return self.ready
 
+    def tail(self) -> str:
+        """Return the end of its log."""
+        return self.log.read_text()[-TAIL:]
+
     def kill(self) -> None:
         """End the process at once and wait for its end."""
+        self.is_ended = True
         self.popen.kill()
         self.popen.wait()
 
@@ -70,6 +86,7 @@
 
     def terminate(self) -> None:
         """Ask the process to end."""
+        self.is_ended = True
         self.popen.terminate()
 
     def wait(self, timeout: float) -> int:
--- /dev/null
+++ b/tests/test_processes/__init__.py
@@ -0,0 +1,1 @@
+"""Failures of real processes."""
--- /dev/null
+++ b/tests/test_processes/test_links.py
@@ -0,0 +1,156 @@
+"""Connections between processes that lose, delay and break."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from tests.processes.callers import Callers, check_answers
+from tests.processes.deployment import Deployment, wait_until
+
+pytestmark = pytest.mark.processes
+
+
+def set_links(deployment: Deployment, entry: int, **faults: object) -> None:
+    """Change the faults between all sides and one entry."""
+    for side in deployment.sides:
+        name = f'{side.name}:entry-{entry}'
+        deployment.proxies[name].set(**faults)
+
+
+class TestCutAfterStart:
+    def test_start_has_not_arrived(self, shared: Deployment) -> None:
+        deployment = shared
+        callers = Callers(deployment)
+        set_links(deployment, 0, drop='down')
+        callers.submit(deployment.entries[0].caller, 10)
+        time.sleep(0.2)
+        assert deployment.count_starts() == 0
+        set_links(deployment, 0)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers)
+
+    def test_answer_is_lost(self, shared: Deployment) -> None:
+        deployment = shared
+        callers = Callers(deployment)
+        set_links(deployment, 0, drop='up')
+        callers.submit(deployment.entries[0].caller, 4)
+        wait_until(lambda: deployment.count_starts() > 0, 'tasks run')
+        time.sleep(0.1)
+        set_links(deployment, 0)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers)
+
+    def test_part_of_a_batch_has_arrived(self, shared: Deployment) -> None:
+        deployment = shared
+        callers = Callers(deployment)
+        cut_after = deployment.random.randrange(1, 2000)
+        set_links(deployment, 0, cut_after_down=cut_after)
+        callers.submit(deployment.entries[0].caller, 10)
+        time.sleep(0.5)
+        set_links(deployment, 0)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers)
+
+    def test_cut_again_and_again(self, shared: Deployment) -> None:
+        deployment = shared
+        callers = Callers(deployment)
+        callers.submit(deployment.entries[0].caller, 20)
+        callers.submit(deployment.entries[1].caller, 20)
+        names = [name for name in deployment.proxies if 'entry' in name]
+        links = [name for name in names if name.startswith('side')]
+        for _ in range(20):
+            deployment.proxies[deployment.random.choice(links)].cut()
+            time.sleep(0.1)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers)
+
+
+class TestSilentLink:
+    @pytest.mark.parametrize('direction', ['up', 'down'])
+    def test_longer_than_the_lease(
+        self, shared_lapsing: Deployment, direction: str
+    ) -> None:
+        """Fail as unknown what may have run, and work on afterwards."""
+        deployment = shared_lapsing
+        callers = Callers(deployment)
+        callers.submit(deployment.entries[0].caller, 6, seconds=0.5)
+        wait_until(lambda: deployment.count_starts() > 0, 'tasks run')
+        set_links(deployment, 0, drop=direction)
+        callers.submit(deployment.entries[0].caller, 3)
+        time.sleep(2.5)
+        set_links(deployment, 0)
+        deployment.wait_linked()
+        callers.submit(deployment.entries[0].caller, 5)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers[-5:])
+
+    def test_frozen_and_thawed(self, shared_lapsing: Deployment) -> None:
+        """Let what lay in the network for longer than a window arrive."""
+        deployment = shared_lapsing
+        callers = Callers(deployment)
+        set_links(deployment, 0, mode='freeze')
+        callers.submit(deployment.entries[0].caller, 10)
+        time.sleep(2.5)
+        set_links(deployment, 0)
+        deployment.wait_linked()
+        callers.submit(deployment.entries[0].caller, 5)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers[-5:])
+
+
+class TestSlowLink:
+    def test_delay_within_the_lease(self, shared: Deployment) -> None:
+        deployment = shared
+        set_links(deployment, 0, delay=0.1, jitter=0.1)
+        for side in deployment.sides:
+            deployment.proxies[f'{side.name}:worker'].set(delay=0.2)
+        callers = Callers(deployment)
+        callers.submit(deployment.entries[0].caller, 10)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers)
+
+    def test_delay_beyond_the_lease(self, shared_lapsing: Deployment) -> None:
+        deployment = shared_lapsing
+        callers = Callers(deployment)
+        callers.submit(deployment.entries[0].caller, 5, seconds=0.5)
+        wait_until(lambda: deployment.count_starts() > 0, 'tasks run')
+        set_links(deployment, 0, delay=1.5)
+        callers.submit(deployment.entries[0].caller, 5)
+        time.sleep(3)
+        set_links(deployment, 0)
+        deployment.wait_linked()
+        callers.submit(deployment.entries[0].caller, 5)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers[-5:])
+
+
+class TestWorkerLink:
+    @pytest.mark.parametrize('direction', ['up', 'down'])
+    def test_one_direction_is_lost(
+        self, shared: Deployment, direction: str
+    ) -> None:
+        deployment = shared
+        proxy = deployment.proxies['side-0:worker']
+        callers = Callers(deployment)
+        callers.submit(deployment.entries[0].caller, 10)
+        proxy.set(drop=direction)
+        time.sleep(1)
+        proxy.set()
+        check_answers(deployment, callers.answers())
+
+    def test_refused_start_goes_elsewhere(self, shared: Deployment) -> None:
+        deployment = shared
+        deployment.proxies['side-0:worker'].set(mode='refuse')
+        callers = Callers(deployment)
+        callers.submit(deployment.entries[0].caller, 10)
+        check_answers(deployment, callers.answers())
--- /dev/null
+++ b/tests/test_processes/test_sides.py
@@ -0,0 +1,142 @@
+"""Failures of sides and of the workers beside them."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from tests.processes.callers import Callers, check_answers
+from tests.processes.deployment import LAPSING, Deployment, wait_until
+from tests.test_processes.conftest import Deploy
+
+pytestmark = pytest.mark.processes
+
+
+class TestSideReplaced:
+    def test_successor_adopts_what_runs(self, deploy: Deploy) -> None:
+        deployment = deploy(settings={'task_lease': 6.0})
+        callers = Callers(deployment)
+        callers.submit(deployment.entries[0].caller, 4, tasks=5, seconds=3)
+        wait_until(lambda: deployment.count_starts() == 20, 'all tasks run')
+        time.sleep(0.5)
+        side = deployment.sides[0]
+        side.running.kill()
+        side.start()
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers)
+
+    def test_ends_without_a_side_are_passed_on(self, deploy: Deploy) -> None:
+        deployment = deploy(settings={'task_lease': 10.0})
+        callers = Callers(deployment)
+        callers.submit(deployment.entries[0].caller, 4, tasks=5, seconds=1)
+        wait_until(lambda: deployment.count_starts() == 20, 'all tasks run')
+        time.sleep(0.3)
+        side = deployment.sides[0]
+        side.running.kill()
+        wait_until(
+            lambda: deployment.count_running() == 0, 'all tasks have ended'
+        )
+        side.start()
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers)
+
+    def test_kill_at_any_moment(self, deploy: Deploy) -> None:
+        deployment = deploy()
+        callers = Callers(deployment)
+        for entry in deployment.entries:
+            callers.submit(entry.caller, 15, tasks=6, seconds=0.2)
+        time.sleep(deployment.random.uniform(0.05, 0.6))
+        side = deployment.sides[0]
+        side.running.kill()
+        time.sleep(deployment.random.uniform(0, 2))
+        side.start()
+        deployment.wait_linked()
+        callers.submit(deployment.entries[0].caller, 5)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers[-5:])
+
+
+class TestSidePaused:
+    def test_answers_are_whole_or_failed(self, deploy: Deploy) -> None:
+        deployment = deploy(settings=LAPSING)
+        callers = Callers(deployment)
+        callers.submit(deployment.entries[0].caller, 15, tasks=6)
+        time.sleep(deployment.random.uniform(0.05, 0.4))
+        side = deployment.sides[0]
+        side.running.pause()
+        time.sleep(2)
+        side.running.resume()
+        deployment.wait_linked()
+        callers.submit(deployment.entries[0].caller, 5)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers[-5:])
+
+
+class TestWorkerAnswers:
+    def test_lost_after_taking_effect(self, shared: Deployment) -> None:
+        deployment = shared
+        for worker in deployment.workers:
+            worker.set(lose_answers=1)
+        callers = Callers(deployment)
+        callers.submit(deployment.entries[0].caller, 10, seconds=1)
+        wait_until(lambda: deployment.count_starts() > 0, 'tasks run')
+        for worker in deployment.workers:
+            worker.set(lose_answers=0)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers)
+
+    def test_lost_at_random(self, shared: Deployment) -> None:
+        deployment = shared
+        for worker in deployment.workers:
+            worker.set(lose_answers=0.3)
+        callers = Callers(deployment)
+        for entry in deployment.entries:
+            callers.submit(entry.caller, 15)
+        check_answers(deployment, callers.answers())
+
+    def test_start_that_takes_effect_late(self, deploy: Deploy) -> None:
+        """Let the worker act after the side has given the call up."""
+        deployment = deploy(sides=1)
+        deployment.workers[0].set(delay_request=8)
+        callers = Callers(deployment)
+        entry = deployment.entries[0]
+        tickets = callers.submit(entry.caller, 1, tasks=1, seconds=9)
+        time.sleep(4)
+        deployment.workers[0].set(delay_request=0)
+        answers = callers.answers()
+        assert [one.outcome for one in answers] == ['unknown']
+        wait_until(
+            lambda: deployment.started_tasks(tickets[0]) != set(),
+            'tasks start late',
+        )
+        check_answers(deployment, answers)
+
+
+class TestWorkerKilled:
+    def test_its_jobs_fail_and_it_returns(self, deploy: Deploy) -> None:
+        deployment = deploy()
+        callers = Callers(deployment)
+        callers.submit(deployment.entries[0].caller, 4, tasks=5, seconds=1)
+        wait_until(lambda: deployment.count_starts() == 20, 'all tasks run')
+        deployment.workers[0].set(kill=True)
+        time.sleep(0.5)
+        deployment.workers[0].set(kill=False)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert not all(one.is_complete for one in answers)
+        before = len(deployment.workers[0].record()['starts'])
+
+        def returned() -> bool:
+            again = Callers(deployment)
+            again.submit(deployment.entries[0].caller, 4, seconds=0.05)
+            check_answers(deployment, again.answers())
+            after = len(deployment.workers[0].record()['starts'])
+            return after > before
+
+        wait_until(returned, 'worker gets tasks again')
--- /dev/null
+++ b/tests/test_processes/test_tickets.py
@@ -0,0 +1,142 @@
+"""One ticket at several entries, and cancellations in waves."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from tests.processes.callers import (
+    Callers,
+    cancel,
+    check_answers,
+    make_job,
+    put,
+)
+from tests.processes.deployment import Deployment, wait_until
+from tests.processes.http import get_ticket
+from tests.test_processes.conftest import Deploy
+
+pytestmark = pytest.mark.processes
+
+
+class TestOneTicketAtOnce:
+    def test_all_callers_get_the_one_answer(self, shared: Deployment) -> None:
+        deployment = shared
+        callers = Callers(deployment)
+        for number in range(8):
+            issuer = deployment.entries[number % 2]
+            ticket = get_ticket(issuer.caller)
+            body = make_job(5, 0.3, name=ticket)
+            for _ in range(2):
+                for entry in deployment.entries:
+                    callers.join(entry.caller, ticket, body)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert all(one.is_complete for one in answers)
+
+    def test_issuer_killed(self, deploy: Deploy) -> None:
+        deployment = deploy()
+        issuer, other = deployment.entries
+        callers = Callers(deployment)
+        tickets = [get_ticket(issuer.caller) for _ in range(6)]
+        for ticket in tickets:
+            body = make_job(5, 1, name=ticket)
+            callers.join(issuer.caller, ticket, body)
+            callers.join(other.caller, ticket, body)
+        time.sleep(deployment.random.uniform(0, 0.3))
+        issuer.running.kill()
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert not any(one.is_complete for one in answers)
+        for ticket in tickets:
+            body = make_job(5, 1, name=ticket)
+            again = put(other.caller, ticket, body, wait=1)
+            assert again.reply.status in {410, 503}
+            assert again.outcome == 'unknown'
+        check_answers(deployment, answers)
+
+    def test_issuer_paused(self, shared: Deployment) -> None:
+        deployment = shared
+        issuer, other = deployment.entries
+        tickets = [get_ticket(issuer.caller) for _ in range(4)]
+        issuer.running.pause()
+        callers = Callers(deployment)
+        for ticket in tickets:
+            callers.join(issuer.caller, ticket, make_job(5, name=ticket))
+            callers.join(other.caller, ticket, make_job(5, name=ticket))
+        time.sleep(3)
+        issuer.running.resume()
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        again = [
+            put(other.caller, ticket, make_job(5, name=ticket))
+            for ticket in tickets
+        ]
+        check_answers(deployment, again)
+        assert all(one.is_complete for one in again)
+
+    def test_two_jobs_under_one_ticket(self, shared: Deployment) -> None:
+        deployment = shared
+        callers = Callers(deployment)
+        ticket = get_ticket(deployment.entries[0].caller)
+        for number, entry in enumerate(deployment.entries):
+            body = make_job(5, 0.3, name=f'{ticket}/{number}')
+            callers.join(entry.caller, ticket, body)
+        answers = callers.answers()
+        deployment.check()
+        statuses = sorted(one.reply.status for one in answers)
+        assert statuses == [200, 409]
+
+    def test_link_between_entries_is_cut(self, shared: Deployment) -> None:
+        deployment = shared
+        issuer, other = deployment.entries
+        callers = Callers(deployment)
+        ticket = get_ticket(issuer.caller)
+        body = make_job(5, 1, name=ticket)
+        callers.join(other.caller, ticket, body)
+        wait_until(lambda: deployment.count_starts() > 0, 'tasks run')
+        for name, proxy in deployment.proxies.items():
+            if name.startswith('entry') and name.count('entry') == 2:
+                proxy.cut()
+        first = callers.answers()
+        check_answers(deployment, first)
+        again = put(issuer.caller, ticket, body)
+        check_answers(deployment, [again])
+        assert again.is_complete
+
+
+class TestCancellation:
+    def test_wave(self, deploy: Deploy) -> None:
+        deployment = deploy(settings={'cores': 8})
+        callers = Callers(deployment)
+        tickets = [
+            (entry, ticket)
+            for entry in deployment.entries
+            for ticket in callers.submit(entry.caller, 25, tasks=5, seconds=5)
+        ]
+        wait_until(lambda: deployment.count_starts() >= 16, 'tasks run')
+        for entry, ticket in tickets:
+            cancel(entry.caller, ticket)
+        answers = callers.answers()
+        check_answers(deployment, answers)
+        assert not any(one.is_complete for one in answers)
+        wait_until(lambda: deployment.count_running() == 0, 'all stopped', 10)
+        started = deployment.count_starts()
+        again = Callers(deployment)
+        again.submit(deployment.entries[0].caller, 4)
+        after = again.answers()
+        check_answers(deployment, after)
+        assert all(one.is_complete for one in after)
+        assert deployment.count_starts() == started + 20
+
+    def test_at_any_moment(self, shared: Deployment) -> None:
+        deployment = shared
+        callers = Callers(deployment)
+        entry, other = deployment.entries
+        tickets = callers.submit(entry.caller, 20, tasks=5, seconds=0.2)
+        for ticket in tickets:
+            time.sleep(deployment.random.uniform(0, 0.05))
+            cancel(deployment.random.choice((entry, other)).caller, ticket)
+        check_answers(deployment, callers.answers())
+        wait_until(lambda: deployment.count_running() == 0, 'all stopped', 10)
