--- a/jackdawridge/operations/doors.py
+++ b/jackdawridge/operations/doors.py
@@ -43,16 +43,17 @@
         """Start without content."""
         super().__init__(channel, *args, **options)
         self.received = 0
+        self.refused = False
 
     def gotLength(self, length: int | None) -> None:
         """Refuse a request that announces too long a body.
 
         :param length: announced, None for a chunked body.
         """
+        # Twisted keeps longer bodies in files, and there is no disk.
+        super().gotLength(0)
         if length is not None and length > MAX_BODY_BYTES:
             self.refuse()
-            return
-        super().gotLength(length)
 
     def handleContentChunk(self, data: bytes) -> None:
         """Take a part of the body.
@@ -62,21 +63,25 @@
         self.received += len(data)
         if self.received > MAX_BODY_BYTES:
             self.refuse()
-            return
-        super().handleContentChunk(data)
+        if not self.refused:
+            super().handleContentChunk(data)
+
+    def process(self) -> None:
+        """Serve the request unless it was refused."""
+        if not self.refused:
+            super().process()
 
     def refuse(self) -> None:
         """Answer that the body is too long and end the connection."""
-        self.content = None
-        channel: Any = self.channel
-        channel.reject(_TOO_LARGE)
+        if not self.refused:
+            self.refused = True
+            channel: Any = self.channel
+            channel.reject(_TOO_LARGE)
 
 
 class BoundedChannel(HTTPChannel):
     """A connection on which each request has to arrive in time."""
 
-    requestFactory = BoundedRequest  # noqa: WPS115
-
     def __init__(self) -> None:
         """Start without a timer."""
         super().__init__()
@@ -139,7 +144,12 @@
 
     def __init__(self, reactor: Any, address: str, resource: Resource) -> None:
         """Prepare without listening."""
-        super().__init__(resource, timeout=IDLE_TIMEOUT, reactor=reactor)
+        super().__init__(
+            resource,
+            requestFactory=BoundedRequest,
+            timeout=IDLE_TIMEOUT,
+            reactor=reactor,
+        )
         self.displayTracebacks = False
         self.door_reactor = reactor
         self.address = address
--- /dev/null
+++ b/tests/test_submission/test_jobs.py
@@ -0,0 +1,149 @@
+"""Tests of jobs and of what callers are told about them."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jackdawridge.execution.messages import Ending, TaskKey
+from jackdawridge.submission.documents import read_job
+from jackdawridge.submission.jobs import (
+    AnswerStore,
+    Job,
+    JobAnswer,
+    JobSpec,
+    Started,
+    TaskSpec,
+)
+from jackdawridge.submission.tickets import TicketFormat, TicketRegister
+
+TASK = TaskSpec('kind', 1, 16, 0, 0.1, b'')
+KEY = 'a key that is long enough'
+MOST_TASKS = 710
+
+
+def make_job(tasks: int) -> tuple[Job, list[JobAnswer]]:
+    answers: list[JobAnswer] = []
+    spec = JobSpec('team', '', 0, (TASK,) * tasks)
+    return Job('ticket', spec, b'', answers.append), answers
+
+
+def ending(key: TaskKey, outcome: str = 'succeeded') -> Ending:
+    return Ending(key, outcome, '', f'{key.task}'.encode(), 0, 0, 0)
+
+
+class TestJob:
+    def test_answer_has_all_answers_in_order(self) -> None:
+        job, answers = make_job(2)
+        for task in (1, 0):
+            key = TaskKey('ticket', task, task)
+            job.send(key, 'side')
+            job.end(ending(key))
+        assert [answer.answers for answer in answers] == [(b'0', b'1')]
+
+    def test_outcome_under_an_older_lease_is_not_owned(self) -> None:
+        job, _ = make_job(1)
+        older, newer = TaskKey('ticket', 0, 1), TaskKey('ticket', 0, 2)
+        job.send(older, 'side')
+        job.refuse(older)
+        job.send(newer, 'side')
+        assert job.owns(newer)
+        assert not job.owns(older)
+
+    def test_failure_is_answered_once_no_start_is_in_doubt(self) -> None:
+        job, answers = make_job(3)
+        keys = [TaskKey('ticket', task, task) for task in range(3)]
+        for key in keys:
+            job.send(key, 'side')
+        assert job.end(ending(keys[0], 'failed'))
+        assert not job.refuse(keys[1])
+        assert not answers
+        assert not job.end(ending(keys[2]))
+        assert [answer.state for answer in answers] == ['failed']
+        assert answers[0].started is Started.some
+        assert not answers[0].answers
+
+    def test_refused_job_has_started_nothing(self) -> None:
+        job, answers = make_job(1)
+        key = TaskKey('ticket', 0, 1)
+        job.send(key, 'side')
+        job.fail('cancelled')
+        job.refuse(key)
+        assert answers[0].started is Started.nothing
+
+    def test_lost_start_leaves_it_unknown(self) -> None:
+        job, answers = make_job(1)
+        key = TaskKey('ticket', 0, 1)
+        job.send(key, 'side')
+        job.end(ending(key, 'lost'))
+        assert answers[0].started is Started.unknown
+
+
+class TestAnswerStore:
+    def test_oldest_answer_goes_first(self) -> None:
+        store = AnswerStore(2, 10)
+        for name in 'abc':
+            answer = JobAnswer(name, 'complete', (), '', Started.some)
+            store.keep(answer, b'', 0)
+        assert list(store.kept) == ['b', 'c']
+        store.expire(10.1)
+        assert not store.kept
+
+
+class TestTickets:
+    def test_register_knows_only_unused_tickets(self) -> None:
+        register = TicketRegister(TicketFormat(KEY), '127.0.0.1:1', 'run', 2)
+        first, second, third = (register.issue() for _ in range(3))
+        assert not register.use(first)
+        assert register.use(second)
+        assert not register.use(second)
+        assert register.use(third)
+
+    @given(st.text(max_size=80))
+    def test_any_text_is_no_ticket(self, text: str) -> None:
+        assert TicketFormat(KEY).read(text).is_err()
+
+    @given(st.integers(0, 50), st.characters())
+    def test_changed_ticket_is_refused(self, place: int, char: str) -> None:
+        tickets = TicketFormat(KEY)
+        text = tickets.write('127.0.0.1:1', 'run', 7)
+        changed = text[:place] + char + text[place + 1 :]
+        assert (changed == text) or tickets.read(changed).is_err()
+
+    def test_ticket_of_another_key_is_refused(self) -> None:
+        text = TicketFormat('another key').write('127.0.0.1:1', 'run', 7)
+        assert TicketFormat(KEY).read(text).is_err()
+
+
+class TestDocuments:
+    @pytest.mark.parametrize(
+        ('change', 'named'),
+        [
+            ({'tasks': []}, 'tasks'),
+            ({'team': ''}, 'team'),
+            ({'tasks': [{'cores': -1}]}, 'cores'),
+            ({'tasks': [{'colour': 'red'}]}, 'colour'),
+            ({'tasks': [{} for _ in range(MOST_TASKS + 1)]}, '711 tasks'),
+            ({'tasks': [{'memory': 1e300}]}, 'memory'),
+            ({'tasks': [{'payload': 'x' * 70000}]}, 'payload'),
+        ],
+    )
+    def test_fault_is_named(self, change: dict[str, Any], named: str) -> None:
+        body = json.dumps({'team': 'a', 'tasks': [{}]} | change).encode()
+        read = read_job(body, MOST_TASKS)
+        assert named in read.unwrap_err()
+
+    @given(st.binary(max_size=300))
+    def test_any_bytes_are_read_or_refused(self, body: bytes) -> None:
+        assert read_job(body, MOST_TASKS).is_err()
+
+    @given(st.recursive(st.none() | st.integers() | st.text(), st.lists))
+    def test_any_json_is_read_or_refused(self, document: Any) -> None:
+        assert read_job(json.dumps(document).encode(), MOST_TASKS).is_err()
+
+    def test_deep_nesting_is_refused(self) -> None:
+        assert read_job(b'[' * 100000, MOST_TASKS).is_err()
