--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -57,6 +57,7 @@
         application, daemon.peers, daemon.connector
     )
     submission.relay.entries = membership
+    daemon.resource.sections['membership'] = membership.describe
     application.add(membership)
     application.add(follow_configuration(daemon, submission, forwarding))
     application.add(submission)
--- a/jackdawridge/membership/component.py
+++ b/jackdawridge/membership/component.py
@@ -11,9 +11,9 @@
 from jackdawridge.logs import get_logger
 from jackdawridge.membership.announcer import Announcer
 from jackdawridge.membership.detector import SILENT_PERIODS, Watch
-from jackdawridge.membership.directory import Directory
+from jackdawridge.membership.directory import Directory, describe_state
 from jackdawridge.membership.duties import EntryDuties
-from jackdawridge.membership.messages import Gossip, State
+from jackdawridge.membership.messages import Gossip
 from jackdawridge.membership.state import Table, Timing, introduced
 from jackdawridge.membership.subset import EntryChoice
 from jackdawridge.membership.targets import (
@@ -287,11 +287,7 @@
     :param members: the records.
     """
     texts = [
-        '{0} {1}{2}'.format(
-            member.node,
-            State(member.state).name,
-            ' leaving' if member.leaving else '',
-        )
+        f'{member.node} {describe_state(member)}'
         for member in members[:MAX_DESCRIBED]
     ]
     if len(members) > MAX_DESCRIBED:
--- a/jackdawridge/membership/directory.py
+++ b/jackdawridge/membership/directory.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+
+from jackdawridge.membership.messages import State
 
 if TYPE_CHECKING:
     from jackdawridge.membership.messages import Member
@@ -10,6 +13,17 @@
     from jackdawridge.util.clock import Clock
 
 
+class MembershipStatus(NamedTuple):
+    """What operators see of the members that a process knows."""
+
+    #: State of each known entry by its node.
+    entries: dict[str, str]
+    #: Number of known sides in each state.
+    sides: dict[str, int]
+    #: Nodes of the sides that are not alive, or that are leaving.
+    absent: list[str]
+
+
 class Directory:
     """Answers questions about the members from the table.
 
@@ -49,3 +63,28 @@
         """
         now = self.clock.seconds()
         return self.table.is_gone(address, incarnation, now)
+
+    def describe(self) -> MembershipStatus:
+        """Return what operators see of the members."""
+        members = self.table.members.values()
+        sides = [member for member in members if member.role == 'side']
+        return MembershipStatus(
+            {
+                entry.node: describe_state(entry)
+                for entry in self.table.entries.values()
+            },
+            dict(Counter(describe_state(side) for side in sides)),
+            sorted(
+                side.node for side in sides if describe_state(side) != 'alive'
+            ),
+        )
+
+
+def describe_state(member: Member) -> str:
+    """Return the state of a member in a word.
+
+    :param member: its record.
+    """
+    if member.state == State.alive and member.leaving:
+        return 'leaving'
+    return State(member.state).name
--- a/jackdawridge/side.py
+++ b/jackdawridge/side.py
@@ -42,6 +42,7 @@
     )
     daemon.add_operator_door()
     application.add(daemon.connector)
+    daemon.resource.sections['membership'] = membership.describe
     application.add(membership)
     application.add(execution)
     if settings.text('minion'):
