Test removed failure domains and measure the spread of changes with real processes

Cause: the promises on failure domains, on changes in force and on the outage of the log were shown in memory only.

Change: tests with real processes behind proxies: removal and return under load; the log down right after it took the record and read by nobody; an entry cut off from the log, from all, and paused; operators who race and flap; replacement of every process with a log that keeps 8 records; an outage of the log. `benchmarks.config_spread` times changes at every process and can stop the log for a time under load.

--- /dev/null
+++ b/benchmarks/config_spread.py
@@ -0,0 +1,228 @@
+"""Measures how long a change takes to be in force at every process.
+
+Run as `python -m benchmarks.config_spread`. It starts entries, sides and
+stand-ins as real processes, publishes changes one after another and asks all
+processes for their position until each has the change. With `--outage` it
+then stops the log for that time with jobs going on.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import statistics
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from tests.processes.deployment import DOMAINS, Deployment, wait_until
+from tests.processes.operators import (
+    CHANGES,
+    Load,
+    count_since,
+    knowledge,
+    last_taken,
+    position_of,
+)
+
+#: Pause between two questions to one process, in seconds.
+QUESTION_INTERVAL = 0.01
+
+
+class Spread(NamedTuple):
+    """Times from the log's record of a change, in seconds."""
+
+    median: float
+    worst: float
+    #: The same for the answer to the operator, from the order on.
+    answer_median: float
+    answer_worst: float
+
+
+class Watcher(threading.Thread):
+    """Notes when a process reaches each position.
+
+    :param node: the process.
+    """
+
+    def __init__(self, node: Any) -> None:
+        """Prepare the thread."""
+        super().__init__(daemon=True)
+        self.node = node
+        self.is_over = threading.Event()
+        #: Time at which a position was first seen.
+        self.seen: dict[int, float] = {}
+
+    def run(self) -> None:
+        """Ask until told to stop."""
+        while not self.is_over.wait(QUESTION_INTERVAL):
+            position = position_of(self.node)
+            self.seen.setdefault(position, time.monotonic())
+
+    def reached(self, position: int) -> float:
+        """Return when a position was reached, 0 if it was not yet."""
+        times = [at for seen, at in self.seen.items() if seen >= position]
+        return min(times, default=0)
+
+
+class Watchers:
+    """Watches all processes of a deployment.
+
+    :param deployment: whose processes are asked.
+    """
+
+    def __init__(self, deployment: Deployment) -> None:
+        """Begin to ask."""
+        nodes = (*deployment.entries, *deployment.sides)
+        self.threads = [Watcher(node) for node in nodes]
+        for thread in self.threads:
+            thread.start()
+
+    def await_all(self, position: int) -> float:
+        """Return when the last process has reached a position."""
+        wait_until(
+            lambda: all(thread.reached(position) for thread in self.threads),
+            'in force everywhere',
+        )
+        return max(thread.reached(position) for thread in self.threads)
+
+    def end(self) -> None:
+        """Ask no more."""
+        for thread in self.threads:
+            thread.is_over.set()
+
+
+def measure_spread(deployment: Deployment, changes: int) -> Spread:
+    """Publish changes through the entries in turn and time each.
+
+    :param deployment: all processes of which are asked.
+    :param changes: number of changes.
+    """
+    watchers = Watchers(deployment)
+    spreads = []
+    answers = []
+    for number in range(changes):
+        entry = deployment.entries[number % len(deployment.entries)]
+        order = {
+            'kind': 'team',
+            'name': f'team-{number}',
+            'value': {'weight': number + 1},
+        }
+        ordered = time.monotonic()
+        reply = entry.ask('POST', CHANGES, order)
+        answers.append(time.monotonic() - ordered)
+        assert reply.status == 200, reply
+        last = watchers.await_all(reply.body['offset'] + 1)
+        taken = last_taken(deployment)
+        assert taken is not None
+        spreads.append(max(0, last - taken.at))
+    watchers.end()
+    return Spread(
+        statistics.median(spreads),
+        max(spreads),
+        statistics.median(answers),
+        max(answers),
+    )
+
+
+def measure_outage(deployment: Deployment, seconds: float) -> dict[str, Any]:
+    """Stop the log for a time with jobs going on.
+
+    :param deployment: with a log that answers.
+    :param seconds: of the outage.
+    """
+    load = Load(deployment, deployment.entries)
+    time.sleep(3)
+    before = count_starts_per_second(deployment, 2)
+    deployment.log.set(outage=True)
+    began = time.monotonic()
+    order = {
+        'kind': 'team',
+        'name': 'ordered in the outage',
+        'value': {'weight': 2},
+        'change_id': 'outage',
+        'wait': 2,
+    }
+    reply = deployment.entries[0].ask('POST', CHANGES, order)
+    rates = []
+    while time.monotonic() < began + seconds:
+        rates.append(count_starts_per_second(deployment, 2))
+    deployment.log.set(outage=False)
+    ended = time.monotonic()
+    path = f'{CHANGES}/outage'
+    wait_until(
+        lambda: deployment.entries[1].ask('GET', path).status == 200,
+        'the change is accepted',
+    )
+    accepted = time.monotonic() - ended
+    answers = load.end()
+    return {
+        'seconds': seconds,
+        'answer_in_the_outage': reply.body['status'],
+        'accepted_after_seconds': round(accepted, 2),
+        'starts_per_second_before': before,
+        'starts_per_second_lowest': min(rates),
+        'starts_per_second_median': statistics.median(rates),
+        'jobs': len(answers),
+        'jobs_complete': sum(one.is_complete for one in answers),
+    }
+
+
+def count_starts_per_second(deployment: Deployment, seconds: float) -> float:
+    """Wait and return the rate of starts meanwhile.
+
+    :param deployment: whose workers are asked.
+    :param seconds: to wait.
+    """
+    since = time.monotonic()
+    time.sleep(seconds)
+    starts = sum(count_since(deployment, name, since) for name in DOMAINS)
+    return round(starts / seconds, 1)
+
+
+def main() -> None:
+    """Run the measurement and print its figures as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--changes', type=int, default=50)
+    parser.add_argument('--entries', type=int, default=3)
+    parser.add_argument('--sides', type=int, default=8)
+    parser.add_argument('--outage', type=float, default=0, help='seconds')
+    arguments = parser.parse_args()
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        Deployment(
+            Path(directory),
+            entries=arguments.entries,
+            sides=arguments.sides,
+            settings={
+                'heartbeat': 1.0,
+                'send_window': 3.0,
+                'task_lease': 6.0,
+            },
+        ) as deployment,
+    ):
+        wait_until(
+            lambda: all(
+                (knowledge(node) or {}).get('ready')
+                for node in deployment.entries
+            ),
+            'entries know the configuration',
+        )
+        spread = measure_spread(deployment, arguments.changes)
+        figures: dict[str, Any] = {
+            'processes': arguments.entries + arguments.sides,
+            'changes': arguments.changes,
+            'spread_seconds': {
+                name: round(value, 4)
+                for name, value in spread._asdict().items()
+            },
+        }
+        if arguments.outage:
+            figures['outage'] = measure_outage(deployment, arguments.outage)
+    print(json.dumps(figures, indent=2))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/processes/operators.py
@@ -0,0 +1,136 @@
+"""Operators who change the configuration of a deployment under test."""
+
+from __future__ import annotations
+
+import contextlib
+import threading
+import time
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from tests.processes.callers import Callers, check_answers
+from tests.processes.http import Reply, request
+
+if TYPE_CHECKING:
+    from tests.processes.callers import Submitted
+    from tests.processes.deployment import Deployment
+    from tests.processes.nodes import Node
+
+CHANGES = '/v1/configuration/changes'
+#: Longest time for which tasks may start in a removed failure domain.
+BOUND = 3.0
+
+
+class Taken(NamedTuple):
+    """A record that the log has taken."""
+
+    offset: int
+    #: On the monotonic clock that all processes share.
+    at: float
+
+
+def set_domain(
+    node: Node, name: str, *, in_service: bool, wait: float = 5
+) -> Reply:
+    """Take a failure domain out of service or back in."""
+    order = {
+        'kind': 'failure_domain',
+        'name': name,
+        'value': {'in_service': in_service},
+        'wait': wait,
+    }
+    return node.ask('POST', CHANGES, order)
+
+
+def last_taken(deployment: Deployment) -> Taken | None:
+    """Return the newest record in the log."""
+    times = deployment.log.record()['times'].get('configuration', [])
+    return Taken(len(times) - 1, times[-1]) if times else None
+
+
+def await_taken(deployment: Deployment, after: int) -> Taken:
+    """Return the first record that the log takes after an offset."""
+    deadline = time.monotonic() + 5
+    while time.monotonic() < deadline:
+        taken = last_taken(deployment)
+        if taken is not None and taken.offset > after:
+            return taken
+    raise AssertionError('the log has not taken the record')
+
+
+def latest_start(deployment: Deployment, name: str, taken: Taken) -> float:
+    """Return how long after a removal the last task started there.
+
+    :param name: of the failure domain, which has stayed out since.
+    """
+    late = [
+        start['time'] - taken.at
+        for record in deployment.records()
+        if record['failure_domain'] == name
+        for start in record['starts']
+    ]
+    return max(late, default=0)
+
+
+def check_removal(deployment: Deployment, name: str, taken: Taken) -> float:
+    """Check that a removal was in time, and return the latest start."""
+    late = latest_start(deployment, name, taken)
+    assert late <= BOUND, f'seed {deployment.seed}: start {late:.2f} s late'
+    return late
+
+
+def knowledge(node: Node) -> Any:
+    """Return what a process knows, None if it does not answer."""
+    try:
+        return request(
+            node.operator, 'GET', '/v1/configuration', timeout=1
+        ).body
+    except (OSError, ValueError):
+        return None
+
+
+def position_of(node: Node) -> int:
+    """Return the position of a process, -1 if it does not answer."""
+    known = knowledge(node)
+    return int(known['position']) if isinstance(known, dict) else -1
+
+
+class Load:
+    """Callers that keep all workers busy until told to stop.
+
+    :param deployment: that they call.
+    :param entries: that take the jobs.
+    """
+
+    def __init__(self, deployment: Deployment, entries: list[Node]) -> None:
+        """Begin to submit."""
+        self.deployment = deployment
+        self.entries = entries
+        self.callers = Callers(deployment)
+        self.is_over = threading.Event()
+        self.thread = threading.Thread(target=self.run)
+        self.thread.start()
+
+    def run(self) -> None:
+        """Submit a job at each entry in turn."""
+        while not self.is_over.wait(0.25):
+            for entry in self.entries:
+                with contextlib.suppress(OSError, AssertionError):
+                    self.callers.submit(entry.caller, 1, tasks=8, seconds=0.3)
+
+    def end(self) -> list[Submitted]:
+        """Stop, and return the answers of all jobs after a check."""
+        self.is_over.set()
+        self.thread.join()
+        answers = self.callers.answers()
+        check_answers(self.deployment, answers)
+        return answers
+
+
+def count_since(deployment: Deployment, name: str, since: float) -> int:
+    """Return the starts in a failure domain after a moment."""
+    return sum(
+        start['time'] > since
+        for record in deployment.records()
+        if record['failure_domain'] == name
+        for start in record['starts']
+    )
--- /dev/null
+++ b/tests/test_processes/test_failure_domains.py
@@ -0,0 +1,267 @@
+"""No task starts in a removed failure domain, whatever fails meanwhile."""
+
+from __future__ import annotations
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import pytest
+
+from tests.processes.deployment import DOMAINS, Deployment, wait_until
+from tests.processes.http import request
+from tests.processes.operators import (
+    CHANGES,
+    Load,
+    await_taken,
+    check_removal,
+    count_since,
+    knowledge,
+    last_taken,
+    position_of,
+    set_domain,
+)
+from tests.test_processes.conftest import Deploy
+
+pytestmark = pytest.mark.processes
+
+OUT = DOMAINS[0]
+STAYS = DOMAINS[1]
+
+
+def begin(deploy: Deploy, entries: int = 3) -> Deployment:
+    """Return a deployment whose entries know each other."""
+    deployment = deploy(entries=entries, sides=4)
+    wait_until(
+        lambda: all(
+            len((knowledge(node) or {}).get('other_entries', ())) == entries - 1
+            for node in deployment.entries
+        ),
+        'entries know each other',
+    )
+    return deployment
+
+
+def append_removal(deployment: Deployment) -> Any:
+    """Write a removal to the log without the help of an entry."""
+    record = {
+        'type': 'change',
+        'kind': 'failure_domain',
+        'name': OUT,
+        'version': 1,
+        'expected': 0,
+        'change_id': 'by hand',
+        'value': {'in_service': False},
+    }
+    path = '/v1/streams/configuration/records'
+    request(deployment.log.address, 'POST', path, record)
+    return last_taken(deployment)
+
+
+def remove(deployment: Deployment, entry: int = 0) -> Any:
+    """Take a failure domain out; return when the log took the record."""
+    reply = set_domain(deployment.entries[entry], OUT, in_service=False)
+    assert reply.status == 200, reply
+    taken = last_taken(deployment)
+    assert taken is not None
+    return taken
+
+
+class TestRemoval:
+    def test_work_moves_and_comes_back(self, deploy: Deploy) -> None:
+        deployment = begin(deploy)
+        load = Load(deployment, deployment.entries)
+        time.sleep(2)
+        taken = remove(deployment)
+        time.sleep(4)
+        check_removal(deployment, OUT, taken)
+        assert count_since(deployment, STAYS, taken.at + 1)
+        reply = set_domain(deployment.entries[1], OUT, in_service=True)
+        assert reply.status == 200, reply
+        back = time.monotonic()
+        wait_until(
+            lambda: count_since(deployment, OUT, back) > 0,
+            'work comes back',
+            5,
+        )
+        assert all(one.is_complete for one in load.end())
+
+    def test_log_down_right_afterwards(self, deploy: Deploy) -> None:
+        """The log takes the record and answers nobody from then on."""
+        deployment = begin(deploy)
+        load = Load(deployment, deployment.entries)
+        time.sleep(1.5)
+        deployment.log.set(lose_answers=1.0)
+        time.sleep(0.5)
+        entry = deployment.entries[0]
+        publishing = threading.Thread(
+            target=lambda: set_domain(entry, OUT, in_service=False, wait=1)
+        )
+        publishing.start()
+        taken = await_taken(deployment, -1)
+        deployment.log.set(outage=True)
+        publishing.join()
+        time.sleep(4)
+        assert {position_of(node) for node in deployment.entries} == {0}
+        check_removal(deployment, OUT, taken)
+        assert count_since(deployment, STAYS, taken.at + 3)
+        deployment.log.set(outage=False, lose_answers=0)
+        time.sleep(2)
+        load.end()
+        check_removal(deployment, OUT, taken)
+
+    def test_one_entry_cut_off_from_the_log(self, deploy: Deploy) -> None:
+        """A side whose only entry this is learns it all the same."""
+        deployment = begin(deploy)
+        for other in ('entry-0', 'entry-2'):
+            deployment.proxies[f'side-0:{other}'].set(mode='freeze')
+        deployment.proxies['entry-1:log'].set(mode='freeze')
+        load = Load(deployment, deployment.entries[1:2])
+        time.sleep(4)
+        before = time.monotonic()
+        time.sleep(1)
+        assert count_since(deployment, OUT, before)
+        taken = remove(deployment)
+        time.sleep(4)
+        load.end()
+        check_removal(deployment, OUT, taken)
+
+    def test_one_entry_cut_off_from_all(self, deploy: Deploy) -> None:
+        """It hears neither the log nor another entry, but all sides."""
+        deployment = begin(deploy)
+        others = (deployment.entries[0], deployment.entries[2])
+        load = Load(deployment, deployment.entries[1:2])
+        time.sleep(1)
+        deployment.proxies['entry-1:log'].set(mode='freeze')
+        for entry in others:
+            entry.running.pause()
+        taken = append_removal(deployment)
+        time.sleep(4)
+        check_removal(deployment, OUT, taken)
+        assert count_since(deployment, OUT, taken.at)
+        assert not count_since(deployment, STAYS, taken.at + 3)
+        deployment.proxies['entry-1:log'].set()
+        for paused in others:
+            paused.running.resume()
+        load.end()
+        check_removal(deployment, OUT, taken)
+
+    def test_one_entry_paused(self, deploy: Deploy) -> None:
+        deployment = begin(deploy)
+        load = Load(deployment, deployment.entries)
+        time.sleep(1.5)
+        deployment.entries[1].running.pause()
+        taken = remove(deployment)
+        time.sleep(4)
+        deployment.entries[1].running.resume()
+        time.sleep(2)
+        load.end()
+        check_removal(deployment, OUT, taken)
+
+
+class TestOperators:
+    def test_race_and_flapping_end_alike_everywhere(
+        self, deploy: Deploy
+    ) -> None:
+        deployment = begin(deploy)
+        load = Load(deployment, deployment.entries)
+
+        def flap(number: int) -> int:
+            entry = deployment.entries[number]
+            replies = [
+                set_domain(entry, OUT, in_service=bool((turn + number) % 2))
+                for turn in range(10)
+            ]
+            assert {reply.status for reply in replies} <= {200, 409}
+            return sum(reply.status == 200 for reply in replies)
+
+        with ThreadPoolExecutor() as pool:
+            accepted = sum(pool.map(flap, range(2)))
+        taken = remove(deployment, 2)
+        nodes = (*deployment.entries, *deployment.sides)
+        wait_until(
+            lambda: {position_of(node) for node in nodes} == {taken.offset + 1},
+            'all at one position',
+            5,
+        )
+        query = f'/v1/configuration/records?name={OUT}'
+        found = deployment.entries[0].ask('GET', query).body['records'][0]
+        assert found['version'] == accepted + 1
+        time.sleep(3)
+        load.end()
+        check_removal(deployment, OUT, taken)
+
+
+class TestNeverReverting:
+    def test_every_process_is_replaced(self, deploy: Deploy) -> None:
+        deployment = begin(deploy)
+        deployment.log.set(retention_records=8)
+        taken = remove(deployment)
+        load = Load(deployment, deployment.entries[:1])
+        publish_teams(deployment, 6)
+        for node in (*deployment.entries[1:], *deployment.sides):
+            replace(deployment, node)
+            publish_teams(deployment, 2)
+        load.end()
+        replace(deployment, deployment.entries[0])
+        for node in deployment.entries:
+            records = node.ask('GET', '/v1/configuration/records').body
+            kinds = [each['kind'] for each in records['records']]
+            assert kinds.count('team') == 18
+        check_removal(deployment, OUT, taken)
+
+
+def publish_teams(deployment: Deployment, count: int) -> None:
+    """Publish records of as many new teams."""
+    for _ in range(count):
+        name = f'team-{time.monotonic_ns()}'
+        order = {'kind': 'team', 'name': name, 'value': {'weight': 2}}
+        reply = deployment.entries[0].ask('POST', CHANGES, order)
+        assert reply.status == 200, reply
+
+
+def replace(deployment: Deployment, node: Any) -> None:
+    """Replace a process; until it knows all, it allows nothing."""
+    head = max(position_of(each) for each in deployment.entries)
+    node.running.kill()
+    node.start()
+    deadline = time.monotonic() + 20
+    while position_of(node) < head:
+        known = knowledge(node) or {}
+        assert known.get('refusal', 'unknown') or known['position'] >= head
+        assert not known.get('ready') or known['position'] >= head
+        assert time.monotonic() < deadline, f'{node.name} stays behind'
+        time.sleep(0.02)
+    deployment.wait_linked()
+
+
+class TestLogOutage:
+    def test_work_goes_on_and_changes_are_answered_truly(
+        self, deploy: Deploy
+    ) -> None:
+        deployment = begin(deploy)
+        load = Load(deployment, deployment.entries)
+        time.sleep(1.5)
+        deployment.log.set(outage=True)
+        began = time.monotonic()
+        order = {
+            'kind': 'team',
+            'name': 'payroll',
+            'value': {'weight': 2},
+            'change_id': 'in the outage',
+            'wait': 1,
+        }
+        reply = deployment.entries[0].ask('POST', CHANGES, order)
+        assert (reply.status, reply.body['status']) == (202, 'unknown')
+        time.sleep(7)
+        for name in DOMAINS:
+            assert count_since(deployment, name, began + 6)
+        deployment.log.set(outage=False)
+        path = f'{CHANGES}/in%20the%20outage'
+        wait_until(
+            lambda: deployment.entries[1].ask('GET', path).status == 200,
+            'the change is accepted',
+            10,
+        )
+        assert all(one.is_complete for one in load.end())
