Measure control with the settings of a large deployment

Cause: the benchmark used the settings of a small one; and it left its processes behind when it was ended by a signal.

--- a/benchmarks/control/nodes.py
+++ b/benchmarks/control/nodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import atexit
 import json
 import os
 import socket
@@ -12,7 +13,14 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from benchmarks.control.deployment import DEPLOYMENT, HEARTBEAT, SHARED_KEY
+from benchmarks.control.deployment import (
+    DEPLOYMENT,
+    HEARTBEAT,
+    LOG_POLL,
+    SEND_WINDOW,
+    SHARED_KEY,
+    TASK_LEASE,
+)
 
 _KB_A_MB = 1024
 _NANOSECONDS = 1000000000
@@ -43,6 +51,8 @@
                 stdout=subprocess.PIPE,
                 stderr=stream,
             )
+        # The coroutine that owns the process is dropped at a signal.
+        atexit.register(self.stop)
 
     @classmethod
     def from_settings(cls, settings: dict[str, Any], directory: Path) -> Node:
@@ -56,6 +66,8 @@
             'deployment': DEPLOYMENT,
             'shared_key': SHARED_KEY,
             'heartbeat': HEARTBEAT,
+            'send_window': SEND_WINDOW,
+            'task_lease': TASK_LEASE,
             'operator_address': free_address(),
             'log_level': 'warning',
         }
@@ -78,7 +90,8 @@
         return Usage(int(schedule[0]) / _NANOSECONDS, memory)
 
     def stop(self) -> None:
-        """End the process."""
+        """End the process, if it has not ended."""
+        atexit.unregister(self.stop)
         self.process.kill()
         self.process.wait()
         if self.process.stdout is not None:
@@ -111,6 +124,7 @@
             'caller_address': free_address(),
             'peer_address': address,
             'log_service': log,
+            'log_poll': LOG_POLL,
             'entries': seeds,
         },
         directory,
