Keep a side's link to a leaving entry that it had not chosen yet

Cause: a side that was still within its start had links to the entries of its settings but had chosen none. If one of them was asked to end then, the side chose among the others and closed the link at once, and the entry's admitted jobs failed as unknown: a graceful shutdown cut off requests.

Change: a linked entry that is leaving keeps its link until it closes it itself, whether it was chosen or not.

--- a/jackdawridge/membership/targets.py
+++ b/jackdawridge/membership/targets.py
@@ -118,6 +118,12 @@
         if self.is_starting(now):
             return seeds
         chosen = self.choice.update(entries, links.nodes, now)
+        # A leaving entry still gathers what it has started here.
+        chosen.update(
+            entry.node
+            for entry in entries
+            if entry.leaving and entry.node in links.nodes
+        )
         wanted = {
             self.landings.address_of(entry)
             for entry in entries
