Keep the order of bytes that the fault proxy delays

Cause: with jitter, bytes that were due at the same time were delivered in any order, so that the proxy did what no TCP connection does: messages changed places, and a side's outcomes seemed to be old and were dropped.

Change: bytes that are held back wait in one line for each direction, and an end is closed only when the line is empty.

Conclusion: the failure was the proxy's and not that of the system.

--- a/jackdawridge/standins/proxy.py
+++ b/jackdawridge/standins/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from typing import TYPE_CHECKING, Any, cast
 
 from twisted.internet.defer import Deferred
@@ -17,6 +18,8 @@
     from jackdawridge.standins.faults import ProxyFaults
 
 _DONE = Failure(ConnectionDone())
+#: Shortest wait for bytes that are due, in seconds.
+MIN_WAIT = 0.001
 #: Direction from the client to the target, and back.
 UP = 'up'
 DOWN = 'down'
@@ -39,6 +42,8 @@
         self.is_open = False
         #: Bytes since the faults were last changed.
         self.received = 0
+        #: Bytes that are held back for a time, in order.
+        self.delayed: deque[bytes] = deque()
         #: Time before which nothing may be delivered, to keep the order.
         self.earliest: float = 0
         #: Bytes that are held back while the proxy is frozen.
@@ -145,10 +150,17 @@
         """Deliver bytes after a delay, and after those before them."""
         now = self.proxy.reactor.seconds()
         end.earliest = max(end.earliest, now + delay)
+        end.delayed.append(data)
+        # Timers that are due together fire in any order, so that each takes
+        # what is first in line.
         self.proxy.reactor.callLater(
-            end.earliest - now, self.deliver, end, data
+            end.earliest - now, self.deliver_first, end
         )
 
+    def deliver_first(self, end: End) -> None:
+        """Send what has been held back longest to the other end."""
+        self.deliver(end, end.delayed.popleft())
+
     def deliver(self, end: End, data: bytes) -> None:
         """Send bytes to the other end."""
         if end is self.target:
@@ -166,13 +178,16 @@
     def close(self) -> None:
         """Close what is left of the connection, after what is under way."""
         self.proxy.connections.discard(self)
-        now = self.proxy.reactor.seconds()
-        for end, other in (
-            (self.client, self.target),
-            (self.target, self.client),
-        ):
-            wait = max(0, end.earliest - now)
-            self.proxy.reactor.callLater(wait, other.close)
+        self.close_when_sent(self.client, self.target)
+        self.close_when_sent(self.target, self.client)
+
+    def close_when_sent(self, end: End, other: End) -> None:
+        """Close an end once it has got all bytes of the other."""
+        if not end.delayed:
+            other.close()
+            return
+        wait = max(MIN_WAIT, end.earliest - self.proxy.reactor.seconds())
+        self.proxy.reactor.callLater(wait, self.close_when_sent, end, other)
 
     def cut(self) -> None:
         """Abort both ends at once."""
--- a/tests/test_standins/test_services.py
+++ b/tests/test_standins/test_services.py
@@ -198,6 +198,18 @@
         waited = time.monotonic() - begin
         assert waited > SHORTEST
 
+    def test_jitter_keeps_the_order(self, proxied: tuple[str, str]) -> None:
+        address, control = proxied
+        path = '/proxies/a/faults'
+        request(control, 'POST', path, {'delay': 0.01, 'jitter': 0.05})
+        connection = http.client.HTTPConnection(address, timeout=10)
+        body = json.dumps({'answer': 'yes', 'size': 2000000}).encode()
+        for _ in range(3):
+            connection.request('POST', '/', body + b' ' * 500000)
+            answer = connection.getresponse().read()
+            assert answer == (b'yes' * 666667)[:2000000]
+        connection.close()
+
     @pytest.mark.parametrize('mode', ['freeze', 'refuse'])
     def test_nothing_passes(self, proxied: tuple[str, str], mode: str) -> None:
         address, control = proxied
