Run requests under tickets at most once

Cause: a caller whose connection broke could not repeat a request that is not idempotent without the risk of a second run.

Change: with X-Ticket a request is run by the entry that issued the ticket and never repeated; repeats through any entry join it or get the kept answer; another request under the same ticket is refused; a ticket whose request was not run can be used again. Kept answers are bounded by number, bytes and time.

Figures: eight callers at a time through two entries and one later: nine equal answers, one start at the minions.

Conclusion: tickets give requests the promise of jobs.

--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -11,6 +11,7 @@
 from jackdawridge.forwarding.metrics import ForwardingMetrics
 from jackdawridge.forwarding.resource import ServiceResource
 from jackdawridge.forwarding.rules import ConfiguredRules
+from jackdawridge.forwarding.ticketed import TicketedRequests
 from jackdawridge.membership.component import Membership
 from jackdawridge.operations.configuration import ConfigurationResource
 from jackdawridge.operations.doors import Door
@@ -43,7 +44,10 @@
     forwarding = EntryForwarding.from_application(
         application, daemon.peers, ForwardingMetrics(daemon.registry)
     )
-    callers.mount(PREFIX, ServiceResource(application, forwarding))
+    tickets = TicketedRequests(
+        application, forwarding, submission.desk.register, submission.relay
+    )
+    callers.mount(PREFIX, ServiceResource(application, forwarding, tickets))
     callers.mount_klein('/healthz', daemon.resource.app)
     watch_jobs(daemon, submission)
     # The doors close last, so that open requests get their answers.
--- a/jackdawridge/forwarding/answers.py
+++ b/jackdawridge/forwarding/answers.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from jackdawridge.forwarding.entry_effects import GiveUp
+    from jackdawridge.forwarding.kept import Final
     from jackdawridge.forwarding.messages import Response
 
 #: Header that says whether a refused request may have run.
@@ -41,6 +42,29 @@
     request.finish()
 
 
+def write_final(request: Any, final: Final) -> None:
+    """Answer a request under a ticket, and end.
+
+    :param request: of Twisted.
+    :param final: the whole answer.
+    """
+    request.setResponseCode(final.status)
+    for name, value in final.headers:
+        request.responseHeaders.addRawHeader(
+            name.encode('latin-1'), value.encode('latin-1')
+        )
+    if final.outcome:
+        request.setHeader('Content-Type', 'application/json')
+        request.setHeader(OUTCOME_HEADER, final.outcome)
+    if final.retry_after:
+        seconds = max(math.ceil(final.retry_after), 1)
+        request.setHeader('Retry-After', str(seconds))
+    if final.status not in BODILESS_STATUSES:
+        request.setHeader('Content-Length', str(len(final.body)))
+        request.write(final.body)
+    request.finish()
+
+
 class CallerAnswer:
     """Writes the answer to one caller, no faster than the caller reads.
 
--- a/jackdawridge/forwarding/desk.py
+++ b/jackdawridge/forwarding/desk.py
@@ -12,7 +12,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from jackdawridge.forwarding.answers import CallerAnswer
     from jackdawridge.util.clock import Clock
 
 
@@ -30,10 +29,28 @@
         """Count a final answer and the time that it took."""
 
 
+class Answer(Protocol):
+    """Takes the answer to one request."""
+
+    def respond(
+        self, response: messages.Response, grant: Callable[[int], None]
+    ) -> None:
+        """Begin the answer, and have more of its body sent by `grant`."""
+
+    def pass_on(self, body: bytes, last: bool) -> None:
+        """Take a further part of the body."""
+
+    def give_up(self, effect: effects.GiveUp) -> None:
+        """Learn that there will be no answer."""
+
+    def abort(self) -> None:
+        """Learn that the rest of the answer will not come."""
+
+
 class Owed(NamedTuple):
     """An answer that is still to be written."""
 
-    answer: CallerAnswer
+    answer: Answer
     #: When the request arrived, in seconds.
     since: float
 
@@ -59,7 +76,7 @@
         self.owed: dict[int, Owed] = {}
         self.drained: Deferred[None] | None = None
 
-    def open(self, key: int, answer: CallerAnswer) -> None:
+    def open(self, key: int, answer: Answer) -> None:
         """Expect an answer.
 
         :param key: of the request.
@@ -109,7 +126,7 @@
             answer.give_up(effect)
             self.close(effect.key, effect.outcome.value)
 
-    def respond(self, answer: CallerAnswer, effect: effects.Respond) -> None:
+    def respond(self, answer: Answer, effect: effects.Respond) -> None:
         """Begin an answer.
 
         :param answer: to the caller.
--- a/jackdawridge/forwarding/entry.py
+++ b/jackdawridge/forwarding/entry.py
@@ -20,8 +20,7 @@
     from twisted.internet.defer import Deferred
 
     from jackdawridge.application import Application
-    from jackdawridge.forwarding.answers import CallerAnswer
-    from jackdawridge.forwarding.desk import Observer
+    from jackdawridge.forwarding.desk import Answer, Observer
     from jackdawridge.forwarding.exchange import Call
     from jackdawridge.wire.peers import Peer, Peers
 
@@ -109,7 +108,7 @@
         """Wait until every open request has its answer."""
         return self.desk.drain()
 
-    def submit(self, call: Call, answer: CallerAnswer) -> int:
+    def submit(self, call: Call, answer: Answer) -> int:
         """Take a request and return its key.
 
         :param call: what the caller asks for.
--- /dev/null
+++ b/jackdawridge/forwarding/kept.py
@@ -0,0 +1,182 @@
+"""Answers of requests under tickets: joined while open, kept for a while."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+
+from jackdawridge.forwarding.messages import BODY_WINDOW_BYTES
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jackdawridge.forwarding.entry_effects import GiveUp
+    from jackdawridge.forwarding.messages import Header, Response
+
+#: Longest answer under a ticket, in bytes.
+ANSWER_BYTES = 1048576
+#: Most bytes of kept answers in all.
+KEPT_BYTES = 33554432
+
+_BAD_GATEWAY = 502
+
+
+class Final(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    #: `not-run` or `unknown`; empty for an answer of the minion.
+    outcome: str = ''
+    #: Time after which it is worth asking again, in seconds; 0 if never.
+    retry_after: float = 0
+
+
+def refuse(
+    status: int, outcome: str, reason: str, retry_after: float = 0
+) -> Final:
+    """Return an answer without a minion's response.
+
+    :param status: of HTTP.
+    :param outcome: `not-run` or `unknown`.
+    :param reason: for the caller.
+    :param retry_after: when to come back, in seconds; 0 if never.
+    """
+    body = msgspec.json.encode({'error': reason, 'outcome': outcome})
+    return Final(status, (), body, outcome, retry_after)
+
+
+class Collector:
+    """Gathers an answer until it is whole.
+
+    :param finished: called once with the answer.
+    """
+
+    def __init__(self, finished: Callable[[Final], None]) -> None:
+        """Start without an answer."""
+        self.finished = finished
+        self.response: Response | None = None
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.grant: Callable[[int], None] | None = None
+
+    def respond(self, response: Response, grant: Callable[[int], None]) -> None:
+        """Begin the answer.
+
+        :param response: with the first part of the body.
+        :param grant: called with an offset to have more of the body sent.
+        """
+        self.response = response
+        self.grant = grant
+        self.pass_on(response.body, response.last)
+
+    def pass_on(self, body: bytes, last: bool) -> None:
+        """Take a part of the body.
+
+        :param body: the part.
+        :param last: whether it is the last one.
+        """
+        self.size += len(body)
+        if self.size <= ANSWER_BYTES:
+            self.parts.append(body)
+        if last:
+            self.finish()
+        elif self.grant is not None:
+            self.grant(self.size + BODY_WINDOW_BYTES)
+
+    def finish(self) -> None:
+        """Hand over the answer."""
+        response = self.response
+        if response is None:
+            return
+        if self.size > ANSWER_BYTES:
+            reason = f'answer of {self.size} bytes is over {ANSWER_BYTES}'
+            self.finished(refuse(_BAD_GATEWAY, 'unknown', reason))
+            return
+        headers = tuple(
+            header
+            for header in response.headers
+            if header.name.lower() != 'content-length'
+        )
+        self.finished(Final(response.status, headers, b''.join(self.parts)))
+
+    def give_up(self, effect: GiveUp) -> None:
+        """Hand over that there is no answer.
+
+        :param effect: says why.
+        """
+        verdict = effect.verdict
+        self.finished(
+            refuse(
+                verdict.status,
+                effect.outcome.value,
+                verdict.reason,
+                verdict.retry_after,
+            )
+        )
+
+    def abort(self) -> None:
+        """Hand over that the answer broke off."""
+        reason = 'the answer broke off'
+        self.finished(refuse(_BAD_GATEWAY, 'unknown', reason))
+
+
+class Kept(NamedTuple):
+    """An answer with what it answers."""
+
+    digest: bytes
+    final: Final
+    #: When it is forgotten, in seconds.
+    until: float
+
+
+class KeptAnswers:
+    """Answers by ticket, the oldest of which are forgotten.
+
+    :param limit: of answers.
+    :param retention: time for which they are kept, in seconds.
+    """
+
+    def __init__(self, limit: int, retention: float) -> None:
+        """Start without answers."""
+        self.limit = limit
+        self.retention = retention
+        self.size = 0
+        self.kept: OrderedDict[str, Kept] = OrderedDict()
+
+    def add(self, ticket: str, digest: bytes, final: Final, now: float) -> None:
+        """Keep an answer.
+
+        :param ticket: under which it was given.
+        :param digest: of the request.
+        :param final: the answer.
+        :param now: in seconds.
+        """
+        self.kept[ticket] = Kept(digest, final, now + self.retention)
+        self.size += len(final.body)
+        self.forget(now)
+
+    def find(self, ticket: str, now: float) -> Kept | None:
+        """Return an answer that is kept.
+
+        :param ticket: under which it was given.
+        :param now: in seconds.
+        """
+        self.forget(now)
+        return self.kept.get(ticket)
+
+    def forget(self, now: float) -> None:
+        """Forget what is old or too much.
+
+        :param now: in seconds.
+        """
+        while self.kept:
+            oldest = next(iter(self.kept.values()))
+            crowded = len(self.kept) > self.limit or self.size > KEPT_BYTES
+            if not crowded and oldest.until > now:
+                return
+            self.kept.popitem(last=False)
+            self.size -= len(oldest.final.body)
--- a/jackdawridge/forwarding/messages.capnp
+++ b/jackdawridge/forwarding/messages.capnp
@@ -77,6 +77,28 @@
   lost @2 :List(UInt64);
 }
 
+struct TicketedRequest {
+  number @0 :UInt64;
+  ticket @1 :Text;
+  requestId @2 :Text;
+  service @3 :Text;
+  team @4 :Text;
+  method @5 :Text;
+  path @6 :Text;
+  headers @7 :List(Header);
+  body @8 :Data;
+  remaining @9 :Float64;
+}
+
+struct TicketedAnswer {
+  number @0 :UInt64;
+  status @1 :UInt32;
+  headers @2 :List(Header);
+  body @3 :Data;
+  outcome @4 :Text;
+  retryAfter @5 :Float64;
+}
+
 struct LoadReport {
   load @0 :Load;
 }
--- a/jackdawridge/forwarding/messages.py
+++ b/jackdawridge/forwarding/messages.py
@@ -142,6 +142,36 @@
     load: Load
 
 
+class TicketedRequest(NamedTuple):
+    """Passes a request under a ticket to the entry that issued the ticket."""
+
+    #: Chosen by the sender, returned in the answer.
+    number: int
+    ticket: str
+    request_id: str
+    service: str
+    team: str
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    #: Time left for the whole request, in seconds.
+    remaining: float
+
+
+class TicketedAnswer(NamedTuple):
+    """Answers a `TicketedRequest`, whole."""
+
+    number: int
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    #: `not-run` or `unknown`; empty for an answer of the minion.
+    outcome: str
+    #: Time after which it is worth asking again, in seconds; 0 if never.
+    retry_after: float
+
+
 #: Kind numbers 400 to 499 belong to this slice.
 MESSAGES: Mapping[int, type] = MappingProxyType(
     {
@@ -156,5 +186,7 @@
         408: ResolveRequests,
         409: RequestsResolved,
         410: LoadReport,
+        420: TicketedRequest,
+        421: TicketedAnswer,
     }
 )
--- a/jackdawridge/forwarding/resource.py
+++ b/jackdawridge/forwarding/resource.py
@@ -8,7 +8,11 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from jackdawridge.forwarding.answers import CallerAnswer, write_refusal
+from jackdawridge.forwarding.answers import (
+    CallerAnswer,
+    write_final,
+    write_refusal,
+)
 from jackdawridge.forwarding.callers import (
     CallReader,
     Objection,
@@ -20,6 +24,9 @@
 if TYPE_CHECKING:
     from jackdawridge.application import Application
     from jackdawridge.forwarding.entry import EntryForwarding
+    from jackdawridge.forwarding.exchange import Call
+    from jackdawridge.forwarding.kept import Final
+    from jackdawridge.forwarding.ticketed import TicketedRequests
 
 _UNAVAILABLE = 503
 _LEAVING = Objection(_UNAVAILABLE, 'this entry is leaving')
@@ -30,17 +37,22 @@
 
     :param application: the process.
     :param forwarding: passes the requests on.
+    :param tickets: runs requests under tickets.
     """
 
     isLeaf = True  # noqa: WPS115
 
     def __init__(
-        self, application: Application, forwarding: EntryForwarding
+        self,
+        application: Application,
+        forwarding: EntryForwarding,
+        tickets: TicketedRequests,
     ) -> None:
         """Keep the parts."""
         super().__init__()  # type: ignore[no-untyped-call]
         self.application = application
         self.forwarding = forwarding
+        self.tickets = tickets
         self.count = 0
 
     def render(self, request: Any) -> Any:
@@ -48,7 +60,8 @@
 
         :param request: of Twisted, with its whole body.
         """
-        if self.application.draining:
+        ticket = request.getHeader('x-ticket')
+        if self.application.draining and ticket is None:
             self.refuse(request, _LEAVING, retry_after=1)
             return NOT_DONE_YET
         target = read_target(request.uri)
@@ -64,12 +77,31 @@
         if isinstance(call, Err):
             self.refuse(request, call.err_value)
             return NOT_DONE_YET
+        if ticket is not None:
+            self.ask(request, ticket, call.ok_value)
+            return NOT_DONE_YET
         answer = CallerAnswer(request, call.ok_value.request_id)
         key = self.forwarding.submit(call.ok_value, answer)
         finished = request.notifyFinish()
         finished.addErrback(lambda _: self.leave(key, answer))
         return NOT_DONE_YET
 
+    def ask(self, request: Any, ticket: str, call: Call) -> None:
+        """Have a request under a ticket answered.
+
+        :param request: of Twisted.
+        :param ticket: of the caller.
+        :param call: what the caller asks for.
+        """
+        gone: list[object] = []
+        request.notifyFinish().addErrback(gone.append)
+
+        def reply(final: Final) -> None:  # noqa: WPS430
+            if not gone:
+                write_final(request, final)
+
+        self.tickets.ask(ticket, call, reply)
+
     def policy(self, service: str) -> ServicePolicy:
         """Return what may be done with the requests of a service.
 
--- /dev/null
+++ b/jackdawridge/forwarding/ticketed.py
@@ -0,0 +1,318 @@
+"""Requests under tickets: each runs at most once, whoever repeats it."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
+
+from result import Err
+
+from jackdawridge.forwarding.exchange import Call
+from jackdawridge.forwarding.kept import Collector, Final, KeptAnswers, refuse
+from jackdawridge.forwarding.messages import TicketedAnswer, TicketedRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+
+    from jackdawridge.application import Application
+    from jackdawridge.forwarding.entry import EntryForwarding
+    from jackdawridge.wire.peers import Peer
+
+#: Time beyond the deadline for the answer of the issuer, in seconds.
+ANSWER_ALLOWANCE = 2.0
+#: Requests to other entries that may be open at a time.
+MAX_PASSED = 4096
+
+_DIGEST_BYTES = 16
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+_UNAVAILABLE = 503
+
+
+class TicketFormat(Protocol):
+    """Reads tickets."""
+
+    def read(self, text: str) -> Result[Any, str]:
+        """Return a ticket with its `incarnation`, or why it is not one."""
+
+
+class Register(Protocol):
+    """Knows the unused tickets of this incarnation."""
+
+    @property
+    def format(self) -> TicketFormat:
+        """Reads tickets."""
+
+    def use(self, text: str) -> bool:
+        """Take a ticket out and return whether it was unused."""
+
+    def restore(self, text: str) -> None:
+        """Put a ticket back under which nothing was started."""
+
+
+class Issuers(Protocol):
+    """Knows the entries that issued tickets."""
+
+    def find(self, ticket: Any) -> Peer | None:
+        """Return the link to the issuer, None if there is none."""
+
+    def without_issuer(self, ticket: Any) -> Any:
+        """Return the reply for a ticket whose issuer is not linked."""
+
+
+class Open(NamedTuple):
+    """A request under a ticket that has no answer yet."""
+
+    digest: bytes
+    replies: list[Callable[[Final], object]]
+
+
+class Passed(NamedTuple):
+    """A request that the issuer has to answer."""
+
+    peer: Peer
+    reply: Callable[[Final], object]
+
+
+class TicketedRequests:
+    """Runs requests under tickets here or has the issuer run them.
+
+    :param application: the process.
+    :param forwarding: runs them.
+    :param register: of the tickets of this incarnation.
+    :param issuers: the other entries.
+    """
+
+    def __init__(
+        self,
+        application: Application,
+        forwarding: EntryForwarding,
+        register: Register,
+        issuers: Issuers,
+    ) -> None:
+        """Register for messages and events."""
+        settings = application.settings
+        self.application = application
+        self.clock = application.clock
+        self.forwarding = forwarding
+        self.register = register
+        self.issuers = issuers
+        self.open: dict[str, Open] = {}
+        self.kept = KeptAnswers(
+            settings.integer('answer_limit'),
+            settings.number('answer_retention'),
+        )
+        self.passed: dict[int, Passed] = {}
+        self.last_number = 0
+        application.on_message(TicketedRequest, self.receive_request)
+        application.on_message(TicketedAnswer, self.receive_answer)
+        application.events.connect('peer_left', self.peer_left)
+
+    def ask(
+        self, text: str, call: Call, reply: Callable[[Final], object]
+    ) -> None:
+        """Run a request or have it answered as before.
+
+        :param text: the ticket.
+        :param call: what the caller asks for.
+        :param reply: called once with the answer.
+        """
+        read = self.register.format.read(text)
+        if isinstance(read, Err):
+            reply(refuse(_NOT_FOUND, 'not-run', read.err_value))
+            return
+        ticket = read.ok_value
+        if ticket.incarnation == self.application.incarnation:
+            self.take(text, call, reply)
+            return
+        peer = self.issuers.find(ticket)
+        if peer is None:
+            answer = self.issuers.without_issuer(ticket)
+            final = Final(answer.status, (), answer.body, answer.outcome)
+            reply(final._replace(retry_after=answer.retry_after))
+        else:
+            self.pass_on(peer, text, call, reply)
+
+    def take(
+        self, ticket: str, call: Call, reply: Callable[[Final], object]
+    ) -> None:
+        """Run a request under an unused ticket, join it or repeat its answer.
+
+        :param ticket: of this incarnation.
+        :param call: what the caller asks for.
+        :param reply: called once with the answer.
+        """
+        digest = digest_of(call)
+        kept = self.kept.find(ticket, self.clock.seconds())
+        current = self.open.get(ticket)
+        earlier = kept or current
+        if earlier is None:
+            self.begin(ticket, call, Open(digest, [reply]))
+        elif earlier.digest != digest:
+            reason = f'ticket {ticket!r} was used for another request'
+            reply(refuse(_CONFLICT, 'not-run', reason))
+        elif kept is not None:
+            reply(kept.final)
+        elif current is not None:
+            current.replies.append(reply)
+
+    def begin(self, ticket: str, call: Call, current: Open) -> None:
+        """Run a request if its ticket is unused.
+
+        :param ticket: of this incarnation, without a known request.
+        :param call: what the caller asks for.
+        :param current: waits for the answer.
+        """
+        if self.application.draining:
+            reason = 'this entry is leaving'
+            current.replies[0](refuse(_UNAVAILABLE, 'unknown', reason, 1))
+        elif self.register.use(ticket):
+            self.run(ticket, call, current)
+        else:
+            reason = f'ticket {ticket!r} was used or has expired'
+            current.replies[0](refuse(_GONE, 'unknown', reason))
+
+    def run(self, ticket: str, call: Call, current: Open) -> None:
+        """Run a request, which is never repeated.
+
+        :param ticket: that was unused until now.
+        :param call: what the caller asks for.
+        :param current: waits for the answer.
+        """
+        self.open[ticket] = current
+        collector = Collector(lambda final: self.finish(ticket, final))
+        once = call._replace(repeatable=False, hedging=False)
+        self.forwarding.submit(once, collector)
+
+    def finish(self, ticket: str, final: Final) -> None:
+        """Keep an answer and give it to all who wait.
+
+        :param ticket: of the request.
+        :param final: the answer.
+        """
+        current = self.open.pop(ticket)
+        if final.outcome == 'not-run':
+            self.register.restore(ticket)
+        else:
+            now = self.clock.seconds()
+            self.kept.add(ticket, current.digest, final, now)
+        for reply in current.replies:
+            reply(final)
+
+    def pass_on(
+        self,
+        peer: Peer,
+        ticket: str,
+        call: Call,
+        reply: Callable[[Final], object],
+    ) -> None:
+        """Have the issuer answer.
+
+        :param peer: the issuer.
+        :param ticket: of the issuer.
+        :param call: what the caller asks for.
+        :param reply: called once with the answer.
+        """
+        self.last_number += 1
+        number = self.last_number
+        remaining = call.deadline - self.clock.seconds()
+        message = TicketedRequest(
+            number,
+            ticket,
+            call.request_id,
+            call.service,
+            call.team,
+            call.method,
+            call.path,
+            call.headers,
+            call.body,
+            remaining,
+        )
+        if len(self.passed) >= MAX_PASSED or not peer.send(message):
+            reply(unreachable())
+            return
+        self.passed[number] = Passed(peer, reply)
+        self.clock.callLater(
+            remaining + ANSWER_ALLOWANCE, self.settle, number, unreachable()
+        )
+
+    def receive_request(self, peer: Peer, message: TicketedRequest) -> None:
+        """Answer a request that another entry has passed on.
+
+        :param peer: the entry.
+        :param message: the request.
+        """
+        call = Call(
+            request_id=message.request_id,
+            service=message.service,
+            team=message.team,
+            method=message.method,
+            path=message.path,
+            headers=message.headers,
+            body=message.body,
+            repeatable=False,
+            hedging=False,
+            deadline=self.clock.seconds() + message.remaining,
+        )
+
+        def reply(final: Final) -> None:  # noqa: WPS430
+            peer.send(TicketedAnswer(message.number, *final))
+
+        read = self.register.format.read(message.ticket)
+        ours = read.is_ok() and (
+            read.unwrap().incarnation == self.application.incarnation
+        )
+        if ours:
+            self.take(message.ticket, call, reply)
+        else:
+            reply(refuse(_GONE, 'unknown', 'issuer of the ticket is gone'))
+
+    def receive_answer(self, peer: Peer, message: TicketedAnswer) -> None:
+        """Give an answer to the caller that waits for it.
+
+        :param peer: the issuer.
+        :param message: the answer.
+        """
+        passed = self.passed.get(message.number)
+        if passed is not None and passed.peer is peer:
+            self.settle(message.number, Final(*message[1:]))
+
+    def peer_left(self, peer: Peer) -> None:
+        """Answer for an issuer whose link has ended.
+
+        :param peer: any peer.
+        """
+        for number, passed in tuple(self.passed.items()):
+            if passed.peer is peer:
+                self.settle(number, unreachable())
+
+    def settle(self, number: int, final: Final) -> None:
+        """Answer a request that was passed on, once.
+
+        :param number: of the request.
+        :param final: the answer.
+        """
+        passed = self.passed.pop(number, None)
+        if passed is not None:
+            passed.reply(final)
+
+
+def unreachable() -> Final:
+    """Return the answer for an issuer that cannot be asked now."""
+    reason = 'issuer of the ticket is unreachable; ask again'
+    return refuse(_UNAVAILABLE, 'unknown', reason, 1)
+
+
+def digest_of(call: Call) -> bytes:
+    """Return what tells one request from another under a ticket.
+
+    :param call: what the caller asks for.
+    """
+    head = '\n'.join((call.service, call.method, call.path))
+    digest = hashlib.blake2b(head.encode(), digest_size=_DIGEST_BYTES)
+    digest.update(b'\n')
+    digest.update(call.body)
+    return digest.digest()
--- a/tests/test_processes/test_forwarding.py
+++ b/tests/test_processes/test_forwarding.py
@@ -316,3 +316,34 @@
             check(deployment, [*answers, late])
             assert summarize(answers) == {'200 ': 24}
             assert late.status in {0, 503}
+
+
+class TestTickets:
+    def test_repeats_through_any_entry_run_once(self, tmp_path: Path) -> None:
+        with ServiceDeployment(tmp_path, sides=2) as deployment:
+            deployment.wait_served()
+            callers = [entry.caller for entry in deployment.entries]
+            reply = request(callers[0], 'POST', '/v1/tickets')
+            headers = {'X-Ticket': reply.body['ticket']}
+            with ThreadPoolExecutor(8) as pool:
+                answers = list(
+                    pool.map(
+                        lambda number: call(
+                            callers[number % 2],
+                            'once',
+                            'POST',
+                            seconds=0.3,
+                            headers=headers,
+                        ),
+                        range(8),
+                    )
+                )
+            late = call(
+                callers[1], 'once', 'POST', seconds=0.3, headers=headers
+            )
+            assert summarize([*answers, late]) == {'200 ': 9}
+            assert {each.body for each in [*answers, late]} == {'once'}
+            assert deployment.starts()['once'] == 1
+            other = call(callers[1], 'other', 'POST', headers=headers)
+            assert other.status == 409
+            assert deployment.starts()['other'] == 0
