--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,289 @@
+"""Measures slopes: memory by the number of things kept, time by message.
+
+`python -m benchmarks.slopes` prints a table and writes
+`docs/measurements/slopes.json`. No process is started.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import time
+import tracemalloc
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from twisted.internet.task import Clock
+
+from jackdawridge.application import Application
+from jackdawridge.config import Settings
+from jackdawridge.daemon import SLICES
+from jackdawridge.execution.messages import (
+    Ending,
+    Heartbeat,
+    OutcomeBatch,
+    Room,
+    Start,
+    StartBatch,
+    TaskKey,
+)
+from jackdawridge.execution.room import RoomLedger
+from jackdawridge.execution.sessions import Sessions
+from jackdawridge.execution.state import OpenGate, SideState
+from jackdawridge.execution.windows import SendWindows
+from jackdawridge.membership.messages import Introduction, Member
+from jackdawridge.membership.state import Table, Timing
+from jackdawridge.placement.placer import Placer
+from jackdawridge.submission.engine import JobEngine
+from jackdawridge.submission.jobs import JobAnswer, JobSpec, Started, TaskSpec
+from jackdawridge.submission.tickets import TicketFormat, TicketRegister
+from jackdawridge.wire.codec import Codec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+#: Where the figures go.
+PLACE = Path('docs/measurements/slopes.json')
+#: Tasks of a measured job.
+JOB_TASKS = 100
+#: Bytes of a payload and of an answer.
+PAYLOAD_BYTES = 100
+ANSWER_BYTES = 20
+#: Repetitions of a timed step.
+ROUNDS = 2000
+#: Messages in a measured batch.
+BATCH = 20
+
+_MICROSECONDS = 1e6
+_KEY = 'a key that is long enough'
+_ROOM = Room(1, 1, 0, 0)
+
+
+class Slope(NamedTuple):
+    """What one thing costs."""
+
+    name: str
+    value: float
+    unit: str
+
+
+def make_entry() -> Application:
+    """Return an entry without a network."""
+    document = {
+        'role': 'entry',
+        'node': 'entry-1',
+        'deployment': 'bench',
+        'failure_domain': 'A',
+        'shared_key': _KEY,
+        'operator_address': '127.0.0.1:0',
+        'entries': ['127.0.0.1:1'],
+        'caller_address': '127.0.0.1:1',
+        'peer_address': '127.0.0.1:1',
+        'log_service': '127.0.0.1:1',
+        'queue_limit': 10000000,
+    }
+    clock: Any = Clock()
+    return Application(Settings.from_config(document), clock, 'run1')
+
+
+def measure(name: str, count: int, make: Callable[[int], object]) -> Slope:
+    """Return the memory that each of some things takes.
+
+    :param name: of the slope.
+    :param count: of the things.
+    :param make: makes the thing of a number, and something keeps it.
+    """
+    kept = [make(0)]
+    gc.collect()
+    tracemalloc.start()
+    kept.extend(make(number) for number in range(1, count + 1))
+    gc.collect()
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return Slope(name, round(used / count, 1), 'bytes')
+
+
+def time_step(name: str, items: int, step: Callable[[], object]) -> Slope:
+    """Return the processor time of each item of a step.
+
+    :param name: of the slope.
+    :param items: that one step treats.
+    :param step: to be repeated.
+    """
+    step()
+    began = time.process_time()
+    for _ in range(ROUNDS):
+        step()
+    spent = time.process_time() - began
+    value = spent / ROUNDS / items * _MICROSECONDS
+    return Slope(name, round(value, 2), 'us')
+
+
+def make_spec() -> JobSpec:
+    """Return a job of the measured size."""
+    tasks = tuple(
+        TaskSpec('kind', 1, 100, 0, 1, bytes([number]) * PAYLOAD_BYTES)
+        for number in range(JOB_TASKS)
+    )
+    return JobSpec('team', '', 0, tasks)
+
+
+def memory_slopes() -> list[Slope]:
+    """Return the slopes of memory."""
+    application = make_entry()
+    settings = application.settings
+    engine = JobEngine(application, Placer.from_config(settings))
+    tickets = TicketRegister(
+        TicketFormat(_KEY), '127.0.0.1:7001', 'run1', 10**6
+    )
+    table = Table(make_member(0), Timing(10), 0)
+    state = make_side_state()
+    jobs = measure(
+        'queued task at an entry (job of 100, payload of 100 bytes)',
+        200,
+        lambda number: engine.submit(f'ticket-{number}', make_spec(), b''),
+    )
+    return [
+        jobs._replace(value=round(jobs.value / JOB_TASKS, 1)),
+        measure(
+            'kept answer of a job of 100 tasks of 20 bytes',
+            500,
+            lambda number: engine.answers.keep(
+                make_answer(number), b'0123456789abcdef', 0
+            ),
+        ),
+        measure('unused ticket', 20000, lambda _: tickets.issue()),
+        measure(
+            'member in the table',
+            4000,
+            lambda number: table.merge(make_member(number), 0),
+        ),
+        measure(
+            'running task at a side', 2000, lambda number: admit(state, number)
+        ),
+    ]
+
+
+def make_answer(number: int) -> JobAnswer:
+    """Return an answer of the measured size.
+
+    :param number: makes its ticket.
+    """
+    answers = tuple(bytes([task]) * ANSWER_BYTES for task in range(JOB_TASKS))
+    return JobAnswer(f'ticket-{number}', 'complete', answers, '', Started.some)
+
+
+def make_member(number: int) -> Member:
+    """Return a member.
+
+    :param number: makes its name.
+    """
+    return Member(
+        f'side-{number}',
+        1,
+        f'{number:012x}',
+        0,
+        0,
+        leaving=False,
+        role='side',
+        failure_domain=f'domain-{number % 7}',
+        address='',
+        service='ledger',
+    )
+
+
+def make_side_state() -> SideState:
+    """Return the state of a side with room for everything."""
+    sessions = Sessions(SendWindows(3), 6)
+    sessions.open('run1', 0)
+    sessions.windows.open(0)
+    ledger = RoomLedger(Room(1e6, 1e9, 0, 0))
+    return SideState(sessions, ledger, OpenGate())
+
+
+def make_start(number: int) -> Start:
+    """Return a start.
+
+    :param number: of its task.
+    """
+    key = TaskKey('127.0.0.1:7001~run1~1~0123456789abcdef', number, number)
+    return Start(
+        *key, 'kind', 'team', 1, 100, 0, 0.5, '', 0, b'x' * PAYLOAD_BYTES
+    )
+
+
+def admit(state: SideState, number: int) -> object:
+    """Let a side admit a start.
+
+    :param state: of the side.
+    :param number: of the task.
+    """
+    batch = StartBatch(number, 1, 0, (make_start(number),))
+    return state.admit('run1', batch, 0)
+
+
+def time_slopes() -> list[Slope]:
+    """Return the slopes of processor time."""
+    codec = Codec()
+    for messages in SLICES:
+        codec.register(messages.SCHEMA, messages.MESSAGES)
+    starts = tuple(make_start(number) for number in range(BATCH))
+    endings = tuple(
+        Ending(start.key(), 'succeeded', '', b'x' * ANSWER_BYTES, 1, 90, 0.5)
+        for start in starts
+    )
+    samples = (
+        ('start in a batch of 20', BATCH, StartBatch(1, 1, 0, starts)),
+        ('start alone', 1, StartBatch(1, 1, 0, starts[:1])),
+        (
+            'ending in a batch of 20',
+            BATCH,
+            OutcomeBatch(1, 1, _ROOM, (), endings),
+        ),
+        ('ending alone', 1, OutcomeBatch(1, 1, _ROOM, (), endings[:1])),
+        ('heartbeat', 1, Heartbeat(1, 1, _ROOM, draining=False, position=9)),
+        ('introduction', 1, make_introduction()),
+    )
+    slopes: list[Slope] = []
+    for name, items, message in samples:
+        slopes.extend(time_message(codec, name, items, message))
+    return slopes
+
+
+def make_introduction() -> Introduction:
+    """Return what a side says about itself."""
+    return Introduction(
+        'side', 'side-1', 'run1', 'A', '', 'ledger', 64, 262144, 0, 8
+    )
+
+
+def time_message(
+    codec: Codec, name: str, items: int, message: Any
+) -> tuple[Slope, Slope, Slope]:
+    """Return the cost of writing and reading, and the size, of one item.
+
+    :param codec: that knows the message.
+    :param name: of the item.
+    :param items: in the message.
+    :param message: to be measured.
+    """
+    frame = codec.encode(message)
+    return (
+        time_step(f'write {name}', items, lambda: codec.encode(message)),
+        time_step(f'read {name}', items, lambda: codec.decode(frame)),
+        Slope(f'size of {name}', round(len(frame) / items, 1), 'bytes'),
+    )
+
+
+def main() -> None:
+    """Measure, print and write everything."""
+    slopes = [*memory_slopes(), *time_slopes()]
+    for slope in slopes:
+        print(f'{slope.value:>10} {slope.unit:<6} {slope.name}')
+    PLACE.parent.mkdir(parents=True, exist_ok=True)
+    text = json.dumps([each._asdict() for each in slopes], indent=1)
+    PLACE.write_text(f'{text}\n')
+
+
+if __name__ == '__main__':
+    main()
