Remove failure domains behind the entries' back in the simulation

Cause: each removal in the simulation went through an entry, whose hold came first, so that a side with too long a freshness was not found out.

Change: a rule of the fault machine and a test write removals to the log directly, the test with a side that is cut off at that moment.

Conclusion: the bound on freshness is tested in memory too.

--- a/tests/test_configuration/test_outages.py
+++ b/tests/test_configuration/test_outages.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from jackdawridge.configuration.publisher import Status
-from jackdawridge.configuration.records import Key
+from jackdawridge.configuration.records import Change, Key
 from tests.test_configuration.simulation import EntryNode, SideNode, World
 
 ENTRIES = ('entry-0', 'entry-1', 'entry-2')
@@ -33,6 +33,15 @@
     return deferred.result if deferred.called else None
 
 
+def append_removal(world: World, failure_domain: str) -> None:
+    """Write a removal to the log without the help of an entry."""
+    key = Key('failure_domain', failure_domain)
+    version = world.truth.version(key)
+    change_id = f'by-hand-{world.log.head}'
+    change = Change(key, version, change_id, {'in_service': False})
+    world.append(change.document())
+
+
 class TestSpread:
     def test_change_reaches_all_and_is_confirmed(self, world: World) -> None:
         answer = world.set_domain('entry-1', DOMAIN, in_service=False)
@@ -167,6 +176,17 @@
         world.run(2)
         assert world.fresh() == [True, True]
 
+    def test_side_cut_off_from_all_as_its_domain_leaves(
+        self, world: World
+    ) -> None:
+        """Checked at each step: no start later than 3 s."""
+        for entry in ENTRIES:
+            world.cut_link('side-0', entry)
+        append_removal(world, DOMAIN)
+        assert world.fresh() == [True, True]
+        world.run(4)
+        assert world.fresh() == [False, True]
+
     def test_all_entries_apart_from_each_other(self, world: World) -> None:
         for entry in ENTRIES:
             world.cut_from_log.add(entry)
@@ -284,6 +304,22 @@
         name = self.world.entries[entry % len(self.world.entries)].name
         self.world.set_domain(name, f'domain-{domain}', in_service)
 
+    @rule(domain=st.integers(0, 1))
+    def remove_by_hand(self, domain: int) -> None:
+        """Write to the log directly; no hold says so in advance.
+
+        Some entry has to read the record, or nobody could know of it.
+        """
+        world = self.world
+        readers = [
+            node
+            for node in world.entries
+            if not node.paused and node.name not in world.cut_from_log
+        ]
+        if readers and not world.log_down:
+            append_removal(world, f'domain-{domain}')
+            world.run(0.5)
+
     @rule(ticks=st.integers(1, 30))
     def wait(self, ticks: int) -> None:
         self.world.run(ticks / 10)
