--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -61,6 +61,12 @@
         application, daemon.peers, daemon.connector
     )
     submission.relay.entries = membership
+    application.events.connect(
+        'member_changed',
+        lambda _: submission.engine.placer.entries_changed(
+            len(membership.entries()), {}
+        ),
+    )
     daemon.resource.sections['membership'] = membership.describe
     application.add(membership)
     application.add(follow_configuration(daemon, submission, forwarding))
--- a/jackdawridge/placement/queues.py
+++ b/jackdawridge/placement/queues.py
@@ -177,6 +177,8 @@
         self.active: dict[str, Team] = {}
         self.jobs: dict[str, Job] = {}
         self.queued = 0
+        #: Part of the quotas of teams that have not been seen yet.
+        self.part: float = 1
         #: Virtual time of the team that was served last.
         self.virtual_time: float = 0
         self.sequence = itertools.count()
@@ -189,6 +191,7 @@
         team = self.teams.get(name)
         if team is None:
             team = Team(name)
+            team.part = self.part
             self.teams[name] = team
         return team
 
@@ -323,6 +326,7 @@
         :param others: for each team its demand at the other entries.
         """
         own = self.demand()
+        self.part = 1 / entries
         for team in self.teams.values():
             here = own.get(team.name, 0)
             everywhere = here + others.get(team.name, 0)
--- /dev/null
+++ b/tests/test_placement/test_learning.py
@@ -0,0 +1,113 @@
+"""Tests of what is learned from tasks that have ended."""
+
+from __future__ import annotations
+
+import math
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jackdawridge.placement.health import FleetHealth
+from jackdawridge.placement.learning import Learner, Usage
+from jackdawridge.placement.request import Request
+from jackdawridge.placement.sketch import Sketch
+
+#: Tasks that are observed.
+TASKS = 200
+
+
+def make_request(cores: float, run_time: float = 1) -> Request:
+    """Return a request of one kind."""
+    return Request('t', 0, 'team', 'kind', cores, 100, 0, run_time)
+
+
+class TestSketch:
+    """Quantiles are right up to the width of a bucket."""
+
+    @given(st.lists(st.floats(0.001, 1000), min_size=1, max_size=300))
+    def test_quantiles(self, values: list[float]) -> None:
+        """Each quantile is close to the value of that rank."""
+        sketch = Sketch()
+        for value in values:
+            sketch.observe(value)
+        ranked = sorted(values)
+        for part in (0.1, 0.5, 0.9):
+            exact = ranked[max(0, math.ceil(part * len(values)) - 1)]
+            assert sketch.quantile(part) == pytest.approx(exact, rel=0.1)
+
+    def test_old_values_fade(self) -> None:
+        """What was seen long ago no longer counts."""
+        sketch = Sketch()
+        for number in range(5000):
+            sketch.observe(1 if number < 1000 else 10)
+        assert sketch.mean() == pytest.approx(10, rel=0.05)
+
+
+class TestLearner:
+    """Declared values that are far off are corrected."""
+
+    def test_constant_factor(self) -> None:
+        """Declarations that are off by a factor are scaled."""
+        learner = Learner()
+        generator = random.Random(1)
+        for _ in range(TASKS):
+            cores = generator.uniform(0.2, 8)
+            usage = Usage(cores, 100, 1)
+            learner.observe(make_request(cores * 10), usage)
+        for cores in (1, 5):
+            need = learner.need(make_request(cores * 10))
+            assert need.cores == pytest.approx(cores, rel=0.1)
+
+    def test_useless_declarations(self) -> None:
+        """Declarations that say nothing are replaced by what is used."""
+        learner = Learner()
+        generator = random.Random(1)
+        for _ in range(TASKS):
+            declared = 10 ** generator.uniform(-1, 1)
+            learner.observe(make_request(declared), Usage(2, 100, 1))
+        need = learner.need(make_request(0.1))
+        assert need.cores == pytest.approx(2, rel=0.1)
+
+    def test_unknown_kind(self) -> None:
+        """What is declared counts as long as nothing is known."""
+        assert Learner().need(make_request(3)).cores == 3
+
+
+class TestSlowSides:
+    """Sides are compared with the fleet."""
+
+    def run_tasks(self, fleet: FleetHealth, factor: float) -> None:
+        """Let one side take longer than the others by a factor."""
+        for number in range(60):
+            for side in range(4):
+                took = factor if side == 0 else 1
+                fleet.succeeded(f's{side}', 'kind', number, took)
+
+    def test_straggler_is_limited_and_recovers(self) -> None:
+        """A slow side is limited until its tasks are as fast as others."""
+        fleet = FleetHealth()
+        self.run_tasks(fleet, 8)
+        assert fleet.judge('s0', 4).is_limited
+        assert not fleet.judge('s1', 4).is_limited
+        self.run_tasks(fleet, 1)
+        assert not fleet.judge('s0', 4).is_limited
+
+    def test_slow_kind_limits_nobody(self) -> None:
+        """Tasks that all take longer than expected are not a side's fault."""
+        fleet = FleetHealth()
+        for number in range(400):
+            fleet.succeeded(f's{number % 4}', 'kind', number, 8)
+        assert not any(
+            fleet.judge(f's{side}', 4).is_limited for side in range(4)
+        )
+
+    def test_failing_kind_is_blamed(self) -> None:
+        """A kind that fails at one side after the other limits nobody."""
+        fleet = FleetHealth()
+        fleet.failed('s0', 'kind', 1, 0)
+        assert fleet.judge('s0', 4).is_limited
+        fleet.failed('s1', 'kind', 2, 0)
+        assert not fleet.judge('s0', 4).is_limited
+        assert not fleet.judge('s1', 4).is_limited
--- a/tests/test_placement/test_placer.py
+++ b/tests/test_placement/test_placer.py
@@ -200,6 +200,14 @@
         placer.enqueue(make_job(20), 10)
         assert len(placer.place(10)) == 5
 
+    def test_quota_of_a_new_team(self) -> None:
+        """A team that is first seen after the split has a part as well."""
+        placer = make_placer()
+        placer.entries_changed(2, {})
+        placer.set_limits('payroll', TeamLimits(quota=10))
+        placer.enqueue(make_job(18), 10)
+        assert len(placer.place(10)) == 5
+
     def test_weights(self) -> None:
         """Room that is scarce is split by weight."""
         placer = make_placer(sides=1, limit=100000)
