Keep answers as the bytes that callers get, bounded in memory

Cause: an entry at 3,800 tasks a second keeps the answers of ten minutes; as tuples of texts they take more memory than a node has. Change: the JSON of an answer is made once and kept, and answer_memory (48 MB) bounds all of them together.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -169,7 +169,10 @@
 
     :param number: makes its ticket.
     """
-    answers = tuple(bytes([task]) * ANSWER_BYTES for task in range(JOB_TASKS))
+    answers = tuple(
+        str(number + task).zfill(ANSWER_BYTES).encode()
+        for task in range(JOB_TASKS)
+    )
     return JobAnswer(f'ticket-{number}', 'complete', answers, '', Started.some)
 
 
--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -338,6 +338,7 @@
     ),
     number_row('answer_retention', _ENTRY, 600.0, (1, 86400), 'seconds'),
     number_row('answer_limit', _ENTRY, 20000, (1, 10000000), 'answers'),
+    number_row('answer_memory', _ENTRY, 48, (1, 1048576), 'MB'),
     number_row('job_limit', _ENTRY, 20000, (1, 10000000), 'open jobs'),
     number_row('job_tasks', _ENTRY, 710, (1, 100000), 'tasks a job'),
     number_row('ticket_limit', _ENTRY, 100000, (1, 10000000), 'unused tickets'),
--- a/jackdawridge/submission/desk.py
+++ b/jackdawridge/submission/desk.py
@@ -11,7 +11,6 @@
 from jackdawridge.submission.documents import (
     digest_of,
     read_job,
-    write_answer,
     write_state,
 )
 from jackdawridge.submission.jobs import Started
@@ -23,8 +22,9 @@
     from twisted.internet.defer import Deferred
 
     from jackdawridge.application import Application
+    from jackdawridge.submission.answers import KeptAnswer
     from jackdawridge.submission.engine import JobEngine
-    from jackdawridge.submission.jobs import JobAnswer, JobSpec, KeptAnswer
+    from jackdawridge.submission.jobs import JobSpec
     from jackdawridge.submission.tickets import TicketRegister
 
 decisions = get_logger('routing')
@@ -127,7 +127,7 @@
             return refuse(
                 _CONFLICT, f'ticket {ticket!r} was used for another job'
             )
-        return answer_reply(kept.answer) if kept else None
+        return answer_reply(kept) if kept else None
 
     def begin(self, ticket: str, body: bytes, digest: bytes) -> Reply | None:
         """Submit a job under an unused ticket.
@@ -188,7 +188,7 @@
         """
         kept: KeptAnswer | None = self.engine.answers.kept.get(ticket)
         if kept is not None:
-            return answer_reply(kept.answer)
+            return answer_reply(kept)
         if ticket in self.engine.jobs:
             return None
         if ticket in self.register.unused:
@@ -218,7 +218,7 @@
 
     def wait(
         self, ticket: str, seconds: float, then: Callable[[Reply], None]
-    ) -> Deferred[JobAnswer]:
+    ) -> Deferred[KeptAnswer]:
         """Reply once a running job has its answer or the time is over.
 
         :param ticket: of a running job.
@@ -236,14 +236,14 @@
         return waiter
 
 
-def answer_reply(answer: JobAnswer) -> Reply:
+def answer_reply(answer: KeptAnswer) -> Reply:
     """Return the reply that carries a job's answer.
 
     :param answer: of a job.
     """
     if answer.state == 'complete':
-        return Reply(_OK, write_answer(answer))
-    return Reply(_FAILED, write_answer(answer), _OUTCOMES[answer.started])
+        return Reply(_OK, answer.body)
+    return Reply(_FAILED, answer.body, _OUTCOMES[answer.started])
 
 
 def running(ticket: str) -> Reply:
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -19,9 +19,10 @@
 from jackdawridge.logs import get_logger, log_decision
 from jackdawridge.placement.learning import Usage
 from jackdawridge.placement.request import Request
+from jackdawridge.submission.answers import AnswerBounds, AnswerStore
 from jackdawridge.submission.batches import split_batches
 from jackdawridge.submission.configured import NoConfiguration
-from jackdawridge.submission.jobs import AnswerStore, Job
+from jackdawridge.submission.jobs import Job
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -31,6 +32,7 @@
     from jackdawridge.application import Application
     from jackdawridge.placement.placer import Placer
     from jackdawridge.placement.request import Overload, Placement
+    from jackdawridge.submission.answers import KeptAnswer
     from jackdawridge.submission.configured import KnownConfiguration
     from jackdawridge.submission.jobs import JobAnswer, JobSpec
     from jackdawridge.submission.sides import SideRecord
@@ -38,6 +40,9 @@
 logger = get_logger('submission')
 decisions = get_logger('placement')
 
+#: Bytes of a megabyte of memory.
+BYTES_IN_MB = 1048576
+
 
 class JobEngine:
     """Places the tasks of open jobs and gathers their outcomes.
@@ -54,10 +59,13 @@
         self.placer = placer
         self.jobs: dict[str, Job] = {}
         self.answers = AnswerStore(
-            settings.integer('answer_limit'),
-            settings.number('answer_retention'),
+            AnswerBounds(
+                settings.integer('answer_limit'),
+                settings.number('answer_retention'),
+                settings.integer('answer_memory') * BYTES_IN_MB,
+            )
         )
-        self.waiters: dict[str, list[Deferred[JobAnswer]]] = defaultdict(list)
+        self.waiters: dict[str, list[Deferred[KeptAnswer]]] = defaultdict(list)
         self.sides: dict[str, SideRecord] = {}
         self.leases = count(1)
         #: What tasks are placed under.
@@ -95,12 +103,12 @@
             self.place_soon()
         return queued
 
-    def wait(self, ticket: str) -> Deferred[JobAnswer]:
+    def wait(self, ticket: str) -> Deferred[KeptAnswer]:
         """Return a `Deferred` that fires with the answer of an open job.
 
         :param ticket: of the job.
         """
-        waiter: Deferred[JobAnswer] = Deferred()
+        waiter: Deferred[KeptAnswer] = Deferred()
         self.waiters[ticket].append(waiter)
         return waiter
 
@@ -111,7 +119,7 @@
         """
         job = self.jobs.pop(answer.ticket)
         self.placer.cancel(answer.ticket)
-        self.answers.keep(answer, job.digest, self.clock.seconds())
+        kept = self.answers.keep(answer, job.digest, self.clock.seconds())
         logger.info(
             f'job {answer.state}',
             ticket=answer.ticket,
@@ -123,7 +131,7 @@
         self.application.events.emit('work_ended', job.spec)
         for waiter in self.waiters.pop(answer.ticket, ()):
             if not waiter.called:
-                waiter.callback(answer)
+                waiter.callback(kept)
         if self.idle is not None and not self.jobs:
             self.idle.callback(None)
             self.idle = None
--- a/jackdawridge/submission/jobs.py
+++ b/jackdawridge/submission/jobs.py
@@ -1,9 +1,8 @@
-"""Jobs that an entry owns, and the answers that it keeps."""
+"""Jobs that an entry owns."""
 
 from __future__ import annotations
 
 import enum
-from collections import OrderedDict
 from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.submission.life import make_life
@@ -174,48 +173,3 @@
                 self.answers[task] for task in range(len(self.spec.tasks))
             )
         self.done(JobAnswer(self.ticket, state, answers, reason, self.started))
-
-
-class KeptAnswer(NamedTuple):
-    """An answer that a resubmission gets instead of a second run."""
-
-    answer: JobAnswer
-    digest: bytes
-    #: Local time at which it is forgotten, in seconds.
-    until: float
-
-
-class AnswerStore:
-    """Answers of jobs that have ended, kept for a while.
-
-    :param limit: most answers; the oldest is forgotten beyond it.
-    :param retention: time for which an answer is kept, in seconds.
-    """
-
-    def __init__(self, limit: int, retention: float) -> None:
-        """Start empty."""
-        self.limit = limit
-        self.retention = retention
-        self.kept: OrderedDict[str, KeptAnswer] = OrderedDict()
-
-    def keep(self, answer: JobAnswer, digest: bytes, now: float) -> None:
-        """Keep an answer.
-
-        :param answer: of a job.
-        :param digest: of the caller's body.
-        :param now: local time in seconds.
-        """
-        until = now + self.retention
-        self.kept[answer.ticket] = KeptAnswer(answer, digest, until)
-        self.expire(now)
-
-    def expire(self, now: float) -> None:
-        """Forget answers that are too old or too many.
-
-        :param now: local time in seconds.
-        """
-        while self.kept:
-            oldest = next(iter(self.kept.values()))
-            if oldest.until >= now and len(self.kept) <= self.limit:
-                return
-            self.kept.popitem(last=False)
--- a/tests/test_submission/test_jobs.py
+++ b/tests/test_submission/test_jobs.py
@@ -10,9 +10,9 @@
 from hypothesis import strategies as st
 
 from jackdawridge.execution.messages import Ending, TaskKey
+from jackdawridge.submission.answers import AnswerBounds, AnswerStore
 from jackdawridge.submission.documents import read_job
 from jackdawridge.submission.jobs import (
-    AnswerStore,
     Job,
     JobAnswer,
     JobSpec,
@@ -24,6 +24,7 @@
 TASK = TaskSpec('kind', 1, 16, 0, 0.1, b'')
 KEY = 'a key that is long enough'
 MOST_TASKS = 710
+MB = 1048576
 
 
 def make_job(tasks: int) -> tuple[Job, list[JobAnswer]]:
@@ -85,13 +86,23 @@
 
 class TestAnswerStore:
     def test_oldest_answer_goes_first(self) -> None:
-        store = AnswerStore(2, 10)
+        store = AnswerStore(AnswerBounds(2, 10, MB))
         for name in 'abc':
             answer = JobAnswer(name, 'complete', (), '', Started.some)
             store.keep(answer, b'', 0)
         assert list(store.kept) == ['b', 'c']
         store.expire(10.1)
         assert not store.kept
+        assert store.size == 0
+
+    def test_bodies_are_bounded_together(self) -> None:
+        store = AnswerStore(AnswerBounds(100, 10, MB))
+        for name in 'abcde':
+            answers = (b'x' * (MB // 3),)
+            answer = JobAnswer(name, 'complete', answers, '', Started.some)
+            store.keep(answer, b'', 0)
+            assert sum(len(kept.body) for kept in store.kept.values()) <= MB
+        assert list(store.kept) == ['d', 'e']
 
 
 class TestTickets:
