Let operators choose how many cores are given out twice

Change: core_oversubscription is a setting of the side; the ledger never goes over its size again, and its tests state exact amounts as before. The benchmark warms up, and draws jobs of 20 to 100 tasks (2.7%) and of 100 to 710 (0.3%) as at first. Conclusion: the promise 'never over room' is about the size that the operator sets; 1 gives out no core twice.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -139,6 +139,15 @@
             jobs = self.workload().arrivals(load, 0, LENGTH)
             await self.run(f'load {load}', jobs)
 
+    async def warm_up(self) -> None:
+        """Run a load whose figures are dropped.
+
+        The processes of a new cluster are slower at first, which would count
+        against the policy that runs first.
+        """
+        await self.loads((0.5,))
+        self.rows.clear()
+
     async def burst(self) -> None:
         """Run load 0.6 with three times as much for a second and a half."""
         workload = self.workload()
@@ -353,6 +362,7 @@
 
     :param bench: of the smaller fleet.
     """
+    await bench.warm_up()
     for policy in ('room', *BASELINES):
         bench.cluster.change_policy(policy)
         await bench.loads((0.5, 0.7, 0.9))
@@ -377,6 +387,7 @@
 
     :param bench: of the larger fleet.
     """
+    await bench.warm_up()
     await bench.loads((0.5, 0.7, 0.9))
     await bench.burst()
     await run_faults(bench)
--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -17,8 +17,8 @@
 LONG_JOBS = 0.02
 
 #: Part of the jobs with 20 to 100 tasks, and with 100 to 710.
-LARGE_JOBS = 0.02
-HUGE_JOBS = 0.0005
+LARGE_JOBS = 0.027
+HUGE_JOBS = 0.003
 
 #: Factor by which declared values are off, at most.
 DECLARED_OFF = 10
--- a/jackdawridge/execution/component.py
+++ b/jackdawridge/execution/component.py
@@ -102,7 +102,7 @@
         settings = application.settings
         windows = SendWindows(settings.number('send_window'))
         size = Room(
-            settings.number('cores'),
+            settings.number('cores') * settings.number('core_oversubscription'),
             settings.number('memory'),
             settings.integer('accelerators'),
             0,
--- a/jackdawridge/execution/room.py
+++ b/jackdawridge/execution/room.py
@@ -10,11 +10,6 @@
 if TYPE_CHECKING:
     from jackdawridge.execution.messages import Start, TaskKey
 
-#: Cores that are given out over the cores that there are. Cores stand idle
-#: between the end of a task and the start of the next, and a little too much
-#: work only slows all tasks down a little, unlike memory.
-CORES_FACTOR = 1.08
-
 #: Time for which offered room stays reserved, in seconds.
 HOLD_TIME = 0.1
 
@@ -71,7 +66,7 @@
         self.reserved: dict[TaskKey, Room] = {}
         #: What tasks were measured to use, for those that were.
         self.measured: dict[TaskKey, Room] = {}
-        self.free = size._replace(cores=size.cores * CORES_FACTOR)
+        self.free = size
         #: Entries that were refused, the longest waiting first.
         self.waiting: dict[str, Waiting] = {}
         self.held: dict[str, Held] = {}
--- a/tests/test_execution/test_room.py
+++ b/tests/test_execution/test_room.py
@@ -41,6 +41,7 @@
         ledger = RoomLedger(SIZE)
         fill(ledger)
         ledger.measure(make_start(0).key(), 1, 10)
+        assert ledger.room_for('a', 0).cores == 3
         assert ledger.reserve('a', make_start(9, cores=3), 0)
 
 
@@ -104,7 +105,7 @@
             assert held <= model.ledger.free.cores
         for key in model.running:
             model.ledger.release(key)
-        assert model.ledger.free == RoomLedger(SIZE).free
+        assert model.ledger.free == SIZE
 
 
 class LedgerModel:
