Place tasks of a job one after another at a side with ample room

Cause: the tasks of a job were spread over all sides, so that each start had a message and a call to a worker of its own. Change: up to 10 tasks follow one another to the chosen side while 30% of its cores stay free besides; then the next side is chosen. Policies say whether they want that; the baselines do not. Conclusion: kept; fewer sides a job also means that a failing worker touches fewer jobs.

--- a/jackdawridge/placement/policies.py
+++ b/jackdawridge/placement/policies.py
@@ -21,6 +21,8 @@
 
     #: Whether a side is chosen only if the task fits by the entry's view.
     knows_room: bool
+    #: Whether tasks of a job follow one another to a side with ample room.
+    keeps_together: bool
 
     def choose(
         self, need: Need, sides: Sequence[Side], now: float
@@ -43,6 +45,7 @@
     """
 
     knows_room = True
+    keeps_together = True
 
     def __init__(self, seed: str = '') -> None:
         """Seed the random choices."""
@@ -68,6 +71,7 @@
     """Takes the side with most known room; all entries take the same."""
 
     knows_room = True
+    keeps_together = False
 
     def __init__(self, seed: str = '') -> None:
         """Do without random choices."""
@@ -91,6 +95,7 @@
     """
 
     knows_room = False
+    keeps_together = False
 
     def __init__(self, seed: str = '') -> None:
         """Seed the random choices."""
@@ -113,6 +118,7 @@
     """Takes one side after the other, whatever their room."""
 
     knows_room = False
+    keeps_together = False
 
     def __init__(self, seed: str = '') -> None:
         """Begin at the first side."""
--- a/jackdawridge/placement/rounds.py
+++ b/jackdawridge/placement/rounds.py
@@ -45,6 +45,12 @@
 #: Tasks that are placed before the teams are compared again.
 SERVED_TOGETHER = 16
 
+#: Tasks of a job that are placed at one side before the next is chosen.
+TOGETHER = 10
+
+#: Part of a worker's cores that has to stay free for that.
+SPARE = 0.3
+
 #: After all deadlines.
 LAST = (float('inf'), 0)
 
@@ -55,6 +61,14 @@
 MAX_TRIES = 64
 
 
+class Sequel(NamedTuple):
+    """The tasks of a job that were placed at one side one after another."""
+
+    ticket: str
+    side: Side
+    tasks: int
+
+
 class Walk:
     """Goes through the groups of one team's tasks.
 
@@ -72,8 +86,21 @@
         self.skipped = 0
         self.candidates = team.candidates(placer.learner, LOOKAHEAD)
         self.current: Candidate | None = None
+        self.last: Sequel | None = None
         self.advance()
 
+    def placed(self, ticket: str, side: Side) -> None:
+        """Note where a task went.
+
+        :param ticket: of its job.
+        :param side: that it was placed at.
+        """
+        last = self.last
+        count = 1
+        if last is not None and (last.ticket, last.side) == (ticket, side):
+            count += last.tasks
+        self.last = Sequel(ticket, side, count)
+
     def deadline(self) -> tuple[float, int]:
         """Return how urgent the current group is."""
         if self.current is None:
@@ -185,7 +212,9 @@
             self.tries += 1
             walk.skip()
             return
-        side = self.placer.policy.choose(wanted, self.sides, self.now)
+        side = self.same_side(walk, job, wanted) or self.placer.policy.choose(
+            wanted, self.sides, self.now
+        )
         if side is None:
             self.misfits.append(wanted)
             self.tries += 1
@@ -193,9 +222,28 @@
             return
         request = self.placer.queues.take(job, group)
         self.assign(job, request, side, 'most room')
+        walk.placed(job.ticket, side)
         if not group.requests:
             walk.advance()
 
+    def same_side(self, walk: Walk, job: Job, need: Need) -> Side | None:
+        """Return the side of the job's last task if it has ample room left.
+
+        Starts for one side share a message and a call to its worker.
+
+        :param walk: of the team.
+        :param job: to be placed.
+        :param need: of its next task, headroom included.
+        """
+        last = walk.last
+        if last is None or not self.placer.policy.keeps_together:
+            return None
+        if last.ticket != job.ticket or last.tasks >= TOGETHER:
+            return None
+        ample = need.cores + SPARE * last.side.info.cores
+        fits = last.side.fits(need._replace(cores=ample), self.now)
+        return last.side if fits else None
+
     def with_headroom(self, need: Need, job: Job) -> Need:
         """Return the room that has to be free for a task to be placed.
 
