Take back the calls to the worker without treq

Change: treq again. Conclusion: the cost of a call is that of Twisted's HTTP as a whole; fewer calls help, another wrapper does not.

--- a/jackdawridge/execution/http_worker.py
+++ b/jackdawridge/execution/http_worker.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import base64
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 import msgspec
-from twisted.internet.defer import Deferred, succeed
+import treq
 from twisted.internet.error import (
     ConnectError,
 )
@@ -16,10 +16,8 @@
 from twisted.internet.error import (
     TimeoutError as ConnectTimeoutError,
 )
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IBodyProducer
-from zope.interface import implementer
 
 from jackdawridge.execution.worker import (
     AnswerLostError,
@@ -62,57 +60,6 @@
     results: tuple[_StartAnswer, ...]
 
 
-class WorkerAnswer(NamedTuple):
-    """An answer of the worker."""
-
-    #: Status of HTTP.
-    code: int
-    body: bytes
-
-
-@implementer(IBodyProducer)
-class BytesProducer:
-    """A body of a request that is there as a whole.
-
-    :param body: the bytes.
-    """
-
-    def __init__(self, body: bytes) -> None:
-        """Keep the bytes."""
-        self.body = body
-        self.length = len(body)
-
-    def startProducing(self, consumer: Any) -> Deferred[None]:
-        """Write the body at once.
-
-        :param consumer: the connection.
-        """
-        consumer.write(self.body)
-        return succeed(None)
-
-    def pauseProducing(self) -> None:
-        """Do nothing: everything was written."""
-
-    def resumeProducing(self) -> None:
-        """Do nothing: everything was written."""
-
-    def stopProducing(self) -> None:
-        """Do nothing: everything was written."""
-
-
-async def _read(response: Any) -> WorkerAnswer:
-    """Return a response with its whole body."""
-    return WorkerAnswer(response.code, await readBody(response))
-
-
-def read_answer(response: Any) -> Deferred[WorkerAnswer]:
-    """Return a `Deferred` that fires with a whole answer.
-
-    :param response: of the client.
-    """
-    return Deferred.fromCoroutine(_read(response))
-
-
 class HttpWorker:
     """Calls the worker with JSON over HTTP.
 
@@ -175,18 +122,20 @@
         :param path: below `/v1`.
         :param document: sent as JSON by POST; GET if it is None.
         """
-        method = b'GET' if document is None else b'POST'
-        body = None
-        if document is not None:
-            body = BytesProducer(msgspec.json.encode(document))
-        url = f'{self.base}{path}'.encode()
-        asked = self.agent.request(method, url, _HEADERS, body)
-        asked.addCallback(read_answer)
-        asked.addTimeout(CALL_TIMEOUT, self.reactor)
-        code, content = await asked
-        if code != _OK:
+        method = 'GET' if document is None else 'POST'
+        body = None if document is None else msgspec.json.encode(document)
+        response = await treq.request(
+            method,
+            f'{self.base}{path}',
+            data=body,
+            headers=_HEADERS,
+            agent=self.agent,
+            timeout=CALL_TIMEOUT,
+        )
+        content: bytes = await treq.content(response)
+        if response.code != _OK:
             raise AnswerLostError(
-                f'status {code}',
+                f'status {response.code}',
                 step=f'call {path}',
                 peer=self.address,
             )
