Split the gate from what a side decides

Change: the gate has a module of its own; the ledger of room is named directly. Conclusion: no behaviour changes.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -18,6 +18,7 @@
 from jackdawridge.application import Application
 from jackdawridge.config import Settings
 from jackdawridge.daemon import SLICES
+from jackdawridge.execution.gate import OpenGate
 from jackdawridge.execution.messages import (
     Ending,
     Heartbeat,
@@ -29,7 +30,7 @@
 )
 from jackdawridge.execution.room import RoomLedger
 from jackdawridge.execution.sessions import Sessions
-from jackdawridge.execution.state import OpenGate, SideState
+from jackdawridge.execution.state import SideState
 from jackdawridge.execution.windows import SendWindows
 from jackdawridge.membership.messages import Introduction, Member
 from jackdawridge.membership.state import Table, Timing
--- a/jackdawridge/execution/component.py
+++ b/jackdawridge/execution/component.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import Deferred, ensureDeferred
 
+from jackdawridge.execution.gate import OpenGate
 from jackdawridge.execution.heart import Heart
 from jackdawridge.execution.line_server import LineServer
 from jackdawridge.execution.messages import (
@@ -19,7 +20,7 @@
 from jackdawridge.execution.relieving import WorkerRelief
 from jackdawridge.execution.room import RoomLedger
 from jackdawridge.execution.sessions import Sessions
-from jackdawridge.execution.state import OpenGate, SideState
+from jackdawridge.execution.state import SideState
 from jackdawridge.execution.watch import WorkerWatch
 from jackdawridge.execution.windows import SendWindows
 from jackdawridge.logs import get_logger, log_decision
@@ -27,7 +28,7 @@
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
-    from jackdawridge.execution.state import StartGate
+    from jackdawridge.execution.gate import StartGate
     from jackdawridge.execution.worker import Worker
     from jackdawridge.wire.peers import Peer, Peers
 
--- a/jackdawridge/execution/state.py
+++ b/jackdawridge/execution/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.execution.fences import Fences
 from jackdawridge.execution.line import Waiter
@@ -20,107 +20,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from jackdawridge.execution.line import Line
+    from jackdawridge.execution.gate import StartGate
     from jackdawridge.execution.messages import Room, Start
-    from jackdawridge.execution.room import EntryOffer
+    from jackdawridge.execution.room import RoomLedger
     from jackdawridge.execution.sessions import EntryRecord, Sessions
 
 
-class RoomKeeper(Protocol):
-    """Decides what fits on the worker."""
-
-    #: What is free now.
-    free: Room
-    #: Starts that wait.
-    line: Line
-
-    def reserve(self, entry: str, start: Start, now: float) -> bool:
-        """Reserve what a start asks for, if it fits."""
-
-    def hold(self, key: TaskKey, wanted: Room) -> None:
-        """Reserve room for a task that runs already."""
-
-    def release(self, key: TaskKey) -> None:
-        """Give back what a task had reserved."""
-
-    def room_for(self, entry: str, now: float) -> Room:
-        """Return what an entry may start."""
-
-    def register(self, entry: str, start: Start, now: float) -> None:
-        """Remember that an entry was refused."""
-
-    def join_line(self, waiter: Waiter) -> bool:
-        """Let a start wait for room that is about to become free."""
-
-    def next_in_line(self, now: float) -> Waiter | None:
-        """Take the first start out of the line if it fits now."""
-
-    def offers(self, now: float) -> tuple[EntryOffer, ...]:
-        """Return the offers to send to entries that were refused."""
-
-    def entry_left(self, entry: str) -> None:
-        """Forget what an entry waits for."""
-
-
-class StartGate(Protocol):
-    """Says whether anything may start here, by the configuration."""
-
-    @property
-    def position(self) -> int:
-        """Return the offset up to which the configuration is known."""
-
-    def refusal(self, now: float) -> str:
-        """Return why nothing may start, or an empty string."""
-
-    def version_refusal(self, agreement: str, version: int) -> str:
-        """Return why nothing may start under a version, or an empty string."""
-
-    def heartbeat_sent(self, window: int) -> None:
-        """Take note of a heartbeat, before it is sent."""
-
-    def heartbeat_answered(
-        self, window: int, position: int, age: float
-    ) -> None:
-        """Take an entry's word on how current the configuration is."""
-
-
-class OpenGate:
-    """Lets everything start."""
-
-    position = 0
-
-    def refusal(self, now: float) -> str:
-        """Return an empty string.
-
-        :param now: local time in seconds.
-        """
-        return ''
-
-    def version_refusal(self, agreement: str, version: int) -> str:
-        """Return an empty string.
-
-        :param agreement: its name.
-        :param version: the version.
-        """
-        return ''
-
-    def heartbeat_sent(self, window: int) -> None:
-        """Do nothing.
-
-        :param window: number of the heartbeat.
-        """
-
-    def heartbeat_answered(
-        self, window: int, position: int, age: float
-    ) -> None:
-        """Do nothing.
-
-        :param window: number of the heartbeat.
-        :param position: of the entry's configuration.
-        :param age: of the entry's word.
-        """
-
-
 class AdoptedTask(NamedTuple):
     """A running task that an earlier run of the side has started."""
 
@@ -139,7 +44,7 @@
     def __init__(
         self,
         sessions: Sessions,
-        room: RoomKeeper,
+        room: RoomLedger,
         gate: StartGate,
     ) -> None:
         """Start without tasks."""
--- a/tests/test_execution/test_forgotten.py
+++ b/tests/test_execution/test_forgotten.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from jackdawridge.execution.gate import OpenGate
 from jackdawridge.execution.messages import Ending, Room, Start, StartBatch
 from jackdawridge.execution.room import RoomLedger
 from jackdawridge.execution.sessions import Sessions
-from jackdawridge.execution.state import OpenGate, SideState
+from jackdawridge.execution.state import SideState
 from jackdawridge.execution.windows import SendWindows
 
 INCARNATION = 'run'
--- a/tests/test_execution/test_state.py
+++ b/tests/test_execution/test_state.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from jackdawridge.execution.gate import OpenGate
 from jackdawridge.execution.messages import (
     Ending,
     Room,
@@ -13,7 +14,7 @@
 )
 from jackdawridge.execution.room import RoomLedger
 from jackdawridge.execution.sessions import Sessions
-from jackdawridge.execution.state import AdoptedTask, OpenGate, SideState
+from jackdawridge.execution.state import AdoptedTask, SideState
 from jackdawridge.execution.windows import SendWindows
 
 ENTRY = 'run1'
