Split a team's order from the pass over the queues, and drop dead code

Change: placement/walk.py; Fleet.side_draining, NoRules and health_reply are gone. Conclusion: no behaviour changes.

--- a/jackdawridge/forwarding/side.py
+++ b/jackdawridge/forwarding/side.py
@@ -32,14 +32,6 @@
         """Return why nothing may start now, or an empty text."""
 
 
-class NoRules:
-    """Lets everything start."""
-
-    def refuse_start(self) -> str:
-        """Return an empty text."""
-        return ''
-
-
 class SideForwarding:
     """Runs the requests of entries on the minion; a component.
 
--- a/jackdawridge/placement/fleet.py
+++ b/jackdawridge/placement/fleet.py
@@ -26,7 +26,6 @@
         self.sides: dict[str, Side] = {}
         self.open_sides: list[Side] = []
         self.out_of_service: set[str] = set()
-        self.draining: set[str] = set()
         self.health = FleetHealth()
         #: What the open sides have together.
         self.capacity = NOTHING
@@ -56,19 +55,9 @@
         :param side_id: identifies the side.
         """
         self.sides.pop(side_id, None)
-        self.draining.discard(side_id)
         self.health.forget(side_id)
         self.refresh()
 
-    def side_draining(self, side_id: str) -> None:
-        """Send no more work to a side that is leaving.
-
-        :param side_id: identifies the side.
-        """
-        if side_id not in self.draining:
-            self.draining.add(side_id)
-            self.refresh()
-
     def side_reported(
         self, side_id: str, room: Room, processed: int, now: float
     ) -> None:
@@ -133,12 +122,10 @@
         self.capacity = sum_of(usable.info for usable in self.open_sides)
 
     def may_open(self, side: Side) -> bool:
-        """Return whether a side stays and its failure domain is in service.
+        """Return whether the failure domain of a side is in service.
 
         :param side: the side.
         """
-        if side.side_id in self.draining:
-            return False
         return side.info.failure_domain not in self.out_of_service
 
     def dominant_share(self, need: Need) -> float:
--- /dev/null
+++ b/jackdawridge/placement/walk.py
@@ -0,0 +1,93 @@
+"""The order in which one team's tasks are placed in a pass."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from jackdawridge.placement.queues import Group, Job
+
+if TYPE_CHECKING:
+    from jackdawridge.placement.learning import Need
+    from jackdawridge.placement.placer import Placer
+    from jackdawridge.placement.queues import Team
+    from jackdawridge.placement.view import Side
+
+#: Jobs of a team that are looked at in one pass if some do not fit.
+LOOKAHEAD = 16
+
+#: After all deadlines.
+LAST = (float('inf'), 0)
+
+
+class Sequel(NamedTuple):
+    """The tasks of a job that were placed at one side one after another."""
+
+    ticket: str
+    side: Side
+    tasks: int
+
+
+class Walk:
+    """Goes through the groups of one team's tasks.
+
+    Room only shrinks during a pass, so that a group that did not fit is not
+    tried again.
+
+    :param team: whose tasks are placed.
+    :param placer: estimates what they need.
+    """
+
+    def __init__(self, team: Team, placer: Placer) -> None:
+        """Begin at the most urgent group."""
+        self.team = team
+        self.placer = placer
+        self.skipped = 0
+        self.candidates = team.candidates(placer.learner, LOOKAHEAD)
+        self.current: Candidate | None = None
+        self.last: Sequel | None = None
+        self.advance()
+
+    def placed(self, ticket: str, side: Side) -> None:
+        """Note where a task went.
+
+        :param ticket: of its job.
+        :param side: that it was placed at.
+        """
+        last = self.last
+        count = 1
+        if last is not None and (last.ticket, last.side) == (ticket, side):
+            count += last.tasks
+        self.last = Sequel(ticket, side, count)
+
+    def deadline(self) -> tuple[float, int]:
+        """Return how urgent the current group is."""
+        if self.current is None:
+            return LAST
+        return self.current.job.order()
+
+    def advance(self) -> None:
+        """Go on to the next group that has tasks."""
+        following = next(self.candidates, None)
+        if following is None and not self.skipped and self.team.queued:
+            self.candidates = self.team.candidates(
+                self.placer.learner, LOOKAHEAD
+            )
+            following = next(self.candidates, None)
+        if following is None:
+            self.current = None
+        else:
+            job, group = following
+            self.current = Candidate(job, group, self.placer.need(group.sample))
+
+    def skip(self) -> None:
+        """Leave a group that does not fit."""
+        self.skipped += 1
+        self.advance()
+
+
+class Candidate(NamedTuple):
+    """Tasks that are alike and may be placed next."""
+
+    job: Job
+    group: Group
+    need: Need
--- a/jackdawridge/submission/resource.py
+++ b/jackdawridge/submission/resource.py
@@ -12,7 +12,6 @@
 
 from jackdawridge.logs import get_logger
 from jackdawridge.submission.desk import (
-    NOT_RUN,
     Reply,
     error_body,
     refuse,
@@ -157,13 +156,3 @@
         seconds = max(1, math.ceil(reply.retry_after))
         request.setHeader('Retry-After', str(seconds))
     return reply.body
-
-
-def health_reply(application: Application) -> Reply:
-    """Return what the balancer is told.
-
-    :param application: the process.
-    """
-    if application.draining:
-        return Reply(_UNAVAILABLE, error_body('leaving'), NOT_RUN)
-    return Reply(200, msgspec.json.encode({'status': 'ok'}))  # noqa: WPS432
