Let tasks that need most of a worker use empty workers at once

Cause: the headroom that a job of 20 tasks or more has to leave was asked for even where one task takes a whole worker, so that the job waited up to a second before an idle fleet. A property test of tasks that are kept together found it. Change: headroom is never more than the worker has besides the task. Conclusion: headroom only holds room back that small tasks could use.

--- a/jackdawridge/placement/rounds.py
+++ b/jackdawridge/placement/rounds.py
@@ -179,8 +179,10 @@
             return need
         part = HEADROOM * (1 - waited / HEADROOM_TIME)
         fleet = self.placer
-        cores = part * fleet.capacity.cores / max(len(fleet.open_sides), 1)
-        return need._replace(cores=need.cores + cores)
+        worker = fleet.capacity.cores / max(len(fleet.open_sides), 1)
+        # A task that needs most of a worker must fit an empty one at once.
+        headroom = min(part * worker, max(worker - need.cores, 0))
+        return need._replace(cores=need.cores + headroom)
 
     def assign(
         self, job: Job, request: Request, side: Side, reason: str
--- /dev/null
+++ b/tests/test_placement/test_together.py
@@ -0,0 +1,65 @@
+"""Tests of the tasks of a job that follow one another to a side."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jackdawridge.execution.messages import Room
+from jackdawridge.placement.admission import QueueBounds
+from jackdawridge.placement.placer import Placer
+from jackdawridge.placement.policies import LeastLoadPolicy, Policy, RoomPolicy
+from jackdawridge.placement.request import Request
+from jackdawridge.placement.rounds import SPARE, TOGETHER
+from jackdawridge.placement.view import SideInfo
+
+SIDES = 8
+MEMORY = 10000
+
+
+def place(policy: Policy, cores: int, tasks: int) -> Counter[str]:
+    """Return how many tasks of one job go to each empty worker."""
+    placer = Placer(policy, QueueBounds(1000))
+    info = SideInfo('soweto', cores, MEMORY, 0)
+    for number in range(SIDES):
+        placer.side_joined(f's{number}', info, 0)
+        placer.side_reported(f's{number}', Room(cores, MEMORY, 0, 0), 0, 9)
+    requests = [
+        Request('t', task, 'payroll', 'kind', 1, 10, 0, 0.1)
+        for task in range(tasks)
+    ]
+    placer.enqueue(requests, 10)
+    return Counter(placed.side_id for placed in placer.place(10))
+
+
+class TestTogether:
+    def test_tasks_share_sides_with_ample_room(self) -> None:
+        counts = place(RoomPolicy('seed'), 64, 2 * TOGETHER)
+        assert set(counts.values()) <= {TOGETHER, 2 * TOGETHER}
+        assert counts.total() == 2 * TOGETHER
+
+    def test_next_side_is_chosen_when_room_gets_short(self) -> None:
+        cores = 8
+        counts = place(RoomPolicy('seed'), cores, 2 * TOGETHER)
+        alone = cores * (1 - SPARE)
+        # The first task at a side is placed by its room alone.
+        assert max(counts.values()) <= max(alone, 1) + SIDES / 2
+        assert len(counts) >= 2 * TOGETHER / cores
+
+    def test_large_job_uses_empty_small_workers_at_once(self) -> None:
+        assert place(RoomPolicy('seed'), 1, 3 * SIDES).total() == SIDES
+
+    def test_baseline_spreads(self) -> None:
+        counts = place(LeastLoadPolicy(), 64, SIDES)
+        assert set(counts.values()) == {1}
+
+    @given(st.integers(1, 16), st.integers(1, 200))
+    def test_never_over_room_and_work_conserving(
+        self, cores: int, tasks: int
+    ) -> None:
+        counts = place(RoomPolicy('seed'), cores, tasks)
+        assert 1 <= max(counts.values()) <= cores
+        if tasks < TOGETHER:
+            assert counts.total() == min(tasks, SIDES * cores)
