Keep the plans of the placement benchmark apart from its runs

Change: benchmarks/plans.py has what is run at which deployment, by name, and one function runs any plan; the same variants in the same order. Conclusion: no figure of the benchmark changes; the whole was not run again.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,14 +7,14 @@
 
 from twisted.internet.task import react
 
-from benchmarks.placement import run_consortium, run_fiscalia
+from benchmarks.plans import PLANS, run_plan
 from benchmarks.report import write_report
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 #: Parts of the benchmark of the placement.
-PARTS = ('fiscalia', 'consortium')
+PARTS = tuple(PLANS)
 
 
 async def run(reactor: Any, names: Sequence[str]) -> None:
@@ -24,10 +24,8 @@
     :param names: of the parts.
     """
     rows = []
-    if 'fiscalia' in names:
-        rows.extend(await run_fiscalia(reactor))
-    if 'consortium' in names:
-        rows.extend(await run_consortium(reactor))
+    for name in names:
+        rows.extend(await run_plan(reactor, name))
     write_report(rows)
 
 
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -9,10 +9,10 @@
 from benchmarks.figures import Slowdowns, percentile
 from benchmarks.load import Action, Load
 from benchmarks.records import Recorded
-from benchmarks.workload import CONSORTIUM, FISCALIA, Job, Task, Workload
+from benchmarks.workload import Job, Task, Workload
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Sequence
 
     from benchmarks.load import Answered
     from benchmarks.workload import Deployment
@@ -342,76 +342,3 @@
     """Return the document of a job that lasts until it is cancelled."""
     task = {'kind': 'long', 'cores': 1, 'payload': '{"seconds": 30}'}
     return {'team': 'audit', 'tasks': [task for _ in range(20)]}
-
-
-async def run_fiscalia(reactor: Any) -> list[Row]:
-    """Compare all policies at the loads of the smaller fleet.
-
-    :param reactor: Twisted's reactor.
-    """
-    bench = Bench(reactor, FISCALIA)
-    try:
-        await compare(bench)
-    finally:
-        bench.cluster.close()
-    return bench.rows
-
-
-async def compare(bench: Bench) -> None:
-    """Run all loads with all policies.
-
-    :param bench: of the smaller fleet.
-    """
-    await bench.warm_up()
-    for policy in ('room', *BASELINES):
-        bench.cluster.change_policy(policy)
-        await bench.loads((0.5, 0.7, 0.9))
-        await bench.burst()
-
-
-async def run_consortium(reactor: Any) -> list[Row]:
-    """Compare policies at the larger fleet, with faults.
-
-    :param reactor: Twisted's reactor.
-    """
-    bench = Bench(reactor, CONSORTIUM)
-    try:
-        await run_all(bench)
-    finally:
-        bench.cluster.close()
-    return bench.rows
-
-
-async def run_all(bench: Bench) -> None:
-    """Run loads and faults, fewer of them with the baselines.
-
-    :param bench: of the larger fleet.
-    """
-    await bench.warm_up()
-    await bench.loads((0.5, 0.7, 0.9))
-    await bench.burst()
-    await run_faults(bench)
-    for policy in BASELINES:
-        bench.cluster.change_policy(policy)
-        await bench.loads((0.7,))
-        await bench.domain()
-        await bench.failing_worker()
-
-
-async def run_faults(bench: Bench) -> None:
-    """Run all faults.
-
-    :param bench: of the larger fleet.
-    """
-    faults: tuple[Callable[[], Any], ...] = (
-        bench.fairness,
-        bench.domain,
-        bench.failing_worker,
-        bench.straggler,
-        bench.cancellations,
-        bench.impossible,
-        bench.killed_side,
-        bench.killed_entry,
-    )
-    for fault in faults:
-        await fault()
