Wait for the end of gossip in the benchmark of control

Change: the benchmark waits up to 180 s until gossip is below 0.2 messages a second, and says how long that took, the rate then, what joining cost, and the messages a second by their kind. Stand-in entries answer questions.

--- a/benchmarks/control/fleet.py
+++ b/benchmarks/control/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from twisted.internet.task import LoopingCall
@@ -40,6 +41,8 @@
 
     bytes: int
     messages: int
+    #: Messages by the name of their type.
+    kinds: Counter[str]
 
 
 class Fleet:
@@ -64,8 +67,8 @@
         self.position = 0
         self.links: list[Link] = []
         self.ports: list[Any] = []
-        self.sent = 0
-        self.received = 0
+        #: Messages of all links, both ways, by the name of their type.
+        self.messages: Counter[str] = Counter()
         #: Suspicions of sides by the entry under measurement.
         self.suspicions = 0
         self.address = ''
@@ -200,11 +203,13 @@
 
     def traffic(self) -> Traffic:
         """Return the traffic with the process under measurement so far."""
-        messages = self.sent + self.received
+        messages = self.messages.total()
         payload = sum(
             link.bytes_sent + link.bytes_received for link in self.links
         )
-        return Traffic(payload + FRAME_BYTES * messages, messages)
+        return Traffic(
+            payload + FRAME_BYTES * messages, messages, self.messages.copy()
+        )
 
 
 def make_application(reactor: Any) -> Application:
--- a/benchmarks/control/peers.py
+++ b/benchmarks/control/peers.py
@@ -7,12 +7,19 @@
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
 
-from benchmarks.control.deployment import DEPLOYMENT, HEARTBEAT, SHARED_KEY
+from benchmarks.control.deployment import (
+    DEPLOYMENT,
+    HEARTBEAT,
+    LOG_POLL,
+    SHARED_KEY,
+)
 from jackdawridge.configuration.messages import (
     ConfigurationApplied,
     ConfigurationRequest,
     ConfigurationSnapshot,
     ConfigurationUpdate,
+    LogAnswer,
+    LogQuestion,
     LogRecord,
 )
 from jackdawridge.execution.messages import Heartbeat, HeartbeatReply, Room
@@ -27,6 +34,8 @@
 from jackdawridge.wire.link import AcceptingFactory, DialingFactory, LinkContext
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from benchmarks.control.fleet import Fleet
     from jackdawridge.wire.link import Link
 
@@ -94,7 +103,7 @@
         :param link: where it came from.
         :param message: any message.
         """
-        self.fleet.received += 1
+        self.fleet.messages[type(message).__name__] += 1
         if isinstance(message, Introduction):
             if link.is_dialled():
                 self.link = link
@@ -119,7 +128,7 @@
         """
         if self.link is None or not self.link.send(message):
             return False
-        self.fleet.sent += 1
+        self.fleet.messages[type(message).__name__] += 1
         return True
 
     def joined(self) -> None:
@@ -184,29 +193,59 @@
 class StandInEntry(StandIn):
     """An entry without jobs."""
 
+    def __init__(self, fleet: Fleet, introduction: Introduction) -> None:
+        """Start without links."""
+        super().__init__(fleet, introduction)
+        #: What makes the answer to a message, by its type.
+        self.writers: dict[type, Callable[[Any], Any]] = {
+            Heartbeat: self.reply_heartbeat,
+            Probe: self.reply_probe,
+            LogQuestion: self.answer_question,
+        }
+
     def joined(self) -> None:
         """Tell a side which entries there are."""
         if self.fleet.measures_side:
             self.send(Gossip(tuple(self.fleet.entry_members())))
 
     def answer(self, message: Any) -> None:
-        """Answer probes, heartbeats and requests for the table.
+        """Answer probes, heartbeats, questions and requests for the table.
 
         :param message: any message.
         """
-        fleet = self.fleet
-        if isinstance(message, Heartbeat):
-            reply = HeartbeatReply(message.window, 0, fleet.position, 0.2)
-            self.send(reply)
-        elif isinstance(message, Probe):
-            fleet.learn(message.members)
-            digest = fleet.table.digest
-            self.send(ProbeReply(message.number, digest, fleet.news()))
-        elif isinstance(message, ProbeReply | Gossip):
-            fleet.learn(message.members)
-        elif isinstance(message, SyncRequest):
+        if isinstance(message, Probe | ProbeReply | Gossip):
+            self.fleet.learn(message.members)
+        if isinstance(message, SyncRequest):
             peer: Any = self
-            fleet.exchange.request_received(peer, message)
+            self.fleet.exchange.request_received(peer, message)
+        write = self.writers.get(type(message))
+        if write is not None:
+            self.send(write(message))
+
+    def reply_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatReply:
+        """Return the answer to a heartbeat.
+
+        :param heartbeat: of the side under measurement.
+        """
+        return HeartbeatReply(heartbeat.window, 0, self.fleet.position, 0.2)
+
+    def reply_probe(self, probe: Probe) -> ProbeReply:
+        """Return the answer to a probe.
+
+        :param probe: of the entry under measurement.
+        """
+        digest = self.fleet.table.digest
+        return ProbeReply(probe.number, digest, self.fleet.news())
+
+    def answer_question(self, question: LogQuestion) -> LogAnswer:
+        """Return what an entry whose log answers says about it.
+
+        :param question: of the entry under measurement.
+        """
+        age = random.uniform(LOG_POLL, 2 * LOG_POLL)  # noqa: S311
+        return LogAnswer(
+            question.number, self.fleet.position, age, False, True, ()
+        )
 
     def push_change(self, offset: int, body: bytes) -> None:
         """Send a change of the configuration to the side.
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -30,6 +30,7 @@
 )
 from benchmarks.control.fleet import DIALS_A_SECOND, Fleet
 from benchmarks.control.log import append_change, make_change
+from benchmarks.control.quiet import Quiet, wait_until_quiet
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,8 +41,10 @@
 ROLES = ('entry', 'side', 'full')
 #: Limits for a node at 4,000 workers.
 TARGETS = MappingProxyType({'share': 0.017, 'bytes': 30000, 'memory': 128})
-#: Time for all links to open and the table to settle, in seconds.
+#: Time for all links to open and their first messages, in seconds.
 SETTLING = 9.0
+#: Kinds of messages that are named in the output.
+KINDS_SHOWN = 6
 #: Length of each measurement, in seconds.
 PHASE = 10.0
 #: Changes and restarts a second in their measurements.
@@ -57,6 +60,8 @@
     messages_a_second: float
     #: Resident memory in MB at the end.
     memory: float
+    #: Messages a second by the name of their type.
+    kinds: dict[str, float]
 
 
 class Row(NamedTuple):
@@ -68,6 +73,10 @@
     workers: int
     entries: int
     linked: int
+    #: Wait for the end of the gossip about joining processes.
+    quiet: Quiet
+    #: Processor time from the first link on until then, in seconds.
+    joining: float
     idle: Cost
     #: Processor seconds and bytes of one change of the configuration.
     change: tuple[float, float]
@@ -91,6 +100,8 @@
         """Keep both."""
         self.node = node
         self.fleet = fleet
+        self.started = time.monotonic()
+        self.first_usage = node.usage()
 
     async def measure(
         self, event: Callable[[], object] | None = None
@@ -116,6 +127,10 @@
             (now.bytes - traffic.bytes) / elapsed,
             (now.messages - traffic.messages) / elapsed,
             after.memory,
+            {
+                kind: count / elapsed
+                for kind, count in (now.kinds - traffic.kinds).most_common()
+            },
         )
         return cost, events
 
@@ -146,11 +161,11 @@
         stack.callback(fleet.stop)
         entry, address = nodes.start_entry(stack, [nodes.free_address()], log)
         await deferLater(reactor, 3)
+        meter = Meter(entry, fleet)
         fleet.start(address)
         await deferLater(
             reactor, SETTLING + len(fleet.linked_sides()) / DIALS_A_SECOND
         )
-        meter = Meter(entry, fleet)
         return await measure_row(
             meter,
             'entry',
@@ -170,8 +185,8 @@
         stack.callback(fleet.stop)
         seeds = [fleet.entries[0].introduction.address]
         side = nodes.start_side(stack, seeds)
-        await deferLater(reactor, SETTLING + 3)
         meter = Meter(side, fleet)
+        await deferLater(reactor, SETTLING + 3)
         return await measure_row(
             meter, 'side', 'subset', lambda: fleet.change(make_change())
         )
@@ -188,6 +203,8 @@
     :param change: changes the configuration once.
     """
     size = meter.fleet.size
+    quiet = await wait_until_quiet(meter.fleet, meter.started)
+    joining = meter.node.usage().processor - meter.first_usage.processor
     idle, _ = await meter.measure()
     change_cost: tuple[float, float] = (0, 0)
     restart_cost = change_cost
@@ -203,6 +220,7 @@
         + restarts * restart_cost[1],
         idle.messages_a_second,
         meter.node.usage().memory,
+        idle.kinds,
     )
     linked = sum(link.is_open for link in meter.fleet.links)
     return Row(
@@ -211,6 +229,8 @@
         size.workers,
         size.entries,
         linked,
+        quiet,
+        joining,
         idle,
         change_cost,
         restart_cost,
@@ -242,6 +262,7 @@
         measured = await done
         rows.extend(measured)
         print('\n'.join(map(format_row, measured)), flush=True)
+        print('\n'.join(map(format_rest, measured)), flush=True)
     return sorted(rows)
 
 
@@ -266,6 +287,21 @@
     return '| {0} |'.format(' | '.join(cells))
 
 
+def format_rest(row: Row) -> str:
+    """Return a line about the wait and the messages at rest.
+
+    :param row: the result of a run.
+    """
+    shown = list(row.idle.kinds.items())[:KINDS_SHOWN]
+    kinds = ', '.join(f'{kind} {rate:.1f}' for kind, rate in shown)
+    return (
+        f'{row.role} {row.links} {row.workers}:'
+        f' gossip {row.quiet.rate:.2f} messages/s'
+        f' {row.quiet.waited:.0f} s after the first link, which took'
+        f' {row.joining:.2f} s of processor time; a second at rest: {kinds}'
+    )
+
+
 HEADER = (
     '| role | links | workers | open links | CPU at rest | CPU of a day '
     '| KB/s | messages/s | MB | ms a change | ms a restart |\n'
@@ -308,6 +344,7 @@
         'rows': [
             {
                 **row._asdict(),
+                'quiet': row.quiet._asdict(),
                 'idle': row.idle._asdict(),
                 'total': row.total._asdict(),
             }
