Name the questions about the log after what they do

Cause: the module consensus held no consensus group; it asks the other entries what they know of the log. Change: module log_survey, class LogSurvey, attribute survey. Conclusion: no behaviour changes.

--- a/jackdawridge/configuration/confirmations.py
+++ b/jackdawridge/configuration/confirmations.py
@@ -15,7 +15,7 @@
     from collections.abc import Iterable
 
     from jackdawridge.application import Application
-    from jackdawridge.configuration.consensus import Consensus
+    from jackdawridge.configuration.log_survey import LogSurvey
     from jackdawridge.wire.peers import Peer
 
 #: Time for which a side that is no longer linked is still named, in seconds.
@@ -52,13 +52,13 @@
     """Gathers what sides confirm, at this entry and at the others.
 
     :param application: the process.
-    :param consensus: knows the other entries.
+    :param survey: knows the other entries.
     """
 
-    def __init__(self, application: Application, consensus: Consensus) -> None:
+    def __init__(self, application: Application, survey: LogSurvey) -> None:
         """Listen to messages and peers."""
         self.application = application
-        self.consensus = consensus
+        self.survey = survey
         self.sides: dict[str, KnownSide] = {}
         self.questions: Questions[ConfirmationAnswer] = Questions(
             application.clock
@@ -140,7 +140,7 @@
         :param position: to confirm.
         """
         answers = await self.questions.ask(
-            self.consensus.entries.values(),
+            self.survey.entries.values(),
             lambda number: ConfirmationQuestion(
                 number, failure_domain, position
             ),
--- a/jackdawridge/configuration/entry.py
+++ b/jackdawridge/configuration/entry.py
@@ -7,10 +7,10 @@
 
 from jackdawridge.configuration.configuration import Configuration
 from jackdawridge.configuration.confirmations import Confirmations
-from jackdawridge.configuration.consensus import Consensus
 from jackdawridge.configuration.exchange import Exchange
 from jackdawridge.configuration.freshness import EntryFreshness
 from jackdawridge.configuration.log_client import HttpLogService, LogService
+from jackdawridge.configuration.log_survey import LogSurvey
 from jackdawridge.configuration.publisher import Publisher
 from jackdawridge.configuration.reader import LogReader
 from jackdawridge.configuration.replay import Page, Replay
@@ -53,15 +53,15 @@
             self.read,
         )
         self.exchange = Exchange(application, self.configuration, self)
-        self.consensus = Consensus(
+        self.survey = LogSurvey(
             application, self.configuration, self.freshness, self.exchange
         )
         self.publisher = Publisher(
             log, self.configuration, clock, self.exchange.announce
         )
-        self.confirmations = Confirmations(application, self.consensus)
+        self.confirmations = Confirmations(application, self.survey)
         self.retirement = Retirement(
-            application, self.configuration, self.consensus, self.publisher
+            application, self.configuration, self.survey, self.publisher
         )
         self.writer = SnapshotWriter(
             log,
@@ -110,7 +110,7 @@
             'held_failure_domains': sorted(
                 self.configuration.holds.failure_domains()
             ),
-            'other_entries': sorted(self.consensus.entries),
+            'other_entries': sorted(self.survey.entries),
         }
 
     def is_ready(self) -> bool:
@@ -120,7 +120,7 @@
     def start(self) -> None:
         """Begin to read, to ask, to write snapshots and to retire."""
         self.reader.start()
-        self.consensus.start()
+        self.survey.start()
         self.writer.start()
         self.retirement.start()
 
@@ -128,7 +128,7 @@
         """Stop what was started."""
         self.retirement.stop()
         self.writer.stop()
-        self.consensus.stop()
+        self.survey.stop()
         self.reader.stop()
 
     def read(self, start: int, page: Page) -> None:
--- a/jackdawridge/configuration/consensus.py
+++ b/jackdawridge/configuration/log_survey.py
@@ -94,7 +94,7 @@
         return frozenset(self.linked | set(self.silent) | unmet)
 
 
-class Consensus:
+class LogSurvey:
     """Asks the other entries about the log, and answers them; a component.
 
     :param application: the process.
--- a/jackdawridge/configuration/retirement.py
+++ b/jackdawridge/configuration/retirement.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from jackdawridge.application import Application
     from jackdawridge.configuration.configuration import Configuration
-    from jackdawridge.configuration.consensus import Consensus
+    from jackdawridge.configuration.log_survey import LogSurvey
     from jackdawridge.configuration.publisher import Publisher
     from jackdawridge.wire.peers import Peer
 
@@ -48,7 +48,7 @@
 
     :param application: the process.
     :param configuration: what is in force here.
-    :param consensus: knows the other entries.
+    :param survey: knows the other entries.
     :param publisher: of the retirement.
     """
 
@@ -56,14 +56,14 @@
         self,
         application: Application,
         configuration: Configuration,
-        consensus: Consensus,
+        survey: LogSurvey,
         publisher: Publisher,
     ) -> None:
         """Listen to messages."""
         clock: Any = application.clock
         self.node = application.settings.text('node')
         self.configuration = configuration
-        self.consensus = consensus
+        self.survey = survey
         self.publisher = publisher
         self.questions: Questions[WorkAnswer] = Questions(application.clock)
         self.loop = LoopingCall(self.check)
@@ -87,7 +87,7 @@
 
     async def retire_all(self) -> None:
         """Try to retire each settled version, at one entry only."""
-        if min((self.node, *self.consensus.entries)) != self.node:
+        if min((self.node, *self.survey.entries)) != self.node:
             return
         for pinned in self.configuration.settled_versions():
             await self.retire(pinned)
@@ -120,7 +120,7 @@
         )
         settled_at = versions[-1].offset if versions else -1
         answers = await self.questions.ask(
-            self.consensus.entries.values(),
+            self.survey.entries.values(),
             lambda number: WorkQuestion(number, *pinned),
             ANSWER_TIMEOUT,
         )
@@ -129,7 +129,7 @@
             for name, answer in answers.items()
             if answer.position > settled_at
         }
-        known = self.consensus.known.names(self.consensus.now())
+        known = self.survey.known.names(self.survey.now())
         return OpenCount(
             self.configuration.open_work.count(pinned)
             + sum(answer.work for answer in answers.values()),
