Ask about the log only when it does not answer

Cause: an entry asked all others once the log's word was 1.2 s old. With a read wait of 1 s, as in the large settings, the word is up to 2 s old at rest, so each entry asked all others 2.6 times a second. Change: the age that asks is twice the read wait plus 0.6 s: 1.2 s at 0.3 s, as before. Without the questions a read wait of 1 s leaves sides a word of up to 2.6 s with five entries; the settings of a large deployment follow.

--- a/jackdawridge/configuration/log_survey.py
+++ b/jackdawridge/configuration/log_survey.py
@@ -25,8 +25,9 @@
 
 #: Time between two rounds of questions, in seconds.
 ROUND_INTERVAL = 0.3
-#: Age of the log's word from which on the other entries are asked.
-ASK_AGE = 1.2
+#: The other entries are asked once the log's word is older than two reads and
+#: this allowance, in seconds. The word is that old at the end of each read.
+ASK_ALLOWANCE = 0.6
 #: Time for which an entry that ended without notice still counts among those
 #: of which a majority has to be heard, in seconds.
 MEMORY = 120.0
@@ -118,6 +119,9 @@
         self.exchange = exchange
         self.known = KnownNames(_unmet(application.settings))
         self.entries: dict[str, Peer] = {}
+        poll = application.settings.number('log_poll')
+        #: Age of the log's word from which on the other entries are asked.
+        self.ask_age = 2 * poll + ASK_ALLOWANCE
         self.loop = LoopingCall(self.check)
         self.loop.clock = clock
         application.on_message(LogQuestion, self.asked)
@@ -184,7 +188,8 @@
     def check(self) -> None:
         """Ask the other entries if the log's word grows old."""
         now = self.now()
-        if not self.freshness.failing and self.freshness.log_age(now) < ASK_AGE:
+        log_age = self.freshness.log_age(now)
+        if not self.freshness.failing and log_age < self.ask_age:
             return
         current = self.freshness.begin_round(now)
         question = LogQuestion(current.number, self.configuration.position)
--- a/tests/test_configuration/simulation.py
+++ b/tests/test_configuration/simulation.py
@@ -63,7 +63,7 @@
             'peer_address': name,
             'entries': ['entry-0', 'entry-1', 'entry-2'],
             'freshness': 2.5,
-            'log_poll': 0.3,
+            'log_poll': world.log_poll,
             'snapshot_interval': 20.0,
         }
         clock: Any = self.clock
@@ -195,7 +195,10 @@
 class World:
     """All nodes, the log and the faults."""
 
-    def __init__(self, entries: int = 3, sides: int = 2) -> None:
+    def __init__(
+        self, entries: int = 3, sides: int = 2, log_poll: float = 0.3
+    ) -> None:
+        self.log_poll = log_poll
         self.now = 1000.0
         self.log = FakeLog()
         self.truth: State = EMPTY
--- a/tests/test_configuration/test_outages.py
+++ b/tests/test_configuration/test_outages.py
@@ -107,6 +107,30 @@
         assert newcomer.entry.configuration.state == world.truth
 
 
+class TestQuestions:
+    @pytest.mark.parametrize('log_poll', [0.3, 0.5, 1.0])
+    def test_none_while_the_log_answers(self, log_poll: float) -> None:
+        world = World(log_poll=log_poll)
+        world.run(3)
+        before = [dict(node.application.received) for node in world.entries]
+        world.run(20)
+        asked = [
+            node.application.received['LogQuestion']
+            - counts.get('LogQuestion', 0)
+            for node, counts in zip(world.entries, before, strict=True)
+        ]
+        assert asked == [0, 0, 0]
+
+    @pytest.mark.parametrize('log_poll', [0.3, 0.5])
+    def test_asked_in_time_when_the_log_is_gone(self, log_poll: float) -> None:
+        world = World(log_poll=log_poll)
+        world.run(3)
+        world.log_down = True
+        world.run(3)
+        assert all(node.entry.age() < 1 for node in world.entries)
+        assert world.fresh() == [True, True]
+
+
 class TestLogOutage:
     def test_work_goes_on_and_changes_are_unknown(self, world: World) -> None:
         world.log_down = True
