Read and write messages by field instead of by name

Cause: in a profile of an entry at 1,000 tasks a second, decoding took 15% of the time, most of it the attribute search of pycapnp's readers: 0.72 us a field by name, 0.23 us by field. Values were then converted to the type they had.

Change: the codec keeps the fields of a structure and reads them in one pass. Conversions are gone; instead a message type whose fields have not the types of its schema is refused at registration. Values equal to the schema's default are not written.

The layout of endings by column is not needed: a field costs what an element of a list costs.

--- a/jackdawridge/wire/codec.py
+++ b/jackdawridge/wire/codec.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import (
     TYPE_CHECKING,
     Any,
@@ -17,7 +19,7 @@
 from jackdawridge.errors import WireError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable
     from pathlib import Path
 
 #: Most 8-byte words that a received message may make the reader visit.
@@ -25,8 +27,20 @@
 #: Deepest nesting of structures in a received message.
 NESTING_LIMIT = 16
 
+_SIZES = (8, 16, 32, 64)
 _KIND = struct.Struct('>H')
-_SCALARS = (int, float, str, bytes, bool)
+#: Types of Cap'n Proto that a Python type may have in a schema.
+_SCALARS: Mapping[type[Any], frozenset[str]] = MappingProxyType(
+    {
+        bool: frozenset(('bool',)),
+        int: frozenset(
+            f'{sign}int{size}' for sign in ('', 'u') for size in _SIZES
+        ),
+        float: frozenset(('float32', 'float64')),
+        str: frozenset(('text',)),
+        bytes: frozenset(('data',)),
+    }
+)
 
 
 class Registration(NamedTuple):
@@ -69,13 +83,12 @@
             if kind in self.by_kind:
                 raise ValueError(f'message kind {kind} is already registered')
             schema = getattr(module, message_type.__name__)
-            _check_fields(message_type, schema)
             registration = Registration(
                 kind,
                 message_type,
                 schema,
-                _writer(message_type),
-                _reader(message_type),
+                _writer(message_type, schema.schema),
+                _reader(message_type, schema.schema),
             )
             self.by_kind[kind] = registration
             self.by_type[message_type] = registration
@@ -134,16 +147,49 @@
         return registration.read(reader)
 
 
-def _check_fields(message_type: type[Any], schema: Any) -> None:
-    """Raise unless a message type and its structure have the same fields."""
+class _Field(NamedTuple):
+    """One field of a message and of its structure."""
+
+    #: Position in the message.
+    position: int
+    #: Type in the message.
+    hint: Any
+    #: How Cap'n Proto knows it.
+    wire: Any
+
+
+def _fields(message_type: type[Any], schema: Any) -> list[_Field]:
+    """Return the fields of a message; raise unless they match the schema."""
     ours = set(message_type._fields)
-    theirs = {_snake(name) for name in schema.schema.fieldnames}
+    theirs = {_snake(name) for name in schema.fieldnames}
     if ours != theirs:
         differing = ', '.join(sorted(ours ^ theirs))
         raise ValueError(
             f'fields of {message_type.__name__} and its schema differ:'
             f' {differing}',
         )
+    hints = get_type_hints(message_type)
+    fields = [
+        _Field(position, hints[name], schema.fields[_camel(name)])
+        for position, name in enumerate(message_type._fields)
+    ]
+    for field in fields:
+        _check_type(message_type, field)
+    return fields
+
+
+def _check_type(message_type: type[Any], field: _Field) -> None:
+    """Raise unless a field has the type and the default of its schema."""
+    slot = field.wire.proto.slot
+    wire_type = slot.type.which()
+    nested = 'list' if _element_type(field.hint) else 'struct'
+    allowed = _SCALARS.get(field.hint, frozenset((nested,)))
+    if wire_type not in allowed or slot.hadExplicitDefault:
+        name = message_type._fields[field.position]
+        raise ValueError(
+            f'field {name!r} of {message_type.__name__} cannot be'
+            f' a {wire_type} of its schema',
+        )
 
 
 def _snake(name: str) -> str:
@@ -166,54 +212,67 @@
     return None
 
 
-def _writer(message_type: type[Any]) -> Callable[[Any, Any], None]:
+def _writer(message_type: type[Any], schema: Any) -> Callable[[Any, Any], None]:
     """Return a function that copies a message into a builder."""
-    hints = get_type_hints(message_type)
     steps = [
-        (name, _camel(name), _field_writer(hints[name]))
-        for name in message_type._fields
+        (field.wire, _field_writer(field))
+        for field in _fields(message_type, schema)
     ]
 
     def write(builder: Any, message: Any) -> None:  # noqa: WPS430
-        for name, wire_name, copy in steps:
-            copy(builder, wire_name, getattr(message, name))
+        # Access by field spares the search for the name, and a schema's
+        # default need not be written.
+        set_field = builder._set_by_field  # noqa: WPS437
+        for (wire, copy), value in zip(steps, message, strict=True):
+            if not value:
+                continue
+            if copy is None:
+                set_field(wire, value)
+            else:
+                copy(builder, value)
 
     return write
 
 
-def _field_writer(hint: Any) -> Callable[[Any, str, Any], None]:
-    """Return a function that writes one field of a builder."""
-    element = _element_type(hint)
+def _field_writer(field: _Field) -> Callable[[Any, Any], None] | None:
+    """Return a function that writes a field, None for a scalar."""
+    if field.hint in _SCALARS:
+        return None
+    element = _element_type(field.hint)
+    name = field.wire.proto.name
     if element is None:
-        return setattr if hint in _SCALARS else _struct_writer(hint)
+        return _struct_writer(name, _writer(field.hint, field.wire.schema))
     if element in _SCALARS:
-        return _write_scalars
-    return _list_writer(element)
+        return _scalars_writer(name)
+    return _list_writer(name, _writer(element, field.wire.schema.elementType))
+
 
+def _scalars_writer(name: str) -> Callable[[Any, Any], None]:
+    """Return a function that writes a list of scalars."""
 
-def _write_scalars(builder: Any, name: str, values: Any) -> None:
-    """Write a list of scalars."""
-    if values:
+    def copy(builder: Any, values: Any) -> None:  # noqa: WPS430
         setattr(builder, name, list(values))
 
+    return copy
+
 
-def _struct_writer(hint: Any) -> Callable[[Any, str, Any], None]:
+def _struct_writer(
+    name: str, write: Callable[[Any, Any], None]
+) -> Callable[[Any, Any], None]:
     """Return a function that writes a nested message."""
-    write = _writer(hint)
 
-    def copy(builder: Any, name: str, message: Any) -> None:  # noqa: WPS430
+    def copy(builder: Any, message: Any) -> None:  # noqa: WPS430
         write(builder.init(name), message)
 
     return copy
 
 
-def _list_writer(element: Any) -> Callable[[Any, str, Any], None]:
+def _list_writer(
+    name: str, write: Callable[[Any, Any], None]
+) -> Callable[[Any, Any], None]:
     """Return a function that writes a list of nested messages."""
-    write = _writer(element)
 
-    def copy(builder: Any, name: str, messages: Any) -> None:  # noqa: WPS430
-        if not messages:
-            return
+    def copy(builder: Any, messages: Any) -> None:  # noqa: WPS430
         builders = builder.init(name, len(messages))
         for position, message in enumerate(messages):
             write(builders[position], message)
@@ -221,30 +280,37 @@
     return copy
 
 
-def _reader(message_type: type[Any]) -> Callable[[Any], Any]:
+def _reader(message_type: type[Any], schema: Any) -> Callable[[Any], Any]:
     """Return a function that makes a message from a reader."""
-    hints = get_type_hints(message_type)
-    steps = [
-        (_camel(name), _field_reader(hints[name]))
-        for name in message_type._fields
+    fields = _fields(message_type, schema)
+    wires = [field.wire for field in fields]
+    nested = [
+        (field.position, _field_reader(field))
+        for field in fields
+        if field.hint not in _SCALARS
     ]
+    make = message_type._make
 
     def read(reader: Any) -> Any:  # noqa: WPS430
-        return message_type(
-            *(convert(getattr(reader, name)) for name, convert in steps)
-        )
+        # Access by field spares the search for the name.
+        values = list(map(reader._get_by_field, wires))  # noqa: WPS437
+        for position, convert in nested:
+            values[position] = convert(values[position])
+        return make(values)
 
     return read
 
 
-def _field_reader(hint: Any) -> Callable[[Any], Any]:
+def _field_reader(field: _Field) -> Callable[[Any], Any]:
     """Return a function that converts one field of a reader."""
-    element = _element_type(hint)
+    element = _element_type(field.hint)
     if element is None:
-        return hint if hint in _SCALARS else _reader(hint)
-    convert = element if element in _SCALARS else _reader(element)
+        return _reader(field.hint, field.wire.schema)
+    if element in _SCALARS:
+        return tuple
+    convert = _reader(element, field.wire.schema.elementType)
 
     def read_all(elements: Any) -> Any:  # noqa: WPS430
-        return tuple(convert(item) for item in elements)
+        return tuple(map(convert, elements))
 
     return read_all
--- a/tests/test_wire/test_codec.py
+++ b/tests/test_wire/test_codec.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
 from hypothesis import given
@@ -15,6 +15,15 @@
 from jackdawridge.wire.codec import Codec
 
 
+class Offer(NamedTuple):
+    """Has the fields of its structure, but not their types."""
+
+    cores: float
+    memory: str
+    accelerators: int
+    hold: float
+
+
 def make_codec() -> Codec:
     codec = Codec()
     codec.register(configuration.SCHEMA, configuration.MESSAGES)
@@ -61,3 +70,7 @@
         codec = make_codec()
         with pytest.raises(ValueError, match='already registered'):
             codec.register(execution.SCHEMA, execution.MESSAGES)
+
+    def test_types_are_those_of_the_schema(self) -> None:
+        with pytest.raises(ValueError, match="'memory' of Offer"):
+            Codec().register(execution.SCHEMA, {1: Offer})
