Use all sides in the load of the removal tests, and end it with its test

Cause: a run of all tests failed in test_one_entry_cut_off_from_all, which saw no start in the removed failure domain after the removal, and then never ended. Since up to ten tasks of a job go to one side, each job of the load used one of four sides: ten jobs before the sides stop miss a given one with 0.75^10 = 6%. The load's thread went on after the failure, because the line that ends it was not reached. Ruled out: the promise itself (no start was late), the log and the pauses. Change: each job of the load has one task a side and each task takes more than half of a worker, so that every job uses every side; the checks stay as they are. What a test runs in threads ends with the test. Conclusion: the check no longer depends on where jobs happen to go.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,8 +8,10 @@
 import pytest
 from hypothesis import settings
 
+from tests.processes.background import stop_all
+
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Sequence
 
 #: Tests that fail for a known fault, one line each: the test, the command
 #: with the seed, what was seen and the issue, separated by `|`.
@@ -33,6 +35,13 @@
     )
 
 
+@pytest.fixture(autouse=True)
+def background() -> Iterator[None]:
+    """End the threads of a test that has failed."""
+    yield
+    stop_all()
+
+
 def read_known_red(text: str) -> dict[str, str]:
     """Return the line of each listed test by its id.
 
--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -103,11 +103,12 @@
         count: int,
         tasks: int = 5,
         seconds: float = 0.2,
+        cores: float = 1,
     ) -> list[str]:
         """Submit jobs at an address, each by a caller; return the tickets."""
         tickets = [get_ticket(address) for _ in range(count)]
         for ticket in tickets:
-            body = make_job(tasks, seconds, name=ticket)
+            body = make_job(tasks, seconds, name=ticket, cores=cores)
             self.open.append(self.pool.submit(put, address, ticket, body))
         return tickets
 
--- a/tests/processes/operators.py
+++ b/tests/processes/operators.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from tests.processes.background import Background
 from tests.processes.callers import Callers, check_answers
 from tests.processes.http import Reply, request
 
@@ -18,6 +19,15 @@
 CHANGES = '/v1/configuration/changes'
 #: Longest time for which tasks may start in a removed failure domain.
 BOUND = 3.0
+#: Wait of a load before it submits again, in seconds.
+PAUSE = 0.125
+#: Length of each of its tasks, in seconds.
+TASK_TIME = 0.03
+#: Part of a worker that each of its tasks needs. A worker has room for one
+#: task, so that each job uses as many sides as it has tasks.
+TASK_SHARE = 0.6
+#: Cores of a worker, as the settings of a side have them by default.
+WORKER_CORES = 16
 
 
 class Taken(NamedTuple):
@@ -94,8 +104,10 @@
     return int(known['position']) if isinstance(known, dict) else -1
 
 
-class Load:
-    """Callers that keep all workers busy until told to stop.
+class Load(Background):
+    """Callers that use all workers until told to stop.
+
+    Each job has a task for each worker.
 
     :param deployment: that they call.
     :param entries: that take the jobs.
@@ -103,23 +115,27 @@
 
     def __init__(self, deployment: Deployment, entries: list[Node]) -> None:
         """Begin to submit."""
+        super().__init__()
         self.deployment = deployment
         self.entries = entries
         self.callers = Callers(deployment)
-        self.is_over = threading.Event()
         self.thread = threading.Thread(target=self.run)
         self.thread.start()
 
     def run(self) -> None:
         """Submit a job at each entry in turn."""
-        while not self.is_over.wait(0.25):
+        tasks = len(self.deployment.sides)
+        cores = WORKER_CORES * TASK_SHARE
+        while not self.stopped.wait(PAUSE):
             for entry in self.entries:
                 with contextlib.suppress(OSError, AssertionError):
-                    self.callers.submit(entry.caller, 1, tasks=8, seconds=0.3)
+                    self.callers.submit(
+                        entry.caller, 1, tasks, TASK_TIME, cores
+                    )
 
     def end(self) -> list[Submitted]:
         """Stop, and return the answers of all jobs after a check."""
-        self.is_over.set()
+        self.stop()
         self.thread.join()
         answers = self.callers.answers()
         check_answers(self.deployment, answers)
--- a/tests/test_membership/test_processes.py
+++ b/tests/test_membership/test_processes.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tests.processes.background import Background
 from tests.test_membership.ports import find_addresses
 from tests.test_membership.site import Site, wait_until
 
@@ -60,23 +61,23 @@
         started.site.close()
 
 
-class Callers:
+class Callers(Background):
     """Submit jobs one after another until told to stop."""
 
     def __init__(self, site: Site, callers: list[str]) -> None:
+        super().__init__()
         self.site = site
         self.callers = callers
         self.states: list[str] = []
         #: The outcomes that came with refusals.
         self.refusals: set[str] = set()
-        self.stopping = threading.Event()
         self.thread = threading.Thread(target=self.run)
         self.thread.start()
 
     def run(self) -> None:
         """Go to the next entry when one refuses, as a balancer does."""
         turn = 0
-        while not self.stopping.is_set():
+        while not self.stopped.is_set():
             turn += 1
             caller = self.callers[turn % len(self.callers)]
             try:
@@ -96,8 +97,8 @@
         else:
             self.states.append(str(reply.body.get('state')))
 
-    def stop(self) -> None:
-        self.stopping.set()
+    def finish(self) -> None:
+        self.stop()
         self.thread.join()
 
 
@@ -153,7 +154,7 @@
         leaving.terminate()
         assert leaving.wait(20) == 0
         time.sleep(1)
-        callers.stop()
+        callers.finish()
         record = site.records()[0]
         assert max(start['time'] for start in record['starts']) < (
             asked + LEAVING_LIMIT
@@ -183,7 +184,7 @@
             assert process.wait(30) == 0
             site.start_side(name, every[:1])
             fleet.wait_joined()
-        callers.stop()
+        callers.finish()
         assert set(callers.states) == {'complete'}
         assert callers.refusals <= {'not-run'}
         assert len(callers.states) > 20
--- a/tests/test_processes/services.py
+++ b/tests/test_processes/services.py
@@ -4,12 +4,12 @@
 
 import http.client
 import json
-import threading
 import time
 from collections import Counter
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any, NamedTuple, Self
 
+from tests.processes.background import Background
 from tests.processes.deployment import Deployment, wait_until
 from tests.processes.process import Process
 
@@ -164,7 +164,7 @@
     )
 
 
-class Load:
+class Load(Background):
     """Callers that send requests one after the other until told to stop.
 
     :param addresses: of the entries, taken in turn.
@@ -176,9 +176,9 @@
         self, addresses: list[str], callers: int, seconds: float = 0.05
     ) -> None:
         """Start calling."""
+        super().__init__()
         self.addresses = addresses
         self.seconds = seconds
-        self.stopped = threading.Event()
         self.pool = ThreadPoolExecutor(callers)
         self.futures: list[Future[list[Called]]] = [
             self.pool.submit(self.run, number) for number in range(callers)
@@ -204,7 +204,7 @@
 
     def finish(self) -> list[Called]:
         """Stop and return all answers."""
-        self.stopped.set()
+        self.stop()
         answers = [each for one in self.futures for each in one.result()]
         self.pool.shutdown()
         return answers
