Let workers forget ended tasks of entries that are gone

Cause: a side kept the numbers of the worker's events behind outcomes that no entry had acknowledged, also after it had forgotten the entry with its outbox. The lowest such number bounds what the worker may forget, so that one killed entry made the worker keep, and list, every task that ended from then on. Change: the numbers behind the outcomes of a forgotten entry count as passed on. Failed first: tests/test_processes/test_entries.py, TestEntryKilled:: test_jobs_end_and_never_start_again, with the new wait: 'not within 30 s: workers have forgotten what no entry will ask for'. It passes now, with all of test_entries.py and tests/test_execution. Conclusion: what a worker keeps is bounded by what live entries have to take.

--- a/jackdawridge/execution/component.py
+++ b/jackdawridge/execution/component.py
@@ -196,8 +196,9 @@
         self.state.room.entry_left(peer.introduction.incarnation)
 
     def sweep(self) -> None:
-        """Stop orphans."""
+        """Stop orphans, and let the worker forget what nobody will take."""
         self.watch.stop_tasks(self.state.sweep(self.clock.seconds()))
+        self.watch.ledger.passed_on(self.state.sessions.take_unclaimed())
         self.sender.flush_soon()
         self.finish_if_idle()
 
--- a/jackdawridge/execution/outbox.py
+++ b/jackdawridge/execution/outbox.py
@@ -83,6 +83,11 @@
             events.extend(self.kept.popleft().events)
         return tuple(events)
 
+    def all_events(self) -> tuple[int, ...]:
+        """Return the worker's events behind all that is kept."""
+        kept = (number for one in self.kept for number in one.events)
+        return (*kept, *self.events)
+
     def is_empty(self) -> bool:
         """Return whether the entry has received everything."""
         return not (self.refusals or self.endings or self.kept)
--- a/jackdawridge/execution/sessions.py
+++ b/jackdawridge/execution/sessions.py
@@ -52,6 +52,8 @@
         #: Incarnations whose outcomes were forgotten. An entry that was only
         #: paused may still ask about them.
         self.forgotten: set[str] = set()
+        #: Numbers of the worker's events behind those outcomes.
+        self.unclaimed: list[int] = []
         #: Numbers of outcome batches, which never repeat in a run of a side.
         self.numbers = count(1)
 
@@ -125,3 +127,10 @@
             if not record.keys and not record.linked:
                 self.entries.pop(record.incarnation)
                 self.forgotten.add(record.incarnation)
+                self.unclaimed.extend(record.outbox.all_events())
+
+    def take_unclaimed(self) -> tuple[int, ...]:
+        """Return the events of forgotten entries that are new since."""
+        events = tuple(self.unclaimed)
+        self.unclaimed.clear()
+        return events
--- a/tests/processes/nodes.py
+++ b/tests/processes/nodes.py
@@ -53,6 +53,11 @@
         """Return what the stand-in has recorded."""
         return request(self.address, 'GET', '/record').body
 
+    def tasks(self) -> list[Any]:
+        """Return what a worker runs, and what it has not forgotten."""
+        body = request(self.address, 'GET', '/v1/tasks').body
+        return list(body['tasks'])
+
     def close(self) -> None:
         """End the process."""
         self.process.close()
--- a/tests/test_processes/test_entries.py
+++ b/tests/test_processes/test_entries.py
@@ -47,6 +47,10 @@
             assert reply.status in {410, 503}
             assert reply.headers['x-jackdawridge-outcome'] == 'unknown'
         assert deployment.count_starts() == started
+        wait_until(
+            lambda: not any(one.tasks() for one in deployment.workers),
+            'workers have forgotten what no entry will ask for',
+        )
 
     def test_successor_starts_nothing_of_it(self, deploy: Deploy) -> None:
         deployment = deploy(settings=LAPSING)
