Follow the events of a worker that counts them anew

Cause: after an interruption a side asked for the events after the highest number it had seen. A restarted worker counts from 0, so that a task which ended between the side's list of tasks and the new stream was reported by neither, and its job waited for ever. What the side let the worker forget was bounded by the old numbers as well, so that nothing was forgotten until they were passed. Change: an interrupted stream begins at the first event that the worker has kept, as that of a new side does, with an empty ledger. The worker's stand-in counts from 0 again when it is killed. Failed first: tests/test_execution/test_restarted_worker.py (asked for 'after=9', and the ledger had nothing to forget).

--- a/jackdawridge/execution/forgetting.py
+++ b/jackdawridge/execution/forgetting.py
@@ -12,6 +12,12 @@
         self.forgotten = 0
         self.outstanding: set[int] = set()
 
+    def restart(self) -> None:
+        """Start anew, as the worker may count its events anew."""
+        self.last = 0
+        self.forgotten = 0
+        self.outstanding.clear()
+
     def seen(self, event: int) -> None:
         """Note an event whose task's entry has not received it.
 
--- a/jackdawridge/execution/watch.py
+++ b/jackdawridge/execution/watch.py
@@ -150,7 +150,11 @@
         self.application.events.emit('usage_reported', usage)
 
     def events_interrupted(self) -> None:
-        """Look for tasks that have vanished with a worker's restart."""
+        """Look for tasks that have vanished with a worker's restart.
+
+        The stream then repeats all events that are not forgotten.
+        """
+        self.ledger.restart()
         if not self.reconciling:
             ensureDeferred(self.reconcile())
 
--- a/jackdawridge/execution/worker_events.py
+++ b/jackdawridge/execution/worker_events.py
@@ -141,7 +141,6 @@
             logger.warning(str(error), step='events', peer=self.base)
             return
         if event.id:
-            self.event = max(self.event, event.number)
             self.listener.task_ended(event.convert())
         elif event.usage:
             usage = tuple(
@@ -151,12 +150,15 @@
             self.listener.usage_reported(usage)
 
     def failed(self, reason: object) -> None:
-        """Connect again after a wait.
+        """Connect again after a wait, and begin at the first event.
+
+        The worker may be another run, which counts its events anew.
 
         :param reason: why the stream has ended.
         """
         self.unwatch()
         self.receiver = None
+        self.event = 0
         if self.closed:
             return
         self.listener.events_interrupted()
--- a/jackdawridge/standins/worker_state.py
+++ b/jackdawridge/standins/worker_state.py
@@ -141,8 +141,12 @@
         return self.stop(lapsed, now, 'lease lapsed')
 
     def lose_all(self) -> list[str]:
-        """Lose all tasks and events, as by a crash; return what ran."""
+        """Lose all tasks and events, as by a crash; return what ran.
+
+        Events are counted anew, as by a process that was started anew.
+        """
         self.events.clear()
+        self.last_event = 0
         return self.processors.remove_all()
 
     def forget(self, through: int) -> None:
--- /dev/null
+++ b/tests/test_execution/test_restarted_worker.py
@@ -0,0 +1,71 @@
+"""Tests of a worker that counts its events anew after a restart."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from jackdawridge.execution.forgetting import EventLedger
+from jackdawridge.execution.worker import TaskStatus
+from jackdawridge.execution.worker_events import EVENTS_RETRY, EventStream
+
+
+class FakeAgent:
+    """Keeps the addresses that were asked for, and never answers."""
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+
+    def request(
+        self, method: bytes, uri: bytes, *_: object
+    ) -> Deferred[object]:
+        self.asked.append(uri.decode())
+        return Deferred()
+
+
+class FakeListener:
+    """Keeps the numbers of events."""
+
+    def __init__(self) -> None:
+        self.events: list[int] = []
+        self.interruptions = 0
+
+    def task_ended(self, status: TaskStatus) -> None:
+        self.events.append(status.event)
+
+    def usage_reported(self, usage: object) -> None:
+        """Take no note."""
+
+    def events_interrupted(self) -> None:
+        self.interruptions += 1
+
+
+class TestEventStream:
+    def test_asks_for_all_events_after_an_interruption(self) -> None:
+        """A number of an earlier run would hide those of the new one."""
+        clock: Any = Clock()
+        agent = FakeAgent()
+        listener = FakeListener()
+        stream = EventStream(clock, agent, 'http://worker', 0, listener)
+        stream.open()
+        stream.line(b'{"id": "t|0|1", "state": "succeeded", "number": 9}')
+        stream.failed(None)
+        clock.advance(EVENTS_RETRY)
+        assert set(agent.asked) == {'http://worker/events?after=0'}
+        assert len(agent.asked) == 2
+        assert (listener.events, listener.interruptions) == ([9], 1)
+
+
+class TestEventLedger:
+    def test_events_that_are_counted_anew_are_forgotten(self) -> None:
+        ledger = EventLedger()
+        ledger.seen(9)
+        ledger.passed_on((9,))
+        assert ledger.forgettable() == 9
+        ledger.restart()
+        ledger.seen(1)
+        assert not ledger.forgettable()
+        ledger.passed_on((1,))
+        assert ledger.forgettable() == 1
