Send the requests of the commands through the JSON client

Cause: the command line and the demo each had code that sends JSON over HTTP. Change: cmd.operator.Operator asks through util.client.JsonClient. Conclusion: no behaviour changes.

--- a/jackdawridge/cmd/operator.py
+++ b/jackdawridge/cmd/operator.py
@@ -6,13 +6,12 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 from urllib.parse import urlencode
 
-import msgspec
-import treq
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import deferLater
 
 from jackdawridge.cmd.exits import Exit
 from jackdawridge.errors import JackdawridgeError, PeerUnavailableError
+from jackdawridge.util.client import JsonClient
 
 if TYPE_CHECKING:
     import argparse
@@ -38,6 +37,7 @@
     def __init__(self, address: str) -> None:
         """Keep the address."""
         self.address = address
+        self.client = JsonClient(_reactor())
 
     async def ask(
         self,
@@ -57,7 +57,10 @@
         url = f'http://{self.address}{path}?{urlencode(query or {})}'
         wait = float(str((body or {}).get('wait', 0)))
         try:
-            return await self.send(method, url, body, wait + ANSWER_TIMEOUT)
+            answer = await self.client.ask(
+                method, url, body, wait + ANSWER_TIMEOUT
+            )
+            return Reply(answer.status, answer.document())
         except Exception as error:
             raise PeerUnavailableError(
                 f'no answer: {type(error).__name__}: {error}',
@@ -65,27 +68,6 @@
                 peer=self.address,
             ) from error
 
-    async def send(
-        self,
-        method: str,
-        url: str,
-        body: Mapping[str, object] | None,
-        timeout: float,
-    ) -> Reply:
-        """Send a request and read the whole answer.
-
-        :param method: of HTTP.
-        :param url: of the request.
-        :param body: sent as JSON.
-        :param timeout: for the answer, in seconds.
-        """
-        content = None if body is None else msgspec.json.encode(body)
-        response = await treq.request(
-            method, url, data=content, timeout=timeout, persistent=False
-        )
-        document = msgspec.json.decode(await response.content())
-        return Reply(response.code, document)
-
 
 def add_address(parser: argparse.ArgumentParser) -> None:
     """Add the option that names the entry.
@@ -109,9 +91,7 @@
     :param command: asks processes.
     :param arguments: of the command line.
     """
-    from twisted.internet import reactor  # noqa: WPS433
-
-    clock: Any = reactor
+    clock = _reactor()
     codes: list[int] = []
 
     def begin() -> None:  # noqa: WPS430
@@ -140,7 +120,11 @@
 
     :param seconds: to wait.
     """
+    return deferLater(_reactor(), seconds)
+
+
+def _reactor() -> Any:
+    """Return the reactor, which commands without one do not install."""
     from twisted.internet import reactor  # noqa: WPS433
 
-    clock: Any = reactor
-    return deferLater(clock, seconds)
+    return reactor
