Name the tables of open and unanswered requests after what they hold

Cause: 'book' and 'desk' are no terms of the field; a reader had to look them up. Change: forwarding.table.RequestTable and forwarding.pending.PendingAnswers. Conclusion: no behaviour changes.

--- a/jackdawridge/forwarding/entry.py
+++ b/jackdawridge/forwarding/entry.py
@@ -6,12 +6,12 @@
 
 from jackdawridge.forwarding import entry_effects as effects
 from jackdawridge.forwarding import messages
-from jackdawridge.forwarding.book import Book, Limits
-from jackdawridge.forwarding.desk import AnswerDesk
 from jackdawridge.forwarding.identity import SideId
 from jackdawridge.forwarding.links import Links, SideFacts
+from jackdawridge.forwarding.pending import PendingAnswers
 from jackdawridge.forwarding.replies import Replies
 from jackdawridge.forwarding.router import Router
+from jackdawridge.forwarding.table import Limits, RequestTable
 from jackdawridge.logs import get_logger, log_decision
 
 if TYPE_CHECKING:
@@ -20,8 +20,8 @@
     from twisted.internet.defer import Deferred
 
     from jackdawridge.application import Application
-    from jackdawridge.forwarding.desk import Answer, Observer
     from jackdawridge.forwarding.exchange import Call
+    from jackdawridge.forwarding.pending import Answer, Observer
     from jackdawridge.wire.peers import Peer, Peers
 
 logger = get_logger('routing')
@@ -60,17 +60,19 @@
         self.clock = application.clock
         self.peers = peers
         self.observer = observer
-        self.book = Book(
+        self.table = RequestTable(
             settings.text('failure_domain'),
             Limits(
                 requests=settings.integer('request_limit'),
                 waiting=settings.integer('request_queue'),
             ),
         )
-        self.router = Router(self.book)
+        self.router = Router(self.table)
         self.replies = Replies(self.router)
         self.links = Links(self.replies)
-        self.desk = AnswerDesk(application.clock, observer, self.transmit)
+        self.pending = PendingAnswers(
+            application.clock, observer, self.transmit
+        )
         self.rules: EntryRules | None = None
         self.timer: Any = None
         self.timer_at: float = 0
@@ -106,7 +108,7 @@
 
     def stop(self) -> Deferred[None]:
         """Wait until every open request has its answer."""
-        return self.desk.drain()
+        return self.pending.drain()
 
     def submit(self, call: Call, answer: Answer) -> int:
         """Take a request and return its key.
@@ -115,7 +117,7 @@
         :param answer: writes the answer.
         """
         key = self.router.admit(call, self.clock.seconds())
-        self.desk.open(key, answer)
+        self.pending.open(key, answer)
         self.perform()
         return key
 
@@ -125,7 +127,7 @@
         :param key: of the request.
         """
         self.router.leave(key)
-        self.desk.close(key, 'caller gone')
+        self.pending.close(key, 'caller gone')
         self.perform()
 
     def peer_joined(self, peer: Peer) -> None:
@@ -212,7 +214,7 @@
         if self.is_performing:
             return
         self.is_performing = True
-        outbox = self.book.outbox
+        outbox = self.table.outbox
         try:
             while outbox:
                 self.perform_one(outbox.pop(0))
@@ -237,7 +239,7 @@
                 logger, effect.step, effect.side, effect.reason, identifiers
             )
         else:
-            self.desk.answer(effect)
+            self.pending.answer(effect)
 
     def transmit(self, effect: effects.Transmit) -> None:
         """Send a message, or take back the attempt that it begins.
--- a/jackdawridge/forwarding/links.py
+++ b/jackdawridge/forwarding/links.py
@@ -43,7 +43,7 @@
     def __init__(self, replies: Replies) -> None:
         """Start without sides."""
         self.replies = replies
-        self.book = replies.book
+        self.table = replies.table
         #: Service of each known side.
         self.services: dict[SideId, str] = {}
         #: Attempts whose side is not linked, until the alarm.
@@ -57,7 +57,7 @@
         service = self.services.get(side)
         if service is None:
             return None
-        return self.book.pool(service).minions.by_side.get(side)
+        return self.table.pool(service).minions.by_side.get(side)
 
     def joined(self, facts: SideFacts, now: float) -> None:
         """Use a side that has a link, perhaps again.
@@ -68,7 +68,7 @@
         minion = self.minion(facts.side)
         if minion is None:
             minion = Minion(facts.side, facts.domain, facts.slots)
-            pool = self.book.pool(facts.service)
+            pool = self.table.pool(facts.service)
             pool.minions.by_side[facts.side] = minion
             self.services[facts.side] = facts.service
             self.replace(facts.side, now)
@@ -77,8 +77,8 @@
         open_numbers = tuple(sorted(minion.own))
         if open_numbers:
             resolve = ResolveRequests(open_numbers)
-            self.book.outbox.append(effects.Transmit(facts.side, resolve))
-        self.replies.router.dispatch(self.book.pool(facts.service), now)
+            self.table.outbox.append(effects.Transmit(facts.side, resolve))
+        self.replies.router.dispatch(self.table.pool(facts.service), now)
 
     def replace(self, side: SideId, now: float) -> None:
         """Count what was open at earlier runs of a side as lost.
@@ -108,8 +108,8 @@
             return
         minion.connected = False
         for number in sorted(minion.own):
-            self.settle(self.book.attempts[number], now)
-        self.book.alarm(now + DOUBT_TIME, 'doubt', 0)
+            self.settle(self.table.attempts[number], now)
+        self.table.alarm(now + DOUBT_TIME, 'doubt', 0)
 
     def settle(self, attempt: Attempt, now: float) -> None:
         """Decide about one attempt at a side whose link has ended.
@@ -119,7 +119,7 @@
         """
         exchange = attempt.exchange
         wanted = exchange.phase is Phase.trying
-        pool = self.book.pool(exchange.call.service)
+        pool = self.table.pool(exchange.call.service)
         repeats = (
             exchange.call.repeatable
             and exchange.may_resend(now)
@@ -139,7 +139,7 @@
         """
         for number in numbers:
             self.doubts.pop(number, None)
-            attempt = self.book.release(number)
+            attempt = self.table.release(number)
             if attempt is None:
                 continue
             if attempt.exchange.phase is Phase.answering:
@@ -154,8 +154,8 @@
         :param reason: why.
         """
         exchange = attempt.exchange
-        self.book.outbox.append(effects.Abort(exchange.key, reason))
-        self.book.finish(exchange)
+        self.table.outbox.append(effects.Abort(exchange.key, reason))
+        self.table.finish(exchange)
 
     def resolved(
         self, side: SideId, message: RequestsResolved, now: float
@@ -170,7 +170,7 @@
             self.doubts.pop(running, None)
         for number in message.fenced:
             self.doubts.pop(number, None)
-            attempt = self.book.release(number)
+            attempt = self.table.release(number)
             if attempt is not None:
                 reason = 'the request did not arrive'
                 self.replies.not_run(attempt, reason, 0, now)
@@ -186,7 +186,7 @@
         minion = self.minion(side)
         if minion is not None:
             minion.take_report(load, now)
-            pool = self.book.pool(self.services[side])
+            pool = self.table.pool(self.services[side])
             self.replies.router.dispatch(pool, now)
 
     def expire_doubts(self, now: float) -> None:
@@ -207,7 +207,7 @@
         :param minion: the minion beside it.
         """
         service = self.services.pop(minion.side)
-        self.book.pool(service).minions.by_side.pop(minion.side)
+        self.table.pool(service).minions.by_side.pop(minion.side)
 
     def domains(self) -> set[str]:
         """Return the failure domains of the known sides."""
@@ -220,7 +220,7 @@
         :param domains: those that operators have taken out.
         :param now: in seconds.
         """
-        self.book.domains_out.clear()
-        self.book.domains_out.update(domains)
-        for pool in self.book.pools.values():
+        self.table.domains_out.clear()
+        self.table.domains_out.update(domains)
+        for pool in self.table.pools.values():
             self.replies.router.dispatch(pool, now)
--- a/jackdawridge/forwarding/desk.py
+++ b/jackdawridge/forwarding/pending.py
@@ -55,7 +55,7 @@
     since: float
 
 
-class AnswerDesk:
+class PendingAnswers:
     """Writes answers by the key of their request, never by order.
 
     :param clock: the reactor.
--- a/jackdawridge/forwarding/replies.py
+++ b/jackdawridge/forwarding/replies.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from jackdawridge.forwarding import entry_effects as effects
-from jackdawridge.forwarding.book import BAD_GATEWAY, UNAVAILABLE
 from jackdawridge.forwarding.exchange import Phase
 from jackdawridge.forwarding.messages import (
     BODY_PART_BYTES,
@@ -13,6 +12,7 @@
     RequestBody,
 )
 from jackdawridge.forwarding.policy import RETRYABLE_STATUSES
+from jackdawridge.forwarding.table import BAD_GATEWAY, UNAVAILABLE
 
 if TYPE_CHECKING:
     from jackdawridge.forwarding.exchange import Attempt, Exchange
@@ -38,7 +38,7 @@
     def __init__(self, router: Router) -> None:
         """Keep the parts."""
         self.router = router
-        self.book = router.book
+        self.table = router.table
 
     def refused(self, message: RequestRefused, now: float) -> None:
         """Act on a true 'not run' of a side.
@@ -46,7 +46,7 @@
         :param message: the refusal.
         :param now: in seconds.
         """
-        attempt = self.book.release(message.number)
+        attempt = self.table.release(message.number)
         if attempt is not None:
             attempt.minion.take_report(message.load, now)
             self.not_run(attempt, message.reason, message.retry_after, now)
@@ -57,7 +57,7 @@
         :param number: of the attempt.
         :param now: in seconds.
         """
-        attempt = self.book.release(number)
+        attempt = self.table.release(number)
         if attempt is not None:
             self.not_run(attempt, 'no link to the side', 0, now)
 
@@ -72,18 +72,18 @@
         :param now: in seconds.
         """
         exchange = attempt.exchange
-        pool = self.book.pool(exchange.call.service)
+        pool = self.table.pool(exchange.call.service)
         if not self.is_last(attempt):
             self.router.dispatch(pool, now)
             return
-        self.book.decide('refused', exchange, reason, attempt)
+        self.table.decide('refused', exchange, reason, attempt)
         exchange.avoided.add(attempt.minion.side)
         usable = pool.minions.usable(now)
         if usable and exchange.may_resend(now) and pool.resends.spend():
             self.router.requeue(exchange, now)
             return
         wait = max(retry_after, pool.retry_after(now))
-        self.book.give_up(exchange, effects.Verdict(UNAVAILABLE, reason, wait))
+        self.table.give_up(exchange, effects.Verdict(UNAVAILABLE, reason, wait))
 
     def lost(self, message: RequestLost, now: float) -> None:
         """Act on a request whose answer is lost.
@@ -91,7 +91,7 @@
         :param message: of the side.
         :param now: in seconds.
         """
-        attempt = self.book.release(message.number)
+        attempt = self.table.release(message.number)
         if attempt is not None:
             attempt.minion.take_report(message.load, now)
             self.may_have_run(attempt, message.reason, now)
@@ -105,19 +105,19 @@
         """
         exchange = attempt.exchange
         wanted = exchange.phase is Phase.trying
-        pool = self.book.pool(exchange.call.service)
+        pool = self.table.pool(exchange.call.service)
         if wanted:
             pool.minions.count_failure(attempt.minion, now)
             exchange.doubtful = True
         if not self.is_last(attempt):
             self.router.dispatch(pool, now)
             return
-        self.book.decide('lost', exchange, reason, attempt)
+        self.table.decide('lost', exchange, reason, attempt)
         exchange.avoided.add(attempt.minion.side)
         if self.may_repeat(exchange, now):
             self.router.requeue(exchange, now)
         else:
-            self.book.give_up(exchange, effects.Verdict(BAD_GATEWAY, reason))
+            self.table.give_up(exchange, effects.Verdict(BAD_GATEWAY, reason))
 
     def may_repeat(self, exchange: Exchange, now: float) -> bool:
         """Return whether a request is repeated, which takes of the budget.
@@ -125,7 +125,7 @@
         :param exchange: a request that may have run.
         :param now: in seconds.
         """
-        pool = self.book.pool(exchange.call.service)
+        pool = self.table.pool(exchange.call.service)
         return (
             exchange.call.repeatable
             and exchange.may_resend(now)
@@ -147,11 +147,11 @@
         :param message: the response.
         :param now: in seconds.
         """
-        attempt = self.book.release(message.number)
+        attempt = self.table.release(message.number)
         if attempt is None:
             return
         attempt.minion.take_report(message.load, now)
-        pool = self.book.pool(attempt.exchange.call.service)
+        pool = self.table.pool(attempt.exchange.call.service)
         if attempt.exchange.phase is not Phase.trying:
             self.ignore(attempt, message)
         elif self.is_failure(attempt, message):
@@ -172,7 +172,7 @@
             return False
         if not exchange.call.repeatable:
             return False
-        pool = self.book.pool(exchange.call.service)
+        pool = self.table.pool(exchange.call.service)
         return bool(exchange.attempts) or pool.repeats.tokens >= 1
 
     def ignore(self, attempt: Attempt, message: Response) -> None:
@@ -183,7 +183,7 @@
         """
         if not message.last:
             cancel = CancelRequests((message.number,))
-            self.book.outbox.append(
+            self.table.outbox.append(
                 effects.Transmit(attempt.minion.side, cancel)
             )
 
@@ -194,7 +194,7 @@
         :param message: the response.
         :param now: in seconds.
         """
-        pool = self.book.pool(attempt.exchange.call.service)
+        pool = self.table.pool(attempt.exchange.call.service)
         if message.status >= _SERVER_ERROR:
             pool.minions.count_failure(attempt.minion, now)
             return
@@ -210,15 +210,15 @@
         """
         exchange = attempt.exchange
         exchange.lifecycle.answer()
-        self.book.drop_attempts(exchange)
-        self.book.outbox.append(
+        self.table.drop_attempts(exchange)
+        self.table.outbox.append(
             effects.Respond(exchange.key, attempt.minion.side, message)
         )
         if message.last:
-            self.book.finish(exchange)
+            self.table.finish(exchange)
         else:
             exchange.attempts[attempt.number] = attempt
-            self.book.attempts[attempt.number] = attempt
+            self.table.attempts[attempt.number] = attempt
             attempt.minion.own.add(attempt.number)
 
     def continued(self, message: ResponseBody) -> None:
@@ -227,30 +227,30 @@
         :param message: the part.
         """
         ends = message.last or not message.intact
-        attempt = self.book.attempts.get(message.number)
+        attempt = self.table.attempts.get(message.number)
         if attempt is None:
             return
         if ends:
-            self.book.release(message.number)
+            self.table.release(message.number)
         exchange = attempt.exchange
         if exchange.phase is not Phase.answering:
             return
         if not message.intact:
             reason = 'the minion broke the response off'
-            self.book.give_up(exchange, effects.Verdict(BAD_GATEWAY, reason))
+            self.table.give_up(exchange, effects.Verdict(BAD_GATEWAY, reason))
             return
-        self.book.outbox.append(
+        self.table.outbox.append(
             effects.Continue(exchange.key, message.body, message.last)
         )
         if ends:
-            self.book.finish(exchange)
+            self.table.finish(exchange)
 
     def credited(self, message: Credit) -> None:
         """Send the part of a body that a side asks for.
 
         :param message: of the side that works on the request.
         """
-        attempt = self.book.attempts.get(message.number)
+        attempt = self.table.attempts.get(message.number)
         if attempt is None or attempt.number not in attempt.exchange.attempts:
             return
         body = attempt.exchange.call.body
@@ -260,4 +260,4 @@
             message.offset,
             body[message.offset : end],
         )
-        self.book.outbox.append(effects.Transmit(attempt.minion.side, part))
+        self.table.outbox.append(effects.Transmit(attempt.minion.side, part))
--- a/jackdawridge/forwarding/router.py
+++ b/jackdawridge/forwarding/router.py
@@ -4,22 +4,22 @@
 
 from typing import TYPE_CHECKING
 
-from jackdawridge.forwarding.book import (
+from jackdawridge.forwarding.entry_effects import Verdict
+from jackdawridge.forwarding.exchange import Phase
+from jackdawridge.forwarding.queues import equal_weight
+from jackdawridge.forwarding.table import (
     TIMED_OUT,
     TOO_MANY,
     UNAVAILABLE,
 )
-from jackdawridge.forwarding.entry_effects import Verdict
-from jackdawridge.forwarding.exchange import Phase
-from jackdawridge.forwarding.queues import equal_weight
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from jackdawridge.forwarding.book import Alarm, Book
     from jackdawridge.forwarding.exchange import Call, Exchange
     from jackdawridge.forwarding.minions import Minion
     from jackdawridge.forwarding.pool import Pool
+    from jackdawridge.forwarding.table import Alarm, RequestTable
 
 #: Interval at which waiting requests look for room without a reply, in
 #: seconds.
@@ -31,12 +31,12 @@
 class Router:
     """Admits requests and sends them to sides.
 
-    :param book: the open requests.
+    :param table: the open requests.
     """
 
-    def __init__(self, book: Book) -> None:
-        """Keep the book."""
-        self.book = book
+    def __init__(self, table: RequestTable) -> None:
+        """Keep the table."""
+        self.table = table
         #: Returns the weight of a team.
         self.weight_of: Callable[[str], float] = equal_weight
 
@@ -45,8 +45,8 @@
 
         :param now: in seconds.
         """
-        times = [alarm.time for alarm in self.book.alarms[:1]]
-        if any(pool.queues.size for pool in self.book.pools.values()):
+        times = [alarm.time for alarm in self.table.alarms[:1]]
+        if any(pool.queues.size for pool in self.table.pools.values()):
             times.append(now + POLL_INTERVAL)
         return min(times, default=None)
 
@@ -56,18 +56,18 @@
         :param call: what the caller asks for.
         :param now: in seconds.
         """
-        exchange = self.book.open(call)
-        pool = self.book.pools.get(call.service)
+        exchange = self.table.open(call)
+        pool = self.table.pools.get(call.service)
         if pool is None:
             reason = f'no minion serves service {call.service!r}'
             verdict = Verdict(UNAVAILABLE, reason, NO_MINION_RETRY)
-            self.book.give_up(exchange, verdict)
+            self.table.give_up(exchange, verdict)
             return exchange.key
         objection = self.find_objection(pool, call, now)
         if objection is None:
             self.enqueue(pool, exchange, now)
         else:
-            self.book.give_up(exchange, objection)
+            self.table.give_up(exchange, objection)
         return exchange.key
 
     def find_objection(
@@ -76,16 +76,16 @@
         """Return why a new request is refused, if it is.
 
         :param pool: of its service.
-        :param call: the request, which is in the book already.
+        :param call: the request, which is in the table already.
         :param now: in seconds.
         """
-        book = self.book
-        limit = book.limits.requests
+        table = self.table
+        limit = table.limits.requests
         retry_after = pool.retry_after(now)
-        if book.teams[call.team] > max(limit * book.limits.team_share, 1):
+        if table.teams[call.team] > max(limit * table.limits.team_share, 1):
             reason = f'team {call.team!r} has too many open requests'
             return Verdict(TOO_MANY, reason, retry_after)
-        if len(book.exchanges) > limit:
+        if len(table.exchanges) > limit:
             reason = 'too many open requests'
             return Verdict(UNAVAILABLE, reason, retry_after)
         if not pool.minions.usable(now):
@@ -104,11 +104,11 @@
         :param now: in seconds.
         """
         call = exchange.call
-        self.book.alarm(call.deadline, 'deadline', exchange.key)
+        self.table.alarm(call.deadline, 'deadline', exchange.key)
         pushed = pool.queues.push(call.team, exchange)
         rejected = pushed.evicted if pushed.taken else exchange
         if rejected is not None:
-            self.book.give_up(
+            self.table.give_up(
                 rejected,
                 Verdict(
                     UNAVAILABLE,
@@ -147,13 +147,13 @@
         :param now: in seconds.
         """
         load = minion.load(now)
-        attempt = self.book.begin(exchange, minion, now)
+        attempt = self.table.begin(exchange, minion, now)
         reason = f'load {load:.1f} of {minion.slots}'
-        self.book.decide('send', exchange, reason, attempt)
+        self.table.decide('send', exchange, reason, attempt)
         hedge_after = pool.latencies.hedge_after
         wanted = exchange.call.hedging and not exchange.hedged
         if wanted and hedge_after is not None:
-            self.book.alarm(now + hedge_after, 'hedge', exchange.key)
+            self.table.alarm(now + hedge_after, 'hedge', exchange.key)
 
     def requeue(self, exchange: Exchange, now: float) -> None:
         """Send a request on whose last attempt has failed.
@@ -162,7 +162,7 @@
         :param now: in seconds.
         """
         exchange.lifecycle.withdraw()
-        pool = self.book.pool(exchange.call.service)
+        pool = self.table.pool(exchange.call.service)
         pool.queues.push_back(exchange.call.team, exchange)
         self.dispatch(pool, now)
 
@@ -171,10 +171,10 @@
 
         :param key: of the request.
         """
-        exchange = self.book.exchanges.get(key)
+        exchange = self.table.exchanges.get(key)
         if exchange is not None:
-            self.book.decide('drop', exchange, 'the caller has gone')
-            self.book.finish(exchange)
+            self.table.decide('drop', exchange, 'the caller has gone')
+            self.table.finish(exchange)
 
     def tick(self, now: float) -> list[Alarm]:
         """Act on deadlines, hedges and room; return the other due alarms.
@@ -182,12 +182,12 @@
         :param now: in seconds.
         """
         others = []
-        for alarm in self.book.due_alarms(now):
+        for alarm in self.table.due_alarms(now):
             if alarm.kind == 'doubt':
                 others.append(alarm)
             else:
                 self.act(alarm, now)
-        for pool in self.book.pools.values():
+        for pool in self.table.pools.values():
             self.dispatch(pool, now)
         return others
 
@@ -197,7 +197,7 @@
         :param alarm: that is due.
         :param now: in seconds.
         """
-        exchange = self.book.exchanges.get(alarm.key)
+        exchange = self.table.exchanges.get(alarm.key)
         if exchange is None:
             return
         if alarm.kind == 'deadline':
@@ -214,7 +214,7 @@
         reason = 'deadline passed while {0}'.format(
             'it waited for a minion' if waits else 'a minion had it',
         )
-        self.book.give_up(exchange, Verdict(TIMED_OUT, reason))
+        self.table.give_up(exchange, Verdict(TIMED_OUT, reason))
 
     def hedge(self, exchange: Exchange, now: float) -> None:
         """Send a slow request to a second minion if the budget allows.
@@ -224,7 +224,7 @@
         """
         if not exchange.may_hedge(now):
             return
-        pool = self.book.pool(exchange.call.service)
+        pool = self.table.pool(exchange.call.service)
         first = next(iter(exchange.attempts.values())).minion
         minions = pool.minions
         # A long run time is not mended by a second run, and costs slots.
@@ -235,5 +235,5 @@
         if minion is None or not idle or not pool.repeats.spend():
             return
         exchange.hedged = True
-        attempt = self.book.begin(exchange, minion, now)
-        self.book.decide('hedge', exchange, 'no answer yet', attempt)
+        attempt = self.table.begin(exchange, minion, now)
+        self.table.decide('hedge', exchange, 'no answer yet', attempt)
--- a/jackdawridge/forwarding/side.py
+++ b/jackdawridge/forwarding/side.py
@@ -8,10 +8,10 @@
 
 from jackdawridge.forwarding import messages
 from jackdawridge.forwarding.calls import MinionCalls
-from jackdawridge.forwarding.desk import FLUSH_TIME
 from jackdawridge.forwarding.gate import Gate
 from jackdawridge.forwarding.identity import EntryId, RequestKey
 from jackdawridge.forwarding.minion_client import MinionClient
+from jackdawridge.forwarding.pending import FLUSH_TIME
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
--- a/jackdawridge/forwarding/book.py
+++ b/jackdawridge/forwarding/table.py
@@ -51,7 +51,7 @@
     key: int
 
 
-class Book:
+class RequestTable:
     """Tables of an entry, with the steps that keep them consistent.
 
     Each step appends to `outbox` what is to be done.
--- a/tests/test_forwarding/test_interleavings.py
+++ b/tests/test_forwarding/test_interleavings.py
@@ -9,7 +9,6 @@
 from hypothesis import strategies as st
 
 from jackdawridge.forwarding import entry_effects, messages, side_effects
-from jackdawridge.forwarding.book import Book, Limits
 from jackdawridge.forwarding.budget import REPEAT_FRACTION, REPEAT_RESERVE
 from jackdawridge.forwarding.exchange import Call
 from jackdawridge.forwarding.gate import MEMORY_TIME, Gate
@@ -17,6 +16,7 @@
 from jackdawridge.forwarding.links import Links, SideFacts
 from jackdawridge.forwarding.replies import Replies
 from jackdawridge.forwarding.router import Router
+from jackdawridge.forwarding.table import Limits, RequestTable
 
 SIDES = 3
 ENTRY = EntryId('entry', 'first')
@@ -41,8 +41,8 @@
 
     def __init__(self) -> None:
         self.now: float = 0
-        self.book = Book('zone', Limits(waiting=4))
-        self.router = Router(self.book)
+        self.table = RequestTable('zone', Limits(waiting=4))
+        self.router = Router(self.table)
         self.replies = Replies(self.router)
         self.links = Links(self.replies)
         self.generations = 0
@@ -96,8 +96,8 @@
         self.join(self.sides[node])
 
     def perform(self) -> None:
-        while self.book.outbox:
-            self.perform_one(self.book.outbox.pop(0))
+        while self.table.outbox:
+            self.perform_one(self.table.outbox.pop(0))
 
     def perform_one(self, effect: entry_effects.EntryEffect) -> None:
         if isinstance(effect, entry_effects.Transmit):
@@ -294,9 +294,9 @@
             assert runs >= 1
     repeats = sum(max(runs - 1, 0) for runs in world.runs.values())
     assert repeats <= REPEAT_RESERVE + REPEAT_FRACTION * len(world.calls)
-    assert not world.book.exchanges
-    assert not world.book.attempts
-    assert not world.book.teams
+    assert not world.table.exchanges
+    assert not world.table.attempts
+    assert not world.table.teams
 
 
 class TestInterleavings:
