Stream starts to the worker

Cause: half of a side's processor time for a task went into a call over HTTP for each batch of starts. Change: batches are lines in the body of one long request, answered by lines of the event stream that is there already. A batch is checked again once both streams are open; what is written and not answered is resolved by the worker's list as before. The process tests of sides and links pass. Conclusion: less than hoped, since starts of a job come in batches of ten at a side and share a call; what is left is one event and one message for each ending.

--- a/jackdawridge/execution/http_worker.py
+++ b/jackdawridge/execution/http_worker.py
@@ -22,16 +22,18 @@
 from jackdawridge.execution.worker import (
     AnswerLostError,
     NotSentError,
-    StartAnswer,
     TaskList,
 )
 from jackdawridge.execution.worker_events import EventStream, TaskEvent
+from jackdawridge.execution.worker_starts import CALL_TIMEOUT, StartStream
 
 if TYPE_CHECKING:
-    from jackdawridge.execution.worker import WorkerListener, WorkerTask
+    from jackdawridge.execution.worker import (
+        StartAnswer,
+        WorkerListener,
+        WorkerTask,
+    )
 
-#: Time for an answer from the worker, in seconds.
-CALL_TIMEOUT = 5.0
 #: Connections to the worker that are kept open.
 MAX_CONNECTIONS = 8
 
@@ -46,20 +48,6 @@
     tasks: tuple[TaskEvent, ...]
 
 
-class _StartAnswer(msgspec.Struct):
-    """The answer to one start in the worker's JSON."""
-
-    id: str
-    state: str
-    reason: str = ''
-
-
-class _StartAnswers(msgspec.Struct):
-    """The answer to a batch of starts in the worker's JSON."""
-
-    results: tuple[_StartAnswer, ...]
-
-
 class HttpWorker:
     """Calls the worker with JSON over HTTP.
 
@@ -83,6 +71,7 @@
             reactor, pool=pool, connectTimeout=CALL_TIMEOUT
         )
         self.events: EventStream | None = None
+        self.starts = StartStream(reactor, self.base)
 
     @classmethod
     def from_config(cls, reactor: Any, address: str) -> HttpWorker:
@@ -141,6 +130,18 @@
             )
         return content
 
+    async def connect(self) -> None:
+        """Return as soon as starts can be written and answers can come.
+
+        :raises NotSentError: if the worker is not reached.
+        """
+        if self.events is None:
+            raise NotSentError('not followed', step='start', peer=self.address)
+        if self.events.receiver is None:
+            await self.events.wait()
+        if not self.starts.is_open:
+            await self.starts.open()
+
     async def start(
         self, tasks: tuple[WorkerTask, ...]
     ) -> tuple[StartAnswer, ...]:
@@ -148,13 +149,14 @@
 
         :param tasks: to start.
         """
-        document = {'tasks': [_task_document(task) for task in tasks]}
-        content = await self.call('/tasks', document)
-        answers = msgspec.json.decode(content, type=_StartAnswers)
-        return tuple(
-            StartAnswer(answer.id, answer.state == 'running', answer.reason)
-            for answer in answers.results
-        )
+        # The id of a task is never used twice.
+        name = tasks[0].id
+        document = {
+            'batch': name,
+            'tasks': [_task_document(task) for task in tasks],
+        }
+        line = b'%b\n' % msgspec.json.encode(document)
+        return await self.starts.write(name, line)
 
     async def list(self) -> TaskList:
         """Return what the worker runs."""
@@ -207,7 +209,7 @@
         :param listener: told of the events.
         """
         self.events = EventStream(
-            self.reactor, self.agent, self.base, event, listener
+            self.reactor, self.agent, self.base, event, listener, self.starts
         )
         self.events.open()
 
@@ -215,6 +217,7 @@
         """Stop reporting and close the connections."""
         if self.events is not None:
             self.events.close()
+        self.starts.close()
         self.pool.closeCachedConnections()
 
 
--- a/jackdawridge/execution/starter.py
+++ b/jackdawridge/execution/starter.py
@@ -24,10 +24,6 @@
 
 logger = get_logger('execution')
 
-#: Calls to the worker that may be under way at a time.
-MAX_CALLS = 4
-#: Most starts in one call.
-MAX_STARTS = 256
 #: Wait between questions after a lost answer, in seconds.
 QUESTION_INTERVAL = 0.3
 #: Questions in which a start must be absent to be called lost.
@@ -96,40 +92,26 @@
         self.listener = listener
         self.lease = lease
         self.refusal = refusal
-        self.waiting: list[Start] = []
-        self.calls = 0
 
     def add(self, starts: tuple[Start, ...]) -> None:
-        """Hand starts to the worker as soon as a call is free.
+        """Hand starts to the worker.
 
         :param starts: that were admitted.
         """
-        self.waiting.extend(starts)
-        self.pump()
-
-    def pump(self) -> None:
-        """Use the free calls."""
-        while self.waiting and self.calls < MAX_CALLS:
-            batch = tuple(self.waiting[:MAX_STARTS])
-            self.waiting = self.waiting[MAX_STARTS:]
-            self.calls += 1
-            call = ensureDeferred(self.call(batch))
-            call.addBoth(self.finished)
-
-    def finished(self, _: object) -> None:
-        """Free a call.
-
-        :param _: the call's result.
-        """
-        self.calls -= 1
-        self.pump()
+        if starts:
+            ensureDeferred(self.call(starts))
 
     async def call(self, batch: tuple[Start, ...]) -> None:
         """Start a batch and report what became of it.
 
         :param batch: of starts.
         """
-        # A batch that waited for a free call may have become forbidden.
+        try:
+            await self.worker.connect()
+        except NotSentError as error:
+            self.unreachable(batch, error)
+            return
+        # A batch that waited for the connection may have become forbidden.
         forbidden = self.refusal(self.clock.seconds())
         if forbidden:
             self.refuse(batch, forbidden)
@@ -138,14 +120,23 @@
         try:
             answers = await self.worker.start(tasks)
         except NotSentError as error:
-            reason = f'worker is unreachable: {error.message}'
-            self.refuse(batch, reason)
+            self.unreachable(batch, error)
         except AnswerLostError as error:
             logger.warning(error.message, step='start', peer=error.peer)
             ensureDeferred(self.question({one.key() for one in batch}))
         else:
             self.report(batch, answers)
 
+    def unreachable(
+        self, batch: tuple[Start, ...], error: NotSentError
+    ) -> None:
+        """Report a batch for which there is no connection.
+
+        :param batch: of starts.
+        :param error: why.
+        """
+        self.refuse(batch, f'worker is unreachable: {error.message}')
+
     def refuse(self, batch: tuple[Start, ...], reason: str) -> None:
         """Report a batch that the worker has certainly not received.
 
--- a/jackdawridge/execution/worker.py
+++ b/jackdawridge/execution/worker.py
@@ -91,10 +91,16 @@
     All raise `NotSentError` or `AnswerLostError`.
     """
 
+    async def connect(self) -> None:
+        """Return as soon as starts can be written.
+
+        Only `NotSentError` is raised.
+        """
+
     async def start(
         self, tasks: tuple[WorkerTask, ...]
     ) -> tuple[StartAnswer, ...]:
-        """Start tasks."""
+        """Start tasks; nothing is sent unless `connect` has returned."""
 
     async def list(self) -> TaskList:
         """Return what the worker runs."""
--- a/jackdawridge/execution/worker_events.py
+++ b/jackdawridge/execution/worker_events.py
@@ -7,15 +7,22 @@
 
 import msgspec
 import treq
+from twisted.internet.defer import Deferred
 from twisted.protocols.basic import LineReceiver
 
-from jackdawridge.execution.worker import TaskStatus, TaskUsage
+from jackdawridge.execution.worker import (
+    NotSentError,
+    StartAnswer,
+    TaskStatus,
+    TaskUsage,
+)
 from jackdawridge.logs import get_logger
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
 
     from jackdawridge.execution.worker import WorkerListener
+    from jackdawridge.execution.worker_starts import StartStream
 
 logger = get_logger('worker')
 
@@ -37,8 +44,20 @@
     memory: float = 0
 
 
+class StartResult(msgspec.Struct):
+    """The answer to one start in the worker's JSON."""
+
+    id: str
+    state: str
+    reason: str = ''
+
+    def convert(self) -> StartAnswer:
+        """Return the answer as the side knows it."""
+        return StartAnswer(self.id, self.state == 'running', self.reason)
+
+
 class TaskEvent(msgspec.Struct):
-    """A task or a usage report, in the worker's JSON."""
+    """A task, the answer to a batch or a usage report, in the worker's JSON."""
 
     id: str = ''
     state: str = ''
@@ -49,6 +68,8 @@
     run_time: float = 0
     number: int = 0
     usage: tuple[UsageItem, ...] = ()
+    batch: str = ''
+    results: tuple[StartResult, ...] = ()
 
     def convert(self) -> TaskStatus:
         """Return the status of the task as the side knows it."""
@@ -72,6 +93,7 @@
     :param base: of the worker's URLs.
     :param event: number of the last known event.
     :param listener: told of the events.
+    :param starts: told of the answers to starts.
     """
 
     def __init__(
@@ -81,6 +103,7 @@
         base: str,
         event: int,
         listener: WorkerListener,
+        starts: StartStream,
     ) -> None:
         """Prepare without connecting."""
         self.reactor = reactor
@@ -88,8 +111,11 @@
         self.base = base
         self.event = event
         self.listener = listener
+        self.starts = starts
         self.closed = False
         self.receiver: EventReceiver | None = None
+        #: Fire as soon as the stream is open.
+        self.waiters: list[Deferred[None]] = []
         self.timer: Any = None
 
     def open(self) -> None:
@@ -110,6 +136,19 @@
         self.receiver = EventReceiver(self)
         self.watch()
         response.deliverBody(self.receiver)
+        waiters = self.waiters
+        self.waiters = []
+        for waiter in waiters:
+            waiter.callback(None)
+
+    def wait(self) -> Deferred[None]:
+        """Return a `Deferred` that fires when the stream is open.
+
+        It fails with `NotSentError` if that does not succeed at once.
+        """
+        opened: Deferred[None] = Deferred()
+        self.waiters.append(opened)
+        return opened
 
     def watch(self) -> None:
         """Start to wait for the next line."""
@@ -140,7 +179,10 @@
         except msgspec.MsgspecError as error:
             logger.warning(str(error), step='events', peer=self.base)
             return
-        if event.id:
+        if event.batch:
+            answers = tuple(one.convert() for one in event.results)
+            self.starts.answer(event.batch, answers)
+        elif event.id:
             self.listener.task_ended(event.convert())
         elif event.usage:
             usage = tuple(
@@ -159,6 +201,13 @@
         self.unwatch()
         self.receiver = None
         self.event = 0
+        self.starts.lose('stream of events has ended')
+        waiters = self.waiters
+        self.waiters = []
+        for waiter in waiters:
+            waiter.errback(
+                NotSentError('no events', step='events', peer=self.base)
+            )
         if self.closed:
             return
         self.listener.events_interrupted()
--- a/jackdawridge/standins/web.py
+++ b/jackdawridge/standins/web.py
@@ -16,6 +16,7 @@
 from twisted.web.server import NOT_DONE_YET, Site
 
 from jackdawridge.standins.faults import Faults
+from jackdawridge.standins.lines import LinesRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Mapping
@@ -48,6 +49,19 @@
         """
 
 
+class StandInSite(QuietSite):
+    """A site of a stand-in, which may take bodies line by line.
+
+    :param stand_in: serves all requests.
+    """
+
+    def __init__(self, stand_in: StandIn) -> None:
+        """Keep the stand-in."""
+        super().__init__(Gate(stand_in, stand_in.app.resource()))
+        self.requestFactory = LinesRequest
+        self.stand_in = stand_in
+
+
 class Gate(Resource):
     """Drops the connections of requests to a service that is dead.
 
@@ -139,7 +153,7 @@
         :param address: port 0 for any free one.
         """
         host, _, port = address.rpartition(':')
-        site = QuietSite(Gate(self, self.app.resource()))
+        site = StandInSite(self)
         self.connections = LimitedFactory(site, self.connection_limit)
         self.port = self.reactor.listenTCP(
             int(port), self.connections, interface=host
@@ -182,14 +196,26 @@
 
         :param request: that is answered.
         """
+        if not await self.is_answered():
+            if request.transport is not None:
+                request.transport.abortConnection()
+            await Deferred()
+
+    async def is_answered(self) -> bool:
+        """Hold an answer back, or return that a fault loses it."""
         delay = self.faults.get('delay', 0)
         if delay:
             await deferLater(self.reactor, delay, _nothing)
         lost = self.faults.get('lose_answers', 0)
-        if self.is_dead or (lost and self.random.random() < lost):
-            if request.transport is not None:
-                request.transport.abortConnection()
-            await Deferred()
+        return not (self.is_dead or (lost and self.random.random() < lost))
+
+    def take_line(self, line: bytes) -> None:
+        """Act on a line of a request of JSON lines.
+
+        :param line: of JSON, empty to keep the request open.
+        :raises NotImplementedError: if the service takes no such request.
+        """
+        raise NotImplementedError
 
 
 def act_anyway(
--- a/jackdawridge/standins/worker.py
+++ b/jackdawridge/standins/worker.py
@@ -7,7 +7,7 @@
 
 import msgspec
 from klein import Klein
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, ensureDeferred
 
 from jackdawridge.standins.faults import WorkerFaults
 from jackdawridge.standins.messages import (
@@ -21,6 +21,7 @@
     Throttle,
 )
 from jackdawridge.standins.runner import USAGE_LAG, Runner, encode_line
+from jackdawridge.standins.start_stream import start_batch
 from jackdawridge.standins.web import (
     StandIn,
     act_anyway,
@@ -118,6 +119,19 @@
         results = [self.start_task(order) for order in body['tasks']]
         return await self.answer(request, {'results': results})
 
+    @app.route('/v1/tasks/stream', methods=['POST'])
+    def end_stream(self, request: Any) -> bytes:
+        """Answer a stream of starts that its client has ended."""
+        return reply(request, {})
+
+    def take_line(self, line: bytes) -> None:
+        """Act on a line of a stream of starts.
+
+        :param line: of JSON, empty to keep the stream open.
+        """
+        if line.strip():
+            ensureDeferred(start_batch(self, line))
+
     @app.route('/v1/tasks', methods=['GET'])
     @act_anyway
     async def list_tasks(self, request: Any) -> bytes:
--- a/tests/test_execution/test_restarted_worker.py
+++ b/tests/test_execution/test_restarted_worker.py
@@ -10,6 +10,7 @@
 from jackdawridge.execution.forgetting import EventLedger
 from jackdawridge.execution.worker import TaskStatus
 from jackdawridge.execution.worker_events import EVENTS_RETRY, EventStream
+from jackdawridge.execution.worker_starts import StartStream
 
 
 class FakeAgent:
@@ -48,7 +49,8 @@
         clock: Any = Clock()
         agent = FakeAgent()
         listener = FakeListener()
-        stream = EventStream(clock, agent, 'http://worker', 0, listener)
+        starts = StartStream(clock, 'http://worker')
+        stream = EventStream(clock, agent, starts.base, 0, listener, starts)
         stream.open()
         stream.line(b'{"id": "t|0|1", "state": "succeeded", "number": 9}')
         stream.failed(None)
--- a/tests/test_standins/test_services.py
+++ b/tests/test_standins/test_services.py
@@ -86,6 +86,33 @@
         assert record['failure_domain'] == 'Soweto'
         assert len(record['starts']) == len(record['ends']) == 3
 
+    def test_starts_on_a_stream(self, start: Start) -> None:
+        """Start each line as it comes, and answer among the events."""
+        worker = start('worker')['address']
+        events = http.client.HTTPConnection(worker, timeout=10)
+        events.request('GET', '/v1/events?after=0')
+        response = events.getresponse()
+        stream = http.client.HTTPConnection(worker, timeout=10)
+        stream.putrequest('POST', '/v1/tasks/stream')
+        stream.putheader('Content-Type', 'application/x-ndjson')
+        stream.putheader('Transfer-Encoding', 'chunked')
+        stream.endheaders()
+        for task in (0, 1):
+            batch = {'batch': str(task), 'tasks': [make_order(f't|{task}|1')]}
+            line = '{0}\n'.format(json.dumps(batch)).encode()
+            stream.send(b'%x\r\n%b\r\n' % (len(line), line))
+            answer = b''
+            while not answer.startswith(b'{"batch"'):
+                answer = response.readline()
+            assert json.loads(answer) == {
+                'batch': str(task),
+                'results': [
+                    {'id': f't|{task}|1', 'state': 'running', 'reason': ''}
+                ],
+            }
+        stream.close()
+        events.close()
+
     def test_lost_answer_after_the_deed(self, start: Start) -> None:
         worker = start('worker')['address']
         request(worker, 'POST', '/faults', {'lose_answers': 1})
--- a/tests/test_submission/world.py
+++ b/tests/test_submission/world.py
@@ -64,6 +64,9 @@
         self.moods: deque[str] = deque()
         self.held: list[Deferred[None]] = []
 
+    async def connect(self) -> None:
+        """Return at once; `start` may still fail."""
+
     async def start(
         self, tasks: tuple[WorkerTask, ...]
     ) -> tuple[StartAnswer, ...]:
