Bound the memory that callers can make an entry hold

Change: payload_memory counts the payloads of open jobs, half for one team at most; body_memory counts the bodies of open requests, those up to 4 KB always taken. Both refuse with 503, not-run and Retry-After. Lower defaults: answer_memory 20 MB, ticket_limit 20,000, queue_limit 30,000.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -11,6 +11,7 @@
 import time
 import tracemalloc
 from pathlib import Path
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from twisted.internet.task import Clock
@@ -41,7 +42,7 @@
 from jackdawridge.wire.codec import Codec
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
 #: Where the figures go.
 PLACE = Path('docs/measurements/slopes.json')
@@ -59,18 +60,9 @@
 _KEY = 'a key that is long enough'
 _ROOM = Room(1, 1, 0, 0)
 
-
-class Slope(NamedTuple):
-    """What one thing costs."""
-
-    name: str
-    value: float
-    unit: str
-
-
-def make_entry() -> Application:
-    """Return an entry without a network."""
-    document = {
+#: Settings of an entry that has no peers.
+ENTRY: Mapping[str, object] = MappingProxyType(
+    {
         'role': 'entry',
         'node': 'entry-1',
         'deployment': 'bench',
@@ -81,8 +73,21 @@
         'caller_address': '127.0.0.1:1',
         'peer_address': '127.0.0.1:1',
         'log_service': '127.0.0.1:1',
-        'queue_limit': 10000000,
     }
+)
+
+
+class Slope(NamedTuple):
+    """What one thing costs."""
+
+    name: str
+    value: float
+    unit: str
+
+
+def make_entry() -> Application:
+    """Return an entry without a network."""
+    document = {**ENTRY, 'queue_limit': 10000000}
     clock: Any = Clock()
     return Application(Settings.from_config(document), clock, 'run1')
 
@@ -120,10 +125,13 @@
     return Slope(name, round(value, 2), 'us')
 
 
-def make_spec() -> JobSpec:
-    """Return a job of the measured size."""
+def make_spec(payload: int = PAYLOAD_BYTES) -> JobSpec:
+    """Return a job of the measured size.
+
+    :param payload: length of each payload in bytes.
+    """
     tasks = tuple(
-        TaskSpec('kind', 1, 100, 0, 1, bytes([number]) * PAYLOAD_BYTES)
+        TaskSpec('kind', 1, 100, 0, 1, bytes([number]) * payload)
         for number in range(JOB_TASKS)
     )
     return JobSpec('team', '', 0, tasks)
--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -23,6 +23,7 @@
 _MAX_PORT = 65535
 _MIN_KEY_LENGTH = 16
 _NO_DELAY = float(0)
+_BYTES_IN_MB = 1048576
 
 
 class Setting(NamedTuple):
@@ -108,6 +109,13 @@
         """
         return cast('int', self.values[name])
 
+    def memory_bytes(self, name: str) -> int:
+        """Return a setting that is given in MB, in bytes.
+
+        :param name: the setting.
+        """
+        return self.integer(name) * _BYTES_IN_MB
+
     def number(self, name: str) -> float:
         """Return a setting that is a number.
 
@@ -341,13 +349,15 @@
     ),
     number_row('answer_retention', _ENTRY, 600.0, (1, 86400), 'seconds'),
     number_row('answer_limit', _ENTRY, 20000, (1, 10000000), 'answers'),
-    number_row('answer_memory', _ENTRY, 48, (1, 1048576), 'MB'),
+    number_row('answer_memory', _ENTRY, 20, (1, 1048576), 'MB'),
+    number_row('payload_memory', _ENTRY, 8, (4, 1048576), 'MB'),
+    number_row('body_memory', _ENTRY, 8, (4, 1048576), 'MB'),
     number_row('job_limit', _ENTRY, 20000, (1, 10000000), 'open jobs'),
     number_row('job_tasks', _ENTRY, 710, (1, 100000), 'tasks a job'),
-    number_row('ticket_limit', _ENTRY, 100000, (1, 10000000), 'unused tickets'),
+    number_row('ticket_limit', _ENTRY, 20000, (1, 10000000), 'unused tickets'),
     number_row('request_limit', _ENTRY, 4096, (1, 1000000), 'open requests'),
     number_row('request_queue', _ENTRY, 1024, (1, 1000000), 'waiting requests'),
-    number_row('queue_limit', _ENTRY, 50000, (1, 10000000), 'queued tasks'),
+    number_row('queue_limit', _ENTRY, 30000, (1, 10000000), 'queued tasks'),
     number_row('link_delay', _BOTH, _NO_DELAY, (0, 1), 'seconds, for trials'),
     number_row('freshness', _SIDE, 2.5, (0.2, 60), 'seconds'),
     text_row('log_stream', _ENTRY, default='configuration'),
--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -52,7 +52,14 @@
     watch_jobs(daemon, submission)
     # The doors close last, so that open requests get their answers.
     daemon.add_operator_door()
-    application.add(Door(reactor, settings.text('caller_address'), callers))
+    application.add(
+        Door(
+            reactor,
+            settings.text('caller_address'),
+            callers,
+            settings.memory_bytes('body_memory'),
+        )
+    )
     application.add(
         Listener(reactor, daemon.peers, settings.text('peer_address'))
     )
--- a/jackdawridge/operations/doors.py
+++ b/jackdawridge/operations/doors.py
@@ -8,6 +8,7 @@
 from twisted.web.server import Request, Site
 
 from jackdawridge.logs import get_logger
+from jackdawridge.operations.bodies import BodyMemory, BodyShare
 from jackdawridge.wire.link import CONNECTION_DONE
 
 if TYPE_CHECKING:
@@ -25,9 +26,12 @@
 IDLE_TIMEOUT = 60
 #: Connections that a door accepts at a time.
 MAX_CONNECTIONS = 1024
+#: Bytes of all bodies that a door holds unless its settings say otherwise.
+BODY_MEMORY = 8388608
 
 _TOO_LARGE = b'HTTP/1.1 413 Content Too Large\r\n'
 _TOO_SLOW = b'HTTP/1.1 408 Request Timeout\r\n'
+_NO_MEMORY = b'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n'
 _CLOSING = (
     b'X-Jackdawridge-Outcome: not-run\r\n'
     b'Content-Length: 0\r\n'
@@ -37,12 +41,12 @@
 
 
 class BoundedRequest(Request):
-    """A request whose body may not be longer than the door allows."""
+    """A request whose body may not take more than the door allows."""
 
     def __init__(self, channel: Any, *args: Any, **options: Any) -> None:
         """Start without content."""
         super().__init__(channel, *args, **options)
-        self.received = 0
+        self.share = BodyShare(channel.factory.bodies)
         self.refused = False
 
     def gotLength(self, length: int | None) -> None:
@@ -53,30 +57,58 @@
         # Twisted keeps longer bodies in files, and there is no disk.
         super().gotLength(0)
         if length is not None and length > MAX_BODY_BYTES:
-            self.refuse()
+            self.refuse(_TOO_LARGE)
 
     def handleContentChunk(self, data: bytes) -> None:
         """Take a part of the body.
 
         :param data: the part.
         """
-        self.received += len(data)
-        if self.received > MAX_BODY_BYTES:
-            self.refuse()
-        if not self.refused:
+        if self.refused:
+            return
+        fits = self.share.grow(len(data))
+        if self.share.length > MAX_BODY_BYTES:
+            self.refuse(_TOO_LARGE)
+        elif fits:
             super().handleContentChunk(data)
+        else:
+            logger.warning(
+                'no memory for the body', step='receive', peer=self.peer_name()
+            )
+            self.refuse(_NO_MEMORY)
 
     def process(self) -> None:
         """Serve the request unless it was refused."""
         if not self.refused:
             super().process()
 
-    def refuse(self) -> None:
-        """Answer that the body is too long and end the connection."""
+    def finish(self) -> None:
+        """End the answer, after which the body is not needed."""
+        self.share.release()
+        super().finish()
+
+    def connectionLost(self, reason: Failure) -> None:
+        """Let go of the body.
+
+        :param reason: of Twisted.
+        """
+        self.share.release()
+        super().connectionLost(reason)
+
+    def peer_name(self) -> str:
+        """Return the address of the peer, for the log."""
+        return str(self.getClientAddress())
+
+    def refuse(self, status: bytes) -> None:
+        """Answer that the body is not taken and end the connection.
+
+        :param status: the first lines of the answer.
+        """
         if not self.refused:
             self.refused = True
+            self.share.release()
             channel: Any = self.channel
-            channel.reject(_TOO_LARGE)
+            channel.reject(status)
 
 
 class BoundedChannel(HTTPChannel):
@@ -138,11 +170,18 @@
     :param reactor: Twisted's reactor.
     :param address: `ip:port`.
     :param resource: the root of what is served.
+    :param body_memory: for the bodies of all open requests, in bytes.
     """
 
     protocol = BoundedChannel  # type: ignore[assignment]
 
-    def __init__(self, reactor: Any, address: str, resource: Resource) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        address: str,
+        resource: Resource,
+        body_memory: int = BODY_MEMORY,
+    ) -> None:
         """Prepare without listening."""
         super().__init__(
             resource,
@@ -154,6 +193,7 @@
         self.door_reactor = reactor
         self.address = address
         self.connections = 0
+        self.bodies = BodyMemory(body_memory)
         self.port: Any = None
 
     def buildProtocol(self, addr: IAddress | None) -> IProtocol | None:
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -96,6 +96,13 @@
         self.queues.insert(job, Standing(deadline, now))
         return Ok(len(requests))
 
+    def overload(self, reason: str) -> Overload:
+        """Return the refusal of a job for which an entry has no memory.
+
+        :param reason: for the caller.
+        """
+        return Overload(self.bounds.retry_after(self.queues.queued), reason)
+
     def ideal_time(self, job: Job) -> float:
         """Return the run time of a job that has the whole room.
 
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -6,6 +6,7 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+from result import Err
 from twisted.internet.defer import Deferred
 
 from jackdawridge.execution.messages import (
@@ -23,6 +24,7 @@
 from jackdawridge.submission.batches import split_batches
 from jackdawridge.submission.configured import NoConfiguration
 from jackdawridge.submission.jobs import Job
+from jackdawridge.submission.payloads import PayloadMemory
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -40,9 +42,6 @@
 logger = get_logger('submission')
 decisions = get_logger('placement')
 
-#: Bytes of a megabyte of memory.
-BYTES_IN_MB = 1048576
-
 
 class JobEngine:
     """Places the tasks of open jobs and gathers their outcomes.
@@ -62,9 +61,10 @@
             AnswerBounds(
                 settings.integer('answer_limit'),
                 settings.number('answer_retention'),
-                settings.integer('answer_memory') * BYTES_IN_MB,
+                settings.memory_bytes('answer_memory'),
             )
         )
+        self.payloads = PayloadMemory(settings.memory_bytes('payload_memory'))
         self.waiters: dict[str, list[Deferred[KeptAnswer]]] = defaultdict(list)
         self.sides: dict[str, SideRecord] = {}
         self.leases = count(1)
@@ -97,8 +97,13 @@
             )
             for position, task in enumerate(spec.tasks)
         ]
+        lack = self.payloads.take(ticket, spec)
+        if lack:
+            return Err(self.placer.overload(lack))
         queued = self.placer.enqueue(requests, self.clock.seconds())
-        if queued.is_ok():
+        if queued.is_err():
+            self.payloads.release(ticket)
+        else:
             self.jobs[ticket] = Job(ticket, spec, digest, self.finished)
             self.place_soon()
         return queued
@@ -118,6 +123,7 @@
         :param answer: of the job.
         """
         job = self.jobs.pop(answer.ticket)
+        self.payloads.release(answer.ticket)
         self.placer.cancel(answer.ticket)
         kept = self.answers.keep(answer, job.digest, self.clock.seconds())
         logger.info(
--- a/tests/test_submission/test_http.py
+++ b/tests/test_submission/test_http.py
@@ -4,9 +4,11 @@
 
 import contextlib
 import json
+import select
 import socket
 import subprocess
 import sys
+import time
 from http.client import HTTPConnection, HTTPResponse
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -66,6 +68,8 @@
         'operator_address': addresses[2],
         'log_service': addresses[3],
         'entries': [addresses[1]],
+        # No side is there to run what the tests leave queued.
+        'drain': 1,
     }
     path.write_text(json.dumps(document))
     process = subprocess.Popen(
@@ -141,3 +145,73 @@
         with socket.create_connection((HOST, port)) as odd:
             odd.sendall(data)
         assert ask(port, 'POST', '/v1/tickets').status == 201
+
+
+def send_part(port: int, size: int) -> socket.socket:
+    """Send a part of a request that announces a longer body."""
+    sender = socket.create_connection((HOST, port), timeout=30)
+    sender.sendall(
+        b'POST /v1/jobs HTTP/1.1\r\nHost: a\r\n'
+        + f'Content-Length: {MAX_BODY_BYTES}\r\n\r\n'.encode()
+    )
+    with contextlib.suppress(ConnectionError):
+        sender.sendall(b'x' * size)
+    return sender
+
+
+@pytest.mark.processes
+class TestMemory:
+    def test_flood_of_long_bodies_leaves_room_for_short_ones(
+        self, port: int
+    ) -> None:
+        size = MAX_BODY_BYTES // 2
+        senders = [send_part(port, size) for _ in range(20)]
+        # The default takes 8 MB, and each of them sends 1 MB.
+        assert await_ended(senders, 12) == 12
+        assert ask(port, 'POST', '/v1/tickets').status == 201
+        for sender in senders:
+            sender.close()
+        # The memory is free again as soon as the connections have ended.
+        assert large_job_is_taken(port, 'after the flood')
+
+    def test_payloads_of_open_jobs_are_bounded(self, port: int) -> None:
+        seen = [submit_large(port, 'a') for _ in range(3)]
+        assert [answer.status for answer in seen] == [202, 202, 503]
+        assert seen[-1].outcome == 'not-run'
+        assert "team 'a'" in json.loads(seen[-1].text)['error']
+        assert submit_large(port, 'b').status == 202
+        for answer in seen[:2]:
+            ticket = json.loads(answer.text)['ticket']
+            assert (
+                ask(port, 'DELETE', f'/v1/jobs/{ticket}').outcome == 'not-run'
+            )
+        assert submit_large(port, 'a').status == 202
+
+
+def await_ended(senders: list[socket.socket], count: int) -> int:
+    """Return how many connections the entry ends, at least a count."""
+    ended: set[socket.socket] = set()
+    deadline = time.monotonic() + 10
+    while len(ended) < count and time.monotonic() < deadline:
+        left = [sender for sender in senders if sender not in ended]
+        ended.update(select.select(left, [], [], 0.2)[0])
+    return len(ended)
+
+
+def submit_large(port: int, team: str) -> Refusal:
+    """Submit a job that has nearly 2 MB of payloads."""
+    tasks = [{'payload': 'x' * 60000} for _ in range(32)]
+    body = json.dumps({'team': team, 'tasks': tasks}).encode()
+    return ask(port, 'POST', '/v1/jobs?wait=0', body)
+
+
+def large_job_is_taken(port: int, team: str) -> bool:
+    """Return whether a large job is taken within some tries."""
+    for _ in range(50):
+        answer = submit_large(port, team)
+        if answer.status == 202:
+            ticket = json.loads(answer.text)['ticket']
+            ask(port, 'DELETE', f'/v1/jobs/{ticket}')
+            return True
+        time.sleep(0.1)
+    return False
