Make no record of log lines that are not written

Change: all loggers are in one group with the level of the handler, and the sampling of decision lines is asked before the record is made.

--- a/jackdawridge/logs.py
+++ b/jackdawridge/logs.py
@@ -11,9 +11,13 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-#: Keys of a decision line, in the order in which they are written.
+#: Channels of decision lines.
 DECISION_CHANNELS = ('placement', 'routing')
 
+#: All loggers, which share the lowest level that is written, so that no
+#: record is made below it.
+_loggers = logbook.LoggerGroup()
+
 _LEVELS = ('debug', 'info', 'notice', 'warning', 'error')
 
 
@@ -22,7 +26,6 @@
 
     :param stream: where the lines go.
     :param level: the lowest level that is written.
-    :param decision_sampling: one in so many decision lines is written.
     :param node: the name of this process, written on each line.
     """
 
@@ -31,23 +34,18 @@
         stream: TextIO,
         *,
         level: str = 'info',
-        decision_sampling: int = 1,
         node: str = '',
     ) -> None:
         """Prepare the handler; logbook's `push_application` activates it."""
         super().__init__(level=logbook.lookup_level(level.upper()))
         self.stream = stream
-        self.decision_sampling = decision_sampling
         self.node = node
-        self.decisions = 0
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Write one record.
 
         :param record: the record that logbook hands over.
         """
-        if record.channel in DECISION_CHANNELS and not self.is_sampled():
-            return
         line: dict[str, object] = {
             'time': record.time.isoformat(timespec='milliseconds'),
             'level': record.level_name.lower(),
@@ -61,10 +59,26 @@
         encoded = msgspec.json.encode(line, enc_hook=str)
         self.stream.write('{0}\n'.format(encoded.decode()))
 
-    def is_sampled(self) -> bool:
-        """Count a decision line and return whether it is written."""
-        self.decisions += 1
-        return self.decisions % self.decision_sampling == 0
+
+class Sampling:
+    """Chooses the decision lines that are written, before they are made.
+
+    :param interval: one in so many lines is written.
+    """
+
+    def __init__(self, interval: int = 1) -> None:
+        """Begin to count."""
+        self.interval = interval
+        self.count = 0
+
+    def is_chosen(self) -> bool:
+        """Count a line and return whether it is written."""
+        self.count += 1
+        return self.count % self.interval == 0
+
+
+#: Of the decision lines of this process.
+_sampling = Sampling()
 
 
 def get_logger(name: str) -> logbook.Logger:
@@ -72,7 +86,9 @@
 
     :param name: the channel, shown as `logger` on each line.
     """
-    return logbook.Logger(name)
+    logger = logbook.Logger(name)
+    _loggers.add_logger(logger)
+    return logger
 
 
 def install(
@@ -91,9 +107,10 @@
     handler = JsonLinesHandler(
         stream or sys.stderr,
         level=level,
-        decision_sampling=decision_sampling,
         node=node,
     )
+    _loggers.level = handler.level
+    _sampling.interval = decision_sampling
     handler.push_application()
     return handler
 
@@ -113,7 +130,8 @@
     :param reason: why.
     :param identifiers: the ids of the work, such as ticket and index.
     """
-    logger.info(step, step=step, peer=peer, reason=reason, **identifiers)
+    if logger.level <= logbook.INFO and _sampling.is_chosen():
+        logger.info(step, step=step, peer=peer, reason=reason, **identifiers)
 
 
 def level_names() -> tuple[str, ...]:
