Take a turn of the loop for placing only when there is something to place

Cause: each outcome batch had the placer called in a turn of its own, also with nothing queued: 2,333 turns for 5,500 tasks in a profile at 1,000 tasks a second.

Change: the placer says whether it has anything to do, which is queued tasks or the look at running tasks that is due four times a second. Without it no turn is asked for.

--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -133,7 +133,7 @@
 
         :param now: the time.
         """
-        if now - self.looked_at >= LOOK_INTERVAL:
+        if self.must_look(now):
             self.looked_at = now
             self.look(now)
         if not self.queues.queued:
@@ -147,6 +147,20 @@
             self.asking.run(current)
         return tuple(current.placements)
 
+    def must_look(self, now: float) -> bool:
+        """Return whether it is time to look at the tasks that run.
+
+        :param now: the time.
+        """
+        return now - self.looked_at >= LOOK_INTERVAL
+
+    def has_work(self, now: float) -> bool:
+        """Return whether `place` has something to do.
+
+        :param now: the time.
+        """
+        return self.queues.queued > 0 or self.must_look(now)
+
     def offer_received(self, side_id: str, offer: Offer, now: float) -> None:
         """Take in room that a side holds for this entry.
 
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -162,9 +162,9 @@
             self.cancelled.append(ticket)
             self.place_soon()
 
-    def place_if_waiting(self) -> None:
-        """Place at the end of this turn of the loop if anything is queued."""
-        if self.placer.queues.queued:
+    def place_if_due(self) -> None:
+        """Place at the end of this turn if the placer has something to do."""
+        if self.placer.has_work(self.clock.seconds()):
             self.place_soon()
 
     def place_soon(self) -> None:
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -153,7 +153,7 @@
                 heartbeat.processed,
                 self.clock.seconds(),
             )
-            self.engine.place_if_waiting()
+            self.engine.place_if_due()
 
     def reply(self, record: SideRecord, peer: Peer, window: int) -> None:
         """Renew the leases at a side and acknowledge its outcomes.
@@ -184,7 +184,7 @@
             self.engine.refused(record, refusal)
         for ending in batch.endings:
             self.engine.ended(record, ending)
-        self.engine.place_soon()
+        self.engine.place_if_due()
 
     def resolution_received(self, peer: Peer, resolution: Resolution) -> None:
         """Settle every start that was in doubt when the session began.
