Ask the life of a job only once none of its starts is in doubt

Cause: each answer of a task went through the job's state machine, which does nothing while other tasks run: about 4% of an entry's profile.

Change: the machine is asked when the last start in doubt has ended. A whole job has none, and neither has one whose failure may be answered.

--- a/jackdawridge/submission/jobs.py
+++ b/jackdawridge/submission/jobs.py
@@ -142,7 +142,9 @@
         if ending.outcome == 'succeeded':
             self.started = Started.some
             self.answers[key.task] = ending.answer
-            self.life.settle()
+            # The life can go on only once nothing is in doubt.
+            if not self.sent:
+                self.life.settle()
             return False
         if ending.outcome != 'lost':
             self.started = Started.some
