--- a/benchmarks/entry_cost.py
+++ b/benchmarks/entry_cost.py
@@ -12,6 +12,7 @@
 import cProfile
 import pstats
 import time
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -77,7 +78,7 @@
         :param message: as the entry made it.
         """
         frame = self.codec.encode(message)
-        if type(message) is StartBatch:
+        if isinstance(message, StartBatch):
             self.frames.append(frame)
         return True
 
@@ -87,7 +88,7 @@
 
     def outcomes(self) -> list[bytes]:
         """Return a message for each task that was started, and forget it."""
-        made = []
+        made: list[bytes] = []
         for frame in self.frames:
             batch = self.codec.decode(frame)
             made.extend(
@@ -122,6 +123,16 @@
     place: float
 
 
+class JobTimes(NamedTuple):
+    """Processor time of one job, in seconds."""
+
+    parse: float
+    #: Of each turn of the loop that places.
+    turns: list[float]
+    #: Of all outcomes.
+    outcomes: float
+
+
 class Bench:
     """An entry with fake sides."""
 
@@ -139,7 +150,10 @@
         )
         self.sides = [FakeSide(number, self.entry) for number in range(SIDES)]
         self.clock: Any = self.entry.clock
-        # Sides that have just joined are not given all of their room.
+        self.link_sides()
+
+    def link_sides(self) -> None:
+        """Link the sides and wait until all of their room is used."""
         for _ in range(2):
             for side in self.sides:
                 peer: Any = side
@@ -162,25 +176,29 @@
         :param count: of jobs.
         """
         body = make_body(size)
-        spent = longest_parse = longest_place = 0.0
-        for _ in range(count):
-            answers: list[object] = []
-            parse = timed(lambda: self.submit(body, answers))
-            place = outcome = 0.0
-            while not answers:
-                turn = timed(lambda: self.clock.advance(0))
-                place += turn
-                longest_place = max(longest_place, turn)
-                outcome += self.end_all()
-            spent += parse + place + outcome
-            longest_parse = max(longest_parse, parse)
+        jobs = [self.run_job(body) for _ in range(count)]
+        spent = sum(job.parse + sum(job.turns) + job.outcomes for job in jobs)
         return Cost(
             size,
             round(spent / size / count * _MICROSECONDS, 1),
-            round(longest_parse * _MILLISECONDS, 1),
-            round(longest_place * _MILLISECONDS, 1),
+            round(max(job.parse for job in jobs) * _MILLISECONDS, 1),
+            round(max(max(job.turns) for job in jobs) * _MILLISECONDS, 1),
         )
 
+    def run_job(self, body: bytes) -> JobTimes:
+        """Run one job.
+
+        :param body: of the caller.
+        """
+        answers: list[object] = []
+        parse = timed(partial(self.submit, body, answers))
+        turns = []
+        outcomes: float = 0
+        while not answers:
+            turns.append(timed(partial(self.clock.advance, 0)))
+            outcomes += self.end_all()
+        return JobTimes(parse, turns, outcomes)
+
     def submit(self, body: bytes, answers: list[object]) -> None:
         """Submit a job.
 
@@ -193,11 +211,11 @@
 
     def end_all(self) -> float:
         """End the tasks that run and return the time in seconds."""
-        spent = 0.0
-        for side in self.sides:
-            for frame in side.outcomes():
-                spent += timed(lambda: self.take(side, frame))  # noqa: B023
-        return spent
+        return sum(
+            timed(partial(self.take, side, frame))
+            for side in self.sides
+            for frame in side.outcomes()
+        )
 
     def take(self, side: Any, frame: bytes) -> None:
         """Take a message as a link does.
@@ -230,7 +248,9 @@
         'run_time': 0.3,
         'payload': _PAYLOAD,
     }
-    return msgspec.json.encode({'team': 'ledger', 'tasks': [task] * size})
+    return msgspec.json.encode(
+        {'team': 'ledger', 'tasks': [task for _ in range(size)]}
+    )
 
 
 def main() -> None:
