Let the sides' heartbeats reach an entry together

Cause: heartbeats of 332 sides woke an entry one by one. Change: an entry has 20 moments in a heartbeat interval; its reply says how long after one the heartbeat came, and the side moves that entry's turn to the nearest. A side beats when an entry is due, not by a fixed loop. Sides of the benchmark have timers of their own, up to 1.5 ms late, with the same turns.

--- a/benchmarks/control/fleet.py
+++ b/benchmarks/control/fleet.py
@@ -26,8 +26,6 @@
     from benchmarks.control.peers import StandIn
     from jackdawridge.wire.link import Link
 
-#: Heartbeats are spread over so many moments of an interval.
-SLICES_A_HEARTBEAT = 50
 #: Entries that tell the entry under measurement news in a period: as many
 #: as it tells itself.
 GOSSIP_MESSAGES = 3
@@ -86,8 +84,7 @@
                 entry.listen()
         self.table = self.make_table()
         self.exchange = TableExchange(application, self.table, _ignore)
-        self.slice = 0
-        self.loops = (LoopingCall(self.beat), LoopingCall(self.gossip))
+        self.loop = LoopingCall(self.gossip)
 
     def make_table(self) -> Table:
         """Return a table of all stand-ins, without news."""
@@ -115,27 +112,17 @@
             self.reactor.callLater(
                 position / DIALS_A_SECOND, peer.dial, address
             )
-        for loop, interval in zip(
-            self.loops, (HEARTBEAT / SLICES_A_HEARTBEAT, HEARTBEAT), strict=True
-        ):
-            loop.start(interval)
+        self.loop.start(HEARTBEAT)
 
     def stop(self) -> None:
         """End all links."""
-        for loop in self.loops:
-            if loop.running:
-                loop.stop()
+        if self.loop.running:
+            self.loop.stop()
         for port in self.ports:
             port.stopListening()
         for link in self.links:
             link.close('end of the run')
 
-    def beat(self) -> None:
-        """Send the heartbeats of a part of the sides."""
-        self.slice = (self.slice + 1) % SLICES_A_HEARTBEAT
-        for side in self.linked_sides()[self.slice :: SLICES_A_HEARTBEAT]:
-            side.beat()
-
     def gossip(self) -> None:
         """Send what one entry receives from the others in a period."""
         number = self.random.randrange(_NUMBERS)
--- a/benchmarks/control/peers.py
+++ b/benchmarks/control/peers.py
@@ -23,6 +23,7 @@
     LogRecord,
 )
 from jackdawridge.execution.messages import Heartbeat, HeartbeatReply, Room
+from jackdawridge.execution.turns import Turns
 from jackdawridge.membership.messages import (
     Gossip,
     Introduction,
@@ -42,6 +43,10 @@
 IDENTITY = Identity(DEPLOYMENT, SHARED_KEY)
 #: Bytes before each message on a link.
 FRAME_BYTES = 4
+#: Longest time by which timers and the network delay a heartbeat, in seconds.
+LATENESS = 0.0015
+#: Name of the entry under measurement in the turns of a side.
+ENTRY = 'entry'
 _LINK_LIMIT = 8192
 
 
@@ -162,11 +167,27 @@
         """Start without links."""
         super().__init__(fleet, introduction)
         self.window = 0
+        self.turns = Turns(HEARTBEAT)
+        self.timer: Any = None
 
     def joined(self) -> None:
         """Ask for the configuration and begin to send heartbeats."""
         self.send(ConfigurationRequest(self.fleet.position))
+        self.turns = Turns(HEARTBEAT)
+        offset = random.uniform(0, HEARTBEAT)  # noqa: S311
+        self.turns.due[ENTRY] = self.fleet.reactor.seconds() + offset
         self.beat()
+        if self.timer is None:
+            self.beat_in_turn()
+
+    def beat_in_turn(self) -> None:
+        """Send a heartbeat when it is due, as late as a real side would."""
+        now = self.fleet.reactor.seconds()
+        if self.turns.take((ENTRY,), now):
+            self.beat()
+            self.turns.sent((ENTRY,), self.window)
+        wait = self.turns.wait(now) + random.uniform(0, LATENESS)  # noqa: S311
+        self.timer = self.fleet.reactor.callLater(wait, self.beat_in_turn)
 
     def beat(self) -> None:
         """Send a heartbeat."""
@@ -180,7 +201,9 @@
 
         :param message: any message.
         """
-        if isinstance(message, ConfigurationUpdate | ConfigurationSnapshot):
+        if isinstance(message, HeartbeatReply):
+            self.turns.answered(ENTRY, message.window, message.phase)
+        elif isinstance(message, ConfigurationUpdate | ConfigurationSnapshot):
             self.send(ConfigurationApplied(message.position))
         elif isinstance(message, Gossip):
             own = self.introduction.node
--- a/jackdawridge/execution/component.py
+++ b/jackdawridge/execution/component.py
@@ -244,6 +244,7 @@
         self.state.gate.heartbeat_answered(
             reply.window, reply.position, reply.age
         )
+        self.heart.answered(peer, reply)
         record = self.state.sessions.entry(incarnation, now)
         self.watch.ledger.passed_on(record.outbox.acknowledge(reply.received))
         self.finish_if_idle()
--- a/jackdawridge/execution/heart.py
+++ b/jackdawridge/execution/heart.py
@@ -5,15 +5,16 @@
 from typing import TYPE_CHECKING
 
 from jackdawridge.execution.messages import Heartbeat
-from jackdawridge.execution.turns import TURNS, Turns
-from jackdawridge.util.clock import make_loop
+from jackdawridge.execution.turns import Turns
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from jackdawridge.application import Application
+    from jackdawridge.execution.messages import HeartbeatReply
     from jackdawridge.execution.sessions import EntryRecord
     from jackdawridge.execution.state import SideState
+    from jackdawridge.util.clock import DelayedCall
     from jackdawridge.wire.peers import Peer, Peers
 
 
@@ -35,16 +36,17 @@
         self.state = state
         self.interval = application.settings.number('heartbeat')
         self.turns = Turns(self.interval)
-        self.loop = make_loop(self.clock, self.beat_in_turn)
+        self.timer: DelayedCall | None = None
 
     def start(self) -> None:
         """Send each entry a heartbeat in each interval of the settings."""
-        self.loop.start(self.interval / TURNS)
+        self.beat_in_turn()
 
     def stop(self) -> None:
         """Stop beating."""
-        if self.loop.running:
-            self.loop.stop()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
 
     def greet(self, peer: Peer) -> None:
         """Send the first heartbeat of a session.
@@ -64,14 +66,29 @@
             peer.introduction.incarnation: peer
             for peer in self.peers.of_role('entry')
         }
-        due = self.turns.take(linked.keys(), self.clock.seconds())
+        now = self.clock.seconds()
+        due = self.turns.take(linked.keys(), now)
+        self.timer = self.clock.callLater(
+            self.turns.wait(now), self.beat_in_turn
+        )
         if due:
-            self.send([linked[incarnation] for incarnation in due])
+            window = self.send([linked[incarnation] for incarnation in due])
+            self.turns.sent(due, window)
+
+    def answered(self, peer: Peer, reply: HeartbeatReply) -> None:
+        """Keep to the moments at which an entry takes heartbeats.
+
+        :param peer: the entry.
+        :param reply: to a heartbeat.
+        """
+        incarnation = peer.introduction.incarnation
+        self.turns.answered(incarnation, reply.window, reply.phase)
 
-    def send(self, entries: Iterable[Peer]) -> None:
+    def send(self, entries: Iterable[Peer]) -> int:
         """Open a window and send a heartbeat to some entries.
 
         :param entries: to send to.
+        :returns: the number of the window.
         """
         now = self.clock.seconds()
         window = self.state.sessions.windows.open(now)
@@ -80,6 +97,7 @@
             incarnation = peer.introduction.incarnation
             record = self.state.sessions.entry(incarnation, now)
             peer.send(self.write(record, window))
+        return window
 
     def write(self, record: EntryRecord, window: int) -> Heartbeat:
         """Return a heartbeat.
--- a/jackdawridge/execution/messages.capnp
+++ b/jackdawridge/execution/messages.capnp
@@ -85,6 +85,7 @@
   received @1 :UInt64;
   position @2 :Int64;
   age @3 :Float64;
+  phase @4 :Float64;
 }
 
 struct Offer {
--- a/jackdawridge/execution/messages.py
+++ b/jackdawridge/execution/messages.py
@@ -154,6 +154,9 @@
     position: int
     #: Time since the entry knew that nothing newer exists, in seconds.
     age: float
+    #: Time since the last moment at which the entry takes heartbeats together,
+    #: in seconds.
+    phase: float = 0
 
 
 class Offer(NamedTuple):
--- a/jackdawridge/execution/turns.py
+++ b/jackdawridge/execution/turns.py
@@ -7,8 +7,20 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-#: Moments in an interval at which heartbeats are sent.
+#: Even parts of an interval that entries get their turns in.
 TURNS = 5
+#: Moments in an interval at which an entry takes heartbeats. Sides keep to
+#: them, so that the entry wakes up once for several heartbeats.
+MOMENTS = 20
+
+
+def moment_phase(interval: float, now: float) -> float:
+    """Return the time since the last moment for heartbeats, in seconds.
+
+    :param interval: between two heartbeats to one entry, in seconds.
+    :param now: the time of the entry in seconds.
+    """
+    return now % (interval / MOMENTS)
 
 
 class Turns:
@@ -23,8 +35,12 @@
     def __init__(self, interval: float) -> None:
         """Start without entries."""
         self.interval = interval
+        #: Time between two turns, in seconds.
+        self.turn = interval / TURNS
         #: When each entry is due, by incarnation.
         self.due: dict[str, float] = {}
+        #: Window of the last heartbeat in turn, by incarnation.
+        self.windows: dict[str, int] = {}
 
     def join(self, incarnation: str, now: float) -> None:
         """Give an entry its turn within the next interval.
@@ -33,7 +49,7 @@
         :param now: the time in seconds.
         """
         position = len(self.due) % TURNS + 1
-        self.due[incarnation] = now + self.interval * position / TURNS
+        self.due[incarnation] = now + self.turn * position
 
     def take(self, linked: Collection[str], now: float) -> list[str]:
         """Return the entries that are due.
@@ -45,10 +61,43 @@
             incarnation: self.due.get(incarnation, now)
             for incarnation in linked
         }
-        # Half a turn of tolerance keeps late timers from missing a turn.
-        horizon = now + self.interval / TURNS / 2
-        due = [key for key, at in self.due.items() if at <= horizon]
+        due = [key for key, at in self.due.items() if at <= now]
         for key in due:
             following = self.due[key] + self.interval
             self.due[key] = max(following, now + self.interval / 2)
         return due
+
+    def wait(self, now: float) -> float:
+        """Return the time until an entry may be due, at most one turn.
+
+        :param now: the time in seconds.
+        """
+        following = min(self.due.values(), default=now + self.turn)
+        return min(max(following - now, 0), self.turn)
+
+    def sent(self, incarnations: Collection[str], window: int) -> None:
+        """Note the window of heartbeats that were sent in turn.
+
+        :param incarnations: of the entries.
+        :param window: number of the heartbeats.
+        """
+        kept = {
+            key: number
+            for key, number in self.windows.items()
+            if key in self.due
+        }
+        self.windows = {**kept, **dict.fromkeys(incarnations, window)}
+
+    def answered(self, incarnation: str, window: int, phase: float) -> None:
+        """Move the turn of an entry to the nearest moment of the entry.
+
+        :param incarnation: of the entry.
+        :param window: of the heartbeat that is answered.
+        :param phase: time from a moment to the heartbeat, in seconds.
+        """
+        spacing = self.interval / MOMENTS
+        if self.windows.get(incarnation) != window or not 0 <= phase < spacing:
+            return
+        self.windows.pop(incarnation)
+        early = phase > spacing / 2
+        self.due[incarnation] += spacing - phase if early else -phase
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -12,6 +12,7 @@
     Resolution,
     Resolve,
 )
+from jackdawridge.execution.turns import moment_phase
 from jackdawridge.logs import get_logger
 from jackdawridge.placement.view import SideInfo
 from jackdawridge.submission.sides import SideRecord
@@ -45,7 +46,8 @@
         self.application = application
         self.clock = application.clock
         self.engine = engine
-        self.silence = settings.number('heartbeat') * MISSED_HEARTBEATS
+        self.interval = settings.number('heartbeat')
+        self.silence = self.interval * MISSED_HEARTBEATS
         self.give_up = SWEEP_INTERVAL + max(
             settings.number('task_lease'),
             settings.number('send_window') * DRIFT,
@@ -164,7 +166,13 @@
         """
         known = self.engine.configuration
         peer.send(
-            HeartbeatReply(window, record.received, known.position, known.age())
+            HeartbeatReply(
+                window,
+                record.received,
+                known.position,
+                known.age(),
+                moment_phase(self.interval, self.clock.seconds()),
+            )
         )
 
     def outcomes_received(self, peer: Peer, batch: OutcomeBatch) -> None:
