Look for silent sides at the pace of the heartbeats

Cause: an entry went through all its sides four times a second, and through those that run late twice, also where a side may be silent for 7.5 s. Change: a look at a quarter of the heartbeat interval, 0.25 to 0.75 s. At 3 s a silent side is found, and its starts given up, up to 0.5 s later than before.

--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -25,8 +25,11 @@
 
 logger = get_logger('submission')
 
-#: Interval at which silent sides are looked for, in seconds.
-SWEEP_INTERVAL = 0.25
+#: Part of a heartbeat interval after which silent sides are looked for.
+SWEEP_FRACTION = 0.25
+#: Shortest and longest time between two such looks, in seconds.
+SWEEP_FLOOR = 0.25
+SWEEP_CEILING = 0.75
 #: Heartbeats that a side may miss before it gets no more work.
 MISSED_HEARTBEATS = 2.5
 #: Allowance for the drift of the clocks over a send window.
@@ -48,7 +51,10 @@
         self.engine = engine
         self.interval = settings.number('heartbeat')
         self.silence = self.interval * MISSED_HEARTBEATS
-        self.give_up = SWEEP_INTERVAL + max(
+        self.sweep_interval = min(
+            max(self.interval * SWEEP_FRACTION, SWEEP_FLOOR), SWEEP_CEILING
+        )
+        self.give_up = self.sweep_interval + max(
             settings.number('task_lease'),
             settings.number('send_window') * DRIFT,
         )
@@ -63,7 +69,7 @@
 
     def start(self) -> None:
         """Begin to look for silent sides."""
-        self.sweeper.start(SWEEP_INTERVAL)
+        self.sweeper.start(self.sweep_interval)
 
     def stop(self) -> None:
         """Stop looking and acknowledge the last outcomes."""
@@ -228,7 +234,7 @@
         first.
         """
         now = self.clock.seconds()
-        paused = now - self.swept > 2 * SWEEP_INTERVAL
+        paused = now - self.swept > 2 * self.sweep_interval
         self.swept = now
         if paused:
             return
