--- a/jackdawridge/membership/targets.py
+++ b/jackdawridge/membership/targets.py
@@ -56,6 +56,18 @@
         """Start without knowledge."""
         self.seeds = frozenset(seeds)
         self.by_seed: dict[str, Landing] = {}
+        self.started: float | None = None
+
+    def are_sought(self, own_address: str, now: float) -> bool:
+        """Return whether there are seeds that are still to be reached.
+
+        :param own_address: of this process, which counts as reached.
+        :param now: the time in seconds.
+        """
+        if self.started is None:
+            self.started = now
+        unreached = self.seeds - self.by_seed.keys() - {own_address}
+        return bool(unreached) and now - self.started < SEED_TIME
 
     def note(self, address: str, landing: Landing) -> None:
         """Take note of an entry that was reached.
@@ -103,7 +115,6 @@
         """Start without links."""
         self.landings = Landings(seeds)
         self.choice = choice
-        self.started: float | None = None
         self.linked_at: float | None = None
 
     def addresses(self, table: Table, links: Links, now: float) -> set[str]:
@@ -115,7 +126,7 @@
         """
         entries = list(table.entries.values())
         seeds = set(self.landings.seeds)
-        if self.is_starting(now):
+        if self.landings.are_sought('', now):
             return seeds
         chosen = self.choice.update(entries, links.nodes, now)
         # A leaving entry still gathers what it has started here.
@@ -135,21 +146,12 @@
             return wanted | seeds
         return wanted
 
-    def is_starting(self, now: float) -> bool:
-        """Return whether there are seeds that are still to be reached.
-
-        :param now: the time in seconds.
-        """
-        if self.started is None:
-            self.started = now
-        is_reached = len(self.landings.by_seed) == len(self.landings.seeds)
-        return not is_reached and now - self.started < SEED_TIME
-
 
 class EntryTargets:
     """Chooses for an entry: of two entries the lower node dials the other.
 
-    A link that is in use stays, whoever has dialled. The seeds are dialled
+    A link that is in use stays, whoever has dialled. All seeds are reached
+    first, as one may be the only way to an entry. They are dialled again
     while no entry is linked, and now and then for a moment, so that groups
     of entries that do not know of each other meet.
 
@@ -170,6 +172,8 @@
         :param now: the time in seconds.
         """
         own = table.own
+        if self.landings.are_sought(own.address, now):
+            return {*self.landings.seeds, *links.dialled} - {own.address}
         others = [
             entry for entry in table.entries.values() if entry.node != own.node
         ]
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -5,7 +5,7 @@
 import random
 import time
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple, Self
 
 from jackdawridge.standins.record import (
     count_starts,
@@ -91,7 +91,7 @@
         self.stand_ins: list[StandInNode] = []
         self.proxies: dict[str, Proxy] = {}
 
-    def __enter__(self) -> Deployment:
+    def __enter__(self) -> Self:
         """Start everything."""
         try:
             self.start()
@@ -122,12 +122,16 @@
             self.sides.append(self.plan_side(number))
         for node in self.entries:
             self.introduce(node)
-        for node in (*self.entries, *self.sides):
-            node.start()
+        self.start_nodes()
         for stand_in in self.stand_ins:
             stand_in.wait_ready()
         self.wait_linked()
 
+    def start_nodes(self) -> None:
+        """Start entries and sides."""
+        for node in (*self.entries, *self.sides):
+            node.start()
+
     def start_stand_ins(self) -> None:
         """Start the log service, the workers and the proxies."""
         seed = ['--seed', str(self.seed)]
--- a/tests/processes/operators.py
+++ b/tests/processes/operators.py
@@ -111,13 +111,20 @@
 
     :param deployment: that they call.
     :param entries: that take the jobs.
+    :param pause: before each submits again, in seconds.
     """
 
-    def __init__(self, deployment: Deployment, entries: list[Node]) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        entries: list[Node],
+        pause: float = PAUSE,
+    ) -> None:
         """Begin to submit."""
         super().__init__()
         self.deployment = deployment
         self.entries = entries
+        self.pause = pause
         self.callers = Callers(deployment)
         self.thread = threading.Thread(target=self.run)
         self.thread.start()
@@ -126,7 +133,7 @@
         """Submit a job at each entry in turn."""
         tasks = len(self.deployment.sides)
         cores = WORKER_CORES * TASK_SHARE
-        while not self.stopped.wait(PAUSE):
+        while not self.stopped.wait(self.pause):
             for entry in self.entries:
                 with contextlib.suppress(OSError, AssertionError):
                     self.callers.submit(
--- a/tests/test_processes/services.py
+++ b/tests/test_processes/services.py
@@ -7,7 +7,7 @@
 import time
 from collections import Counter
 from concurrent.futures import Future, ThreadPoolExecutor
-from typing import TYPE_CHECKING, Any, NamedTuple, Self
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from tests.processes.background import Background
 from tests.processes.deployment import Deployment, wait_until
@@ -35,11 +35,6 @@
 class ServiceDeployment(Deployment):
     """A deployment whose sides have a minion as well."""
 
-    def __enter__(self) -> Self:
-        """Start everything."""
-        super().__enter__()
-        return self
-
     def start_stand_ins(self) -> None:
         """Start the minions as well."""
         self.minions: list[StandInNode] = []
