Try the next job after a few groups of tasks that do not fit

Cause: a large job whose tasks are all declared differently has as many groups as tasks. Once its place in the order was passed it used up the 64 tries of a pass, and single tasks of 0.07 s waited for 1.5 s while a third of the room was free. Change: after four groups in vain a walk goes on to the next job.

--- a/jackdawridge/placement/walk.py
+++ b/jackdawridge/placement/walk.py
@@ -15,6 +15,9 @@
 #: Jobs of a team that are looked at in one pass if some do not fit.
 LOOKAHEAD = 16
 
+#: Groups of a job that are tried in vain before the next job is tried.
+MAX_MISSES = 4
+
 #: After all deadlines.
 LAST = (float('inf'), 0)
 
@@ -42,6 +45,8 @@
         self.team = team
         self.placer = placer
         self.skipped = 0
+        #: Groups of the current job that did not fit.
+        self.misses = 0
         self.candidates = team.candidates(placer.learner, LOOKAHEAD)
         self.current: Candidate | None = None
         self.last: Sequel | None = None
@@ -80,9 +85,28 @@
             self.current = Candidate(job, group, self.placer.need(group.sample))
 
     def skip(self) -> None:
-        """Leave a group that does not fit."""
+        """Leave a group that does not fit, and its job after a few of them.
+
+        A job whose tasks are all declared differently would otherwise keep
+        others from being tried.
+        """
+        if self.current is None:
+            return
+        job = self.current.job
         self.skipped += 1
+        self.misses += 1
         self.advance()
+        while self.misses >= MAX_MISSES and self.is_next_of(job):
+            self.advance()
+        if not self.is_next_of(job):
+            self.misses = 0
+
+    def is_next_of(self, job: Job) -> bool:
+        """Return whether the current group is of a job.
+
+        :param job: of the team.
+        """
+        return self.current is not None and self.current.job is job
 
 
 class Candidate(NamedTuple):
--- a/tests/test_placement/test_placer.py
+++ b/tests/test_placement/test_placer.py
@@ -163,6 +163,19 @@
         ]
         assert len(placements) + len(later) == 16
 
+    def test_large_jobs_of_many_kinds_hold_up_nobody(self) -> None:
+        """Tasks that do not fit, however many, keep no other from a try."""
+        placer = make_placer(sides=1)
+        placer.side_reported('s0', Room(2, 1000, 1, 0), 0, 10)
+        tasks = [
+            make_request('large', task, cores=4 + task / 100)
+            for task in range(200)
+        ]
+        placer.enqueue(tasks, 10)
+        placer.enqueue([make_request('small')], 30)
+        placed = placer.place(30)
+        assert 'small' in {found.request.ticket for found in placed}
+
 
 class TestFailureDomains:
     """Failure domains leave at once and return with a ramp."""
