Leave what lasts out of the passes of the garbage collector

Cause: a full pass over a process that has just started looks at 70,000 objects and holds its loop for 33 ms.

Change: the objects of the start are frozen before the loop begins.

--- a/jackdawridge/cmd/daemon.py
+++ b/jackdawridge/cmd/daemon.py
@@ -89,6 +89,9 @@
 
     gc.set_threshold(GC_THRESHOLD)
     application = _BUILDERS[settings.role](settings, reactor)
+    # Passes of the collector leave out what lasts as long as the process.
+    gc.collect()
+    gc.freeze()
     serve(application, reactor)
     return Exit.ok
 
