--- a/benchmarks/bounds.py
+++ b/benchmarks/bounds.py
@@ -88,7 +88,7 @@
 
 
 class Bodies:
-    """Stands in for the bodies of open requests.
+    """Stands in for bodies of requests or answers.
 
     :param memory: that they may take, in MB.
     """
@@ -123,6 +123,7 @@
     application = build_entry(settings, reactor)
     submission = find(application, EntrySubmission)
     bodies = Bodies(settings.integer('body_memory'))
+    replies = Bodies(settings.integer('request_answer_memory'))
     membership = find(application, Membership)
     fills: tuple[tuple[str, Callable[[], int]], ...] = (
         ('at rest', int),
@@ -131,6 +132,7 @@
         ('queued tasks', lambda: fill_queues(submission)),
         ('kept answers', lambda: fill_answers(submission)),
         ('MB of bodies', bodies.fill),
+        ('MB of kept answers to requests', replies.fill),
     )
     steps = [Step(name, fill(), resident()) for name, fill in fills]
     print('\n'.join(map(str, steps)))
--- a/jackdawridge/forwarding/kept.py
+++ b/jackdawridge/forwarding/kept.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 
 from jackdawridge.forwarding.messages import BODY_WINDOW_BYTES
+from jackdawridge.util.retained import RetainedAnswers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,8 +17,6 @@
 
 #: Longest answer under a ticket, in bytes.
 ANSWER_BYTES = 1048576
-#: Most bytes of kept answers in all.
-KEPT_BYTES = 33554432
 
 _BAD_GATEWAY = 502
 
@@ -132,22 +130,18 @@
     #: When it is forgotten, in seconds.
     until: float
 
+    @property
+    def body(self) -> bytes:
+        """Return the body of the answer."""
+        return self.final.body
 
-class KeptAnswers:
-    """Answers by ticket, the oldest of which are forgotten.
 
-    :param limit: of answers.
-    :param retention: time for which they are kept, in seconds.
-    """
-
-    def __init__(self, limit: int, retention: float) -> None:
-        """Start without answers."""
-        self.limit = limit
-        self.retention = retention
-        self.size = 0
-        self.kept: OrderedDict[str, Kept] = OrderedDict()
+class KeptAnswers(RetainedAnswers[Kept]):
+    """The answers of requests under tickets."""
 
-    def add(self, ticket: str, digest: bytes, final: Final, now: float) -> None:
+    def keep(
+        self, ticket: str, digest: bytes, final: Final, now: float
+    ) -> None:
         """Keep an answer.
 
         :param ticket: under which it was given.
@@ -155,28 +149,4 @@
         :param final: the answer.
         :param now: in seconds.
         """
-        self.kept[ticket] = Kept(digest, final, now + self.retention)
-        self.size += len(final.body)
-        self.forget(now)
-
-    def find(self, ticket: str, now: float) -> Kept | None:
-        """Return an answer that is kept.
-
-        :param ticket: under which it was given.
-        :param now: in seconds.
-        """
-        self.forget(now)
-        return self.kept.get(ticket)
-
-    def forget(self, now: float) -> None:
-        """Forget what is old or too much.
-
-        :param now: in seconds.
-        """
-        while self.kept:
-            oldest = next(iter(self.kept.values()))
-            crowded = len(self.kept) > self.limit or self.size > KEPT_BYTES
-            if not crowded and oldest.until > now:
-                return
-            self.kept.popitem(last=False)
-            self.size -= len(oldest.final.body)
+        self.add(ticket, Kept(digest, final, now + self.bounds.retention), now)
--- a/jackdawridge/forwarding/ticketed.py
+++ b/jackdawridge/forwarding/ticketed.py
@@ -10,6 +10,7 @@
 from jackdawridge.forwarding.exchange import Call
 from jackdawridge.forwarding.kept import Collector, Final, KeptAnswers, refuse
 from jackdawridge.forwarding.messages import TicketedAnswer, TicketedRequest
+from jackdawridge.util.retained import RetentionBounds
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -102,8 +103,11 @@
         self.issuers = issuers
         self.open: dict[str, Open] = {}
         self.kept = KeptAnswers(
-            settings.integer('answer_limit'),
-            settings.number('answer_retention'),
+            RetentionBounds(
+                settings.integer('answer_limit'),
+                settings.number('answer_retention'),
+                settings.memory_bytes('request_answer_memory'),
+            )
         )
         self.passed: dict[int, Passed] = {}
         self.last_number = 0
@@ -198,7 +202,7 @@
             self.register.restore(ticket)
         else:
             now = self.clock.seconds()
-            self.kept.add(ticket, current.digest, final, now)
+            self.kept.keep(ticket, current.digest, final, now)
         for reply in current.replies:
             reply(final)
 
--- a/jackdawridge/submission/answers.py
+++ b/jackdawridge/submission/answers.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.submission.documents import write_answer
+from jackdawridge.util.retained import RetainedAnswers
 
 if TYPE_CHECKING:
     from jackdawridge.submission.jobs import JobAnswer, Started
@@ -25,29 +25,8 @@
     until: float
 
 
-class AnswerBounds(NamedTuple):
-    """How much is kept; the oldest answer is forgotten beyond it."""
-
-    answers: int
-    #: In seconds.
-    retention: float
-    #: Of all bodies together.
-    size: int
-
-
-class AnswerStore:
-    """The answers that are kept, as callers get them.
-
-    :param bounds: of what is kept.
-    """
-
-    def __init__(self, bounds: AnswerBounds) -> None:
-        """Start empty."""
-        self.bounds = bounds
-        #: Bytes of all bodies together.
-        self.size = 0
-        #: By ticket, the oldest first.
-        self.kept: OrderedDict[str, KeptAnswer] = OrderedDict()
+class AnswerStore(RetainedAnswers[KeptAnswer]):
+    """The answers of jobs, as callers get them."""
 
     def keep(self, answer: JobAnswer, digest: bytes, now: float) -> KeptAnswer:
         """Keep an answer and return it.
@@ -63,28 +42,5 @@
             digest,
             now + self.bounds.retention,
         )
-        self.kept[answer.ticket] = kept
-        self.size += len(kept.body)
-        self.expire(now)
+        self.add(answer.ticket, kept, now)
         return kept
-
-    def expire(self, now: float) -> None:
-        """Forget answers that are too old or too many.
-
-        :param now: local time in seconds.
-        """
-        while self.kept and self.is_over(now):
-            forgotten = self.kept.popitem(last=False)[1]
-            self.size -= len(forgotten.body)
-
-    def is_over(self, now: float) -> bool:
-        """Return whether the oldest answer has to go.
-
-        :param now: local time in seconds.
-        """
-        oldest = next(iter(self.kept.values()))
-        return (
-            oldest.until < now
-            or len(self.kept) > self.bounds.answers
-            or self.size > self.bounds.size
-        )
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -20,11 +20,12 @@
 from jackdawridge.logs import get_logger, log_decision
 from jackdawridge.placement.learning import Usage
 from jackdawridge.placement.request import Request
-from jackdawridge.submission.answers import AnswerBounds, AnswerStore
+from jackdawridge.submission.answers import AnswerStore
 from jackdawridge.submission.batches import split_batches
 from jackdawridge.submission.configured import NoConfiguration
 from jackdawridge.submission.jobs import Job
 from jackdawridge.submission.payloads import PayloadMemory
+from jackdawridge.util.retained import RetentionBounds
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -62,7 +63,7 @@
         self.placer = placer
         self.jobs: dict[str, Job] = {}
         self.answers = AnswerStore(
-            AnswerBounds(
+            RetentionBounds(
                 settings.integer('answer_limit'),
                 settings.number('answer_retention'),
                 settings.memory_bytes('answer_memory'),
--- a/tests/test_forwarding/test_kept.py
+++ b/tests/test_forwarding/test_kept.py
@@ -12,6 +12,7 @@
     KeptAnswers,
 )
 from jackdawridge.forwarding.messages import Header, Load, Response
+from jackdawridge.util.retained import RetentionBounds
 
 
 def respond(collector: Collector, parts: list[bytes]) -> None:
@@ -40,9 +41,9 @@
 
 class TestKeptAnswers:
     def test_oldest_gives_way_and_age_counts(self) -> None:
-        answers = KeptAnswers(limit=2, retention=10)
+        answers = KeptAnswers(RetentionBounds(2, 10, 100))
         for number in range(3):
-            answers.add(str(number), b'', Final(200, (), b'x'), number)
+            answers.keep(str(number), b'', Final(200, (), b'x'), number)
         assert answers.find('0', 3) is None
         assert answers.find('1', 3) is not None
         assert answers.find('1', 11.5) is None
--- a/tests/test_submission/test_jobs.py
+++ b/tests/test_submission/test_jobs.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from jackdawridge.execution.messages import Ending, TaskKey
-from jackdawridge.submission.answers import AnswerBounds, AnswerStore
+from jackdawridge.submission.answers import AnswerStore
 from jackdawridge.submission.documents import read_job
 from jackdawridge.submission.jobs import (
     Job,
@@ -20,6 +20,7 @@
     TaskSpec,
 )
 from jackdawridge.submission.tickets import TicketFormat, TicketRegister
+from jackdawridge.util.retained import RetentionBounds
 
 TASK = TaskSpec('kind', 1, 16, 0, 0.1, b'')
 KEY = 'a key that is long enough'
@@ -86,7 +87,7 @@
 
 class TestAnswerStore:
     def test_oldest_answer_goes_first(self) -> None:
-        store = AnswerStore(AnswerBounds(2, 10, MB))
+        store = AnswerStore(RetentionBounds(2, 10, MB))
         for name in 'abc':
             answer = JobAnswer(name, 'complete', (), '', Started.some)
             store.keep(answer, b'', 0)
@@ -96,7 +97,7 @@
         assert store.size == 0
 
     def test_bodies_are_bounded_together(self) -> None:
-        store = AnswerStore(AnswerBounds(100, 10, MB))
+        store = AnswerStore(RetentionBounds(100, 10, MB))
         for name in 'abcde':
             answers = (b'x' * (MB // 3),)
             answer = JobAnswer(name, 'complete', answers, '', Started.some)
