End a daemon that cannot start as a whole

Cause: with an address that another process held, Twisted logged the failure of the start and ran on; the daemon said 'ready'. A side was linked without its operators' door, an entry could miss any of its three. Two test runs at once met it, as find_free_addresses gave one port out twice within a deployment: a port is free until the process that it was found for listens. Change: a failed start is logged with its step, and the process ends with exit code 1. Tests never find a port twice in a run. Conclusion: a supervisor sees the failure, and nobody places work at such a side.

--- a/jackdawridge/cmd/daemon.py
+++ b/jackdawridge/cmd/daemon.py
@@ -92,8 +92,7 @@
     # Passes of the collector leave out what lasts as long as the process.
     gc.collect()
     gc.freeze()
-    serve(application, reactor)
-    return Exit.ok
+    return serve(application, reactor)
 
 
 def run_check_quietly(arguments: argparse.Namespace) -> int:
@@ -115,13 +114,27 @@
     return Exit.ok
 
 
-def serve(application: Application, reactor: Any) -> None:
+def serve(application: Application, reactor: Any) -> Exit:
     """Start an application and drain it at the first signal.
 
+    A process that cannot start as a whole ends.
+
     :param application: an entry or a side.
     :param reactor: Twisted's reactor.
     """
     stopping: list[int] = []
+    failures: list[str] = []
+
+    def begin() -> None:  # noqa: WPS430
+        try:
+            application.start()
+        except Exception as error:
+            # It might be linked, and be given work, without all its doors.
+            failures.append(str(error))
+            logger.error(str(error), step='start')
+            reactor.stop()
+        else:
+            logger.notice('ready', step='start')
 
     def leave(number: int, _: object) -> None:  # noqa: WPS430
         if not stopping:
@@ -138,6 +151,6 @@
     application.events.connect(
         'superseded', lambda: leave(signal.SIGTERM, None)
     )
-    reactor.callWhenRunning(application.start)
-    reactor.callWhenRunning(logger.notice, 'ready', step='start')
+    reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=False)
+    return Exit.failed if failures else Exit.ok
--- a/tests/processes/ports.py
+++ b/tests/processes/ports.py
@@ -12,6 +12,8 @@
 
 # Test runs at the same time must not look for ports in the same order.
 _random = random.Random(os.getpid())  # noqa: S311
+# A port is free until the process that it was found for listens on it.
+_found: set[int] = set()
 
 
 def find_free_addresses(count: int) -> list[str]:
@@ -22,8 +24,9 @@
     ports: set[int] = set()
     while len(ports) < count:
         port = _random.randint(FIRST_PORT, LAST_PORT)
-        if is_free(port):
+        if port not in _found and is_free(port):
             ports.add(port)
+            _found.add(port)
     return [f'127.0.0.1:{port}' for port in ports]
 
 
--- a/tests/test_cmd/test_daemon.py
+++ b/tests/test_cmd/test_daemon.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import json
+import socket
 from pathlib import Path
 
 import pytest
 
 from jackdawridge.cmd.exits import Exit
 from jackdawridge.cmd.main import main
+from tests.processes.deployment import COMMON
+from tests.processes.process import Process
 
 EXAMPLES = Path(__file__).parents[2] / 'examples'
 
@@ -41,3 +45,35 @@
     def test_daemon_refuses_settings_of_another_role(self) -> None:
         path = EXAMPLES / 'fiscalia-side.json'
         assert main(['entry', '--settings', str(path)]) == Exit.invalid
+
+
+@pytest.mark.processes
+class TestStart:
+    def test_daemon_that_cannot_listen_ends(self, tmp_path: Path) -> None:
+        """It would be linked, and placed work at, without all its doors."""
+        settings = tmp_path / 'side.json'
+        with socket.create_server(('127.0.0.1', 0)) as taken:
+            address = '127.0.0.1:{0}'.format(taken.getsockname()[1])
+            document = {
+                **COMMON,
+                'role': 'side',
+                'node': 'side-0',
+                'failure_domain': 'Soweto',
+                'entries': ['127.0.0.1:1'],
+                'worker': '127.0.0.1:1',
+                'operator_address': address,
+            }
+            settings.write_text(json.dumps(document))
+            process = Process(
+                'side-0',
+                ['jackdawridge', 'side', '--settings', str(settings)],
+                tmp_path / 'log',
+                announces=False,
+            )
+            try:
+                assert process.wait(30) == Exit.failed
+            finally:
+                process.close()
+        log = process.tail()
+        assert address in log
+        assert '"ready"' not in log
