--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -46,12 +46,16 @@
     cores: float = 1,
     team: str = 'Tembisa Coaches',
 ) -> dict[str, Any]:
-    """Return the body of a job whose answers tell the job and the task."""
+    """Return the body of a job whose answers tell the job and the task.
+
+    Tasks of one size are one kind, so that what entries learn of their size
+    holds for no others.
+    """
     return {
         'team': team,
         'tasks': [
             {
-                'kind': 'tank reconciliation',
+                'kind': f'tank reconciliation on {cores:g}',
                 'cores': cores,
                 'memory': 10,
                 'run_time': seconds,
