Try the membership on links that lose one direction

Cause: docs/internals/membership.md named links between entries that work one way only as not tried. Change: the network in memory loses what one process sends to another. An entry that one or two of three others do not hear stays alive to all, as the rest probe for them, and attempts to link do not pile up. One that is heard and hears nobody takes the others for dead: it probes one entry a period, so that the rule for a process that is cut off never holds by its probes.

--- a/tests/test_membership/memory.py
+++ b/tests/test_membership/memory.py
@@ -67,11 +67,13 @@
         self.transports: list[MemoryTransport] = []
         #: Addresses whose traffic is lost.
         self.cut: set[str] = set()
+        #: Pairs of addresses; what the first sends to the second is lost.
+        self.one_way: set[tuple[str, str]] = set()
         #: Addresses behind that of a balancer, which takes turns.
         self.balanced: dict[str, list[str]] = {}
 
     def is_cut(self, ends: tuple[str, str]) -> bool:
-        return bool(self.cut & set(ends))
+        return ends in self.one_way or bool(self.cut & set(ends))
 
     def kill(self, address: str) -> None:
         """End a process without a word."""
