Replace the side in the test of retirement before new starts are under way

Cause: on two cores the test failed once of once: three jobs of the new version had starts in doubt at the side that was being killed and ended as unknown, which is what is promised for them, and not complete, as the test wants of all. Change: the side is killed while the tasks of the old version run, which its successor adopts; the jobs of the new version come after. All 16 jobs have to complete as before. Conclusion: the fault was in the test.

--- a/tests/test_processes/test_agreements.py
+++ b/tests/test_processes/test_agreements.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -88,12 +89,13 @@
         callers = Callers(deployment)
         join_all(callers, 1, seconds=4)
         wait_until(lambda: deployment.count_starts() == 8 * TASKS, 'all run')
+        time.sleep(0.5)
+        deployment.sides[0].running.kill()
+        deployment.sides[0].start()
         publish(other, 0.4)
         join_all(callers, 2, seconds=0.5)
         order = {'agreement': AGREEMENT, 'version': 1, 'wait': 10}
         assert other.ask('POST', SETTLEMENTS, order).status == 200
-        deployment.sides[0].running.kill()
-        deployment.sides[0].start()
         assert open_work(entry)['open_work'] == 8
         wait_until(lambda: are_refused(deployment), 'all refuse', IN_FORCE)
         answers = callers.answers()
