Make an update once for all peers that need the same

Cause: a change was looked up among the last 512, made into a message and encoded for each of 392 links. Change: the tail keeps its last update, and the links of a process encode a message once if it is sent several times in a row.

--- a/jackdawridge/configuration/exchange.py
+++ b/jackdawridge/configuration/exchange.py
@@ -12,7 +12,6 @@
     ConfigurationUpdate,
     HeldDomain,
     HoldUpdate,
-    LogRecord,
 )
 from jackdawridge.configuration.records import (
     RawRecord,
@@ -31,9 +30,6 @@
 
 logger = get_logger('configuration')
 
-#: Longest update in bytes; a peer that needs more gets a snapshot.
-MAX_UPDATE_BYTES = 262144
-
 
 class Source(Protocol):
     """Where the exchange puts states to."""
@@ -153,12 +149,7 @@
         if after is None or after >= position:
             return
         self.peers[peer] = position
-        changes = self.tail.after(after, position)
-        if changes is None or _size(changes) > MAX_UPDATE_BYTES:
-            peer.send(self.snapshot())
-            return
-        records = tuple(LogRecord(*change) for change in changes)
-        peer.send(ConfigurationUpdate(after, position, records))
+        peer.send(self.tail.update(after, position) or self.snapshot())
 
     def snapshot(self) -> ConfigurationSnapshot:
         """Return the whole state; it is packed once for each position."""
@@ -283,8 +274,3 @@
         for peer in tuple(self.peers):
             if peer is not source:
                 peer.send(message)
-
-
-def _size(records: Iterable[RawRecord]) -> int:
-    """Return the size of some records in bytes."""
-    return sum(len(record.body) for record in records)
--- a/jackdawridge/configuration/tail.py
+++ b/jackdawridge/configuration/tail.py
@@ -5,6 +5,10 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from jackdawridge.configuration.messages import (
+    ConfigurationUpdate,
+    LogRecord,
+)
 from jackdawridge.configuration.records import (
     Change,
     RawRecord,
@@ -14,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+#: Longest update in bytes; a peer that needs more gets a snapshot.
+MAX_UPDATE_BYTES = 262144
 #: Newest changes that are kept.
 TAIL_LENGTH = 512
 
@@ -26,6 +32,8 @@
         self.first = 0
         self.end = 0
         self.changes: deque[RawRecord] = deque()
+        #: The last update, which most peers need at the same time.
+        self.newest = ConfigurationUpdate(-1, -1, ())
 
     def extend(
         self, after: int, position: int, records: Iterable[RawRecord]
@@ -63,3 +71,26 @@
         return tuple(
             record for record in self.changes if position <= record.offset < end
         )
+
+    def update(self, after: int, position: int) -> ConfigurationUpdate | None:
+        """Return an update between two offsets, None if it has to be a state.
+
+        Calls in a row for the same offsets return the same object.
+
+        :param after: position of the peer.
+        :param position: that the update leads to.
+        """
+        newest = self.newest
+        if (newest.after, newest.position) == (after, position):
+            return newest
+        changes = self.after(after, position)
+        if changes is None or _size(changes) > MAX_UPDATE_BYTES:
+            return None
+        records = tuple(LogRecord(*change) for change in changes)
+        self.newest = ConfigurationUpdate(after, position, records)
+        return self.newest
+
+
+def _size(records: Iterable[RawRecord]) -> int:
+    """Return the size of some records in bytes."""
+    return sum(len(record.body) for record in records)
--- a/jackdawridge/wire/link.py
+++ b/jackdawridge/wire/link.py
@@ -175,7 +175,7 @@
         """
         if not self.is_open or self.close_reason:
             return False
-        frame = self.context.codec.encode(message)
+        frame = self.context.encode(message)
         self.context.sent[type(message).__name__] += 1
         self.bytes_sent += len(frame)
         self.write_frame(frame)
@@ -288,6 +288,17 @@
         self.sent: Counter[str] = Counter()
         #: All links, open or in their handshake.
         self.links: set[Link] = set()
+        #: The message that was encoded last, and its frame.
+        self.encoded: tuple[object, bytes] = (None, b'')
+
+    def encode(self, message: Any) -> bytes:
+        """Return the frame of a message, made once for several links.
+
+        :param message: an instance of a registered message type.
+        """
+        if self.encoded[0] is not message:
+            self.encoded = (message, self.codec.encode(message))
+        return self.encoded[1]
 
     def forget(self, link: Link) -> None:
         """Drop a link that has ended.
--- a/tests/test_wire/test_link.py
+++ b/tests/test_wire/test_link.py
@@ -164,3 +164,12 @@
     def test_link_over_the_limit_is_refused(self) -> None:
         _, acceptor = make_pair()
         assert acceptor.factory.buildProtocol(None) is None
+
+    def test_message_to_several_peers_is_encoded_once(self) -> None:
+        dialer, acceptor = make_pair()
+        context = dialer.link.context
+        assert context.encode(MESSAGE) is context.encode(MESSAGE)
+        assert CODEC.decode(context.encode(MESSAGE)) == MESSAGE
+        assert dialer.link.send(MESSAGE)
+        acceptor.link.dataReceived(dialer.take())
+        assert acceptor.recorder.messages == [MESSAGE]
