Set no timer for each line of a worker's events

Cause: each line cancelled a timer and set another, and cancelled ones stay in the reactor's heap until their time. Change: a line notes its time; one timer looks whether the silence was too long.

--- a/jackdawridge/execution/worker_events.py
+++ b/jackdawridge/execution/worker_events.py
@@ -117,6 +117,8 @@
         #: Fire as soon as the stream is open.
         self.waiters: list[Deferred[None]] = []
         self.timer: Any = None
+        #: When the last line came.
+        self.heard: float = 0
 
     def open(self) -> None:
         """Ask for the events."""
@@ -151,10 +153,23 @@
         return opened
 
     def watch(self) -> None:
-        """Start to wait for the next line."""
+        """Start to wait for lines."""
         self.unwatch()
         if not self.closed:
-            self.timer = self.reactor.callLater(EVENTS_TIMEOUT, self.abort)
+            self.heard = self.reactor.seconds()
+            self.timer = self.reactor.callLater(EVENTS_TIMEOUT, self.check)
+
+    def check(self) -> None:
+        """Give up a silent stream, or wait for the rest of its time.
+
+        Lines come often and silence is rare, so that a line only notes its
+        time instead of setting the timer anew.
+        """
+        rest = self.heard + EVENTS_TIMEOUT - self.reactor.seconds()
+        if rest > 0:
+            self.timer = self.reactor.callLater(rest, self.check)
+        else:
+            self.abort()
 
     def unwatch(self) -> None:
         """Stop waiting for a line."""
@@ -171,7 +186,7 @@
 
         :param line: of JSON, empty to show that the worker lives.
         """
-        self.watch()
+        self.heard = self.reactor.seconds()
         if not line.strip():
             return
         try:
--- a/tests/test_execution/test_start_stream.py
+++ b/tests/test_execution/test_start_stream.py
@@ -7,6 +7,7 @@
 import pytest
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
 
 from jackdawridge.execution.messages import Start, TaskKey
 from jackdawridge.execution.starter import (
@@ -20,6 +21,11 @@
     StartAnswer,
     TaskList,
 )
+from jackdawridge.execution.worker_events import (
+    EVENTS_TIMEOUT,
+    EventReceiver,
+    EventStream,
+)
 from jackdawridge.execution.worker_starts import CALL_TIMEOUT, StartStream
 
 ANSWERS = (StartAnswer('a', started=True, reason=''),)
@@ -214,3 +220,22 @@
         clock.advance(QUESTION_INTERVAL)
         assert outcomes.told == ['lost']
         assert worker.stopped == ('t|0|1',)
+
+
+class TestSilentEvents:
+    def test_given_up_after_the_last_line(self) -> None:
+        """Count the silence from the last line, not from the first."""
+        clock: Any = Clock()
+        starts = StartStream(clock, 'http://worker')
+        listener: Any = None
+        events = EventStream(clock, None, starts.base, 0, listener, starts)
+        receiver: Any = EventReceiver(events)
+        receiver.transport = StringTransport()
+        events.receiver = receiver
+        events.watch()
+        clock.advance(EVENTS_TIMEOUT / 2)
+        events.line(b'')
+        clock.advance(EVENTS_TIMEOUT / 2)
+        assert not receiver.transport.disconnecting
+        clock.advance(EVENTS_TIMEOUT / 2)
+        assert receiver.transport.disconnecting
