Work out the room only for entries that get outcomes

Cause: each sending of outcomes worked out the room of every entry, three times for one ending, though only one entry had an outcome. Change: entries without news are passed over; less copying of rooms.

--- a/jackdawridge/execution/outbox.py
+++ b/jackdawridge/execution/outbox.py
@@ -52,13 +52,17 @@
         if event:
             self.events.append(event)
 
+    def has_news(self) -> bool:
+        """Return whether there is anything that was not sent."""
+        return bool(self.refusals or self.endings)
+
     def flush(self, processed: int, room: Room) -> OutcomeBatch | None:
         """Return the next batch, None if there is nothing to say.
 
         :param processed: number of the last start batch that was handled.
         :param room: of the worker.
         """
-        if not self.refusals and not self.endings:
+        if not self.has_news():
             return None
         batch = OutcomeBatch(
             next(self.numbers),
--- a/jackdawridge/execution/outcomes.py
+++ b/jackdawridge/execution/outcomes.py
@@ -51,6 +51,8 @@
         for offer in self.state.room.offers(now):
             send_to(links.get(offer.entry), offer.offer)
         for record in tuple(self.state.sessions.entries.values()):
+            if not record.outbox.has_news():
+                continue
             room = self.state.room.room_for(record.incarnation, now)
             batch = record.outbox.flush(record.processed, room)
             if batch is not None:
--- a/jackdawridge/execution/room.py
+++ b/jackdawridge/execution/room.py
@@ -181,7 +181,10 @@
         :param entry: incarnation of the entry.
         :param now: local time in seconds.
         """
-        return minus(self.free_for(entry, now), self.line.wanted)
+        free = self.free_for(entry, now)
+        if self.line.waiters:
+            return minus(free, self.line.wanted)
+        return free
 
     def free_for(self, entry: str, now: float) -> Room:
         """Return what is neither reserved nor held for another entry.
@@ -194,10 +197,10 @@
         for holder, held in self.held.items():
             if holder != entry:
                 room = minus(room, held.room)
-        room = room._replace(running=len(self.reserved))
+        running = len(self.reserved)
         if self.starving(now) and entry not in self.held:
-            return EMPTY._replace(running=room.running)
-        return room
+            return EMPTY._replace(running=running)
+        return Room(room.cores, room.memory, room.accelerators, running)
 
     def starving(self, now: float) -> bool:
         """Return whether an entry has waited so long that room is kept.
