Look for lapsed leases less often, and offer room by a timer

Cause: a side at rest woke four times a second to look for lapsed leases, and sent outcomes each time although there were none. Change: six looks in a lease, so one a second with a lease of 6 s; room is offered again every 0.25 s only while entries wait for some.

--- a/jackdawridge/execution/component.py
+++ b/jackdawridge/execution/component.py
@@ -34,8 +34,10 @@
 
 decisions = get_logger('placement')
 
-#: Interval at which lapsed leases are looked for, in seconds.
-SWEEP_INTERVAL = 0.25
+#: Times that lapsed leases are looked for within one.
+SWEEPS = 6
+#: Shortest interval at which lapsed leases are looked for, in seconds.
+LEAST_SWEEP_INTERVAL = 0.25
 
 
 class ExecutionStatus(NamedTuple):
@@ -130,8 +132,9 @@
         await self.watch.adopt()
         self.ready = True
         self.heart.start()
-        self.sweeper.start(SWEEP_INTERVAL)
-        self.keeper.start(self.application.settings.number('task_lease'))
+        lease = self.application.settings.number('task_lease')
+        self.sweeper.start(max(LEAST_SWEEP_INTERVAL, lease / SWEEPS))
+        self.keeper.start(lease)
         self.application.events.emit('side_ready')
 
     def stop(self) -> Deferred[None]:
--- a/jackdawridge/execution/outcomes.py
+++ b/jackdawridge/execution/outcomes.py
@@ -8,10 +8,14 @@
     from collections.abc import Callable
 
     from jackdawridge.execution.state import SideState
-    from jackdawridge.util.clock import Clock
+    from jackdawridge.util.clock import Clock, DelayedCall
     from jackdawridge.wire.peers import Peer, Peers
 
 
+#: Interval at which room is offered while entries wait, in seconds.
+OFFER_INTERVAL = 0.25
+
+
 class OutcomeSender:
     """Gathers outcomes for one turn of the loop and sends them.
 
@@ -26,6 +30,8 @@
         self.peers = peers
         self.state = state
         self.flushing = False
+        #: Until room that was offered in vain is offered to others.
+        self.timer: DelayedCall | None = None
         #: Called before each sending.
         self.before: list[Callable[[], None]] = []
         #: Called after each sending.
@@ -59,6 +65,13 @@
                 send_to(links.get(record.incarnation), batch)
         for listener in self.listeners:
             listener()
+        self.offer_again()
+
+    def offer_again(self) -> None:
+        """Look for room again while entries wait for some."""
+        is_set = self.timer is not None and self.timer.active()
+        if self.state.room.waiting and not is_set:
+            self.timer = self.clock.callLater(OFFER_INTERVAL, self.flush_soon)
 
 
 def send_to(peer: Peer | None, message: object) -> None:
