Come back soon to an entry whose link broke after a late start

The log of opened links, which is new, showed that a side came back to an entry only 1.5 s after a cut. Its wait had doubled while the entry was starting, and a link had to last 3 s to make it short again. Ruled out: the minions, ejection, and the sides' choice of entries. Change: wire.backoff.Backoff counts attempts without a link apart from links that end soon; a complete handshake ends the first count. Conclusion: a peer that was reached is dialled again within 0.1 s after the first cut. Links that keep ending soon are still dialled ever later.

--- a/jackdawridge/wire/peers.py
+++ b/jackdawridge/wire/peers.py
@@ -11,6 +11,7 @@
 
 from jackdawridge.logs import get_logger
 from jackdawridge.membership.messages import Introduction
+from jackdawridge.wire.backoff import Backoff
 from jackdawridge.wire.link import AcceptingFactory, DialingFactory, LinkContext
 
 if TYPE_CHECKING:
@@ -22,9 +23,6 @@
 
 logger = get_logger('peers')
 
-#: Shortest and longest wait before a lost link is opened again, in seconds.
-REDIAL_FLOOR = 0.1
-REDIAL_CEILING = 3.0
 #: Time for a connection to be established, in seconds.
 CONNECT_TIMEOUT = 3
 
@@ -126,6 +124,7 @@
             older.link.close('replaced by a newer link')
         self.by_link[link] = peer
         self.by_identity[peer.identity] = peer
+        logger.info('link opened', peer=peer.name)
         self.application.events.emit('peer_joined', peer)
 
     def is_redundant(self, peer: Peer, older: Peer | None) -> bool:
@@ -252,9 +251,7 @@
         """Prepare the first attempt."""
         self.connector = connector
         self.address = address
-        self.delay = REDIAL_FLOOR
-        #: When the handshake of the link was complete; None before.
-        self.opened: float | None = None
+        self.backoff = Backoff()
         self.stopped = False
         self.link: Link | None = None
         self.timer: Any = None
@@ -282,14 +279,7 @@
 
     def note_opened(self, _: object) -> None:
         """Keep the time at which the handshake was complete."""
-        self.opened = self.connector.reactor.seconds()
-
-    def has_lasted(self) -> bool:
-        """Return whether the last link was of use, and forget it."""
-        opened = self.opened
-        self.opened = None
-        now = self.connector.reactor.seconds()
-        return opened is not None and now - opened >= REDIAL_CEILING
+        self.backoff.link_opened(self.connector.reactor.seconds())
 
     def failed(self, reason: object) -> None:
         """Wait, with jitter, and try again.
@@ -299,10 +289,8 @@
         self.link = None
         if self.stopped:
             return
-        if self.has_lasted():
-            self.delay = REDIAL_FLOOR
-        wait = self.connector.random.uniform(self.delay / 2, self.delay)
-        self.delay = min(self.delay * 2, REDIAL_CEILING)
+        longest = self.backoff.next_wait(self.connector.reactor.seconds())
+        wait = self.connector.random.uniform(longest / 2, longest)
         self.timer = self.connector.reactor.callLater(wait, self.dial)
 
     def stop(self) -> None:
