Call what waits, listens and sends by the terms of the field

Cause: Heart, JobDesk, Door, Walk, Line and Lane are metaphors whose meaning a reader has to look up. Conclusion: no behaviour changes.

--- a/benchmarks/bounds.py
+++ b/benchmarks/bounds.py
@@ -52,7 +52,7 @@
 
 def fill_tickets(submission: EntrySubmission) -> int:
     """Issue as many tickets as are kept unused."""
-    register = submission.desk.register
+    register = submission.interface.register
     for _ in range(register.limit):
         register.issue()
     return len(register.unused)
--- a/benchmarks/entry_cost.py
+++ b/benchmarks/entry_cost.py
@@ -216,7 +216,7 @@
         :param body: of the caller.
         :param answers: takes the answer.
         """
-        ticket = self.submission.desk.register.issue()
+        ticket = self.submission.interface.register.issue()
         question = Question('PUT', ticket, 60, body)
         self.submission.relay.ask(question).addCallback(answers.append)
 
--- a/benchmarks/trial_side.py
+++ b/benchmarks/trial_side.py
@@ -5,9 +5,9 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple
 
-from jackdawridge.execution.line import LINE_TIME, Waiter
 from jackdawridge.execution.messages import Room, Start
 from jackdawridge.execution.room import RoomLedger
+from jackdawridge.execution.wait_queue import WAIT_TIME, Waiter
 from jackdawridge.placement.view import SideInfo
 
 if TYPE_CHECKING:
@@ -98,7 +98,7 @@
             if self.ledger.reserve(entry.name, start, now):
                 self.begin(entry, start)
             elif self.ledger.join_line(waiter):
-                self.fleet.loop.later(LINE_TIME, self.serve_line)
+                self.fleet.loop.later(WAIT_TIME, self.serve_line)
             else:
                 refused.append(start)
         self.refuse(entry, refused)
@@ -120,7 +120,7 @@
         """Start or refuse what waits in line."""
         self.advance()
         now = self.fleet.loop.now
-        line = self.ledger.line
+        line = self.ledger.wait_queue
         while line.is_overdue(now):
             waiter = line.leave()
             self.refuse(self.fleet.entry(waiter.entry), [waiter.start])
--- a/jackdawridge/cmd/daemon.py
+++ b/jackdawridge/cmd/daemon.py
@@ -129,7 +129,7 @@
         try:
             application.start()
         except Exception as error:
-            # It might be linked, and be given work, without all its doors.
+            # It might be linked, and be given work, without all its listeners.
             failures.append(str(error))
             logger.error(str(error), step='start')
             reactor.stop()
--- a/jackdawridge/daemon.py
+++ b/jackdawridge/daemon.py
@@ -10,7 +10,7 @@
 from jackdawridge.execution import messages as execution_messages
 from jackdawridge.forwarding import messages as forwarding_messages
 from jackdawridge.membership import messages as membership_messages
-from jackdawridge.operations.doors import Door
+from jackdawridge.operations.listeners import HttpListener
 from jackdawridge.operations.metrics import make_registry
 from jackdawridge.operations.resource import OperatorResource
 from jackdawridge.operations.router import Router
@@ -92,7 +92,9 @@
     def add_operator_door(self) -> None:
         """Serve operators at the address of the settings."""
         address = self.application.settings.text('operator_address')
-        self.application.add(Door(self.reactor, address, self.operators))
+        self.application.add(
+            HttpListener(self.reactor, address, self.operators)
+        )
 
 
 def introduce(
--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -14,7 +14,7 @@
 from jackdawridge.forwarding.ticketed import TicketedRequests
 from jackdawridge.membership.component import Membership
 from jackdawridge.operations.configuration import ConfigurationResource
-from jackdawridge.operations.doors import Door
+from jackdawridge.operations.listeners import HttpListener
 from jackdawridge.operations.metrics import JobMetrics, add_gauge
 from jackdawridge.operations.router import Router
 from jackdawridge.submission.component import EntrySubmission
@@ -38,22 +38,22 @@
     application = daemon.application
     submission = EntrySubmission.from_application(application, daemon.peers)
     callers = Router()
-    jobs = JobResource(application, submission.desk, submission.relay)
+    jobs = JobResource(application, submission.interface, submission.relay)
     for prefix in ('/v1/tickets', '/v1/jobs'):
         callers.mount_klein(prefix, jobs.app)
     forwarding = EntryForwarding.from_application(
         application, daemon.peers, ForwardingMetrics(daemon.registry)
     )
     tickets = TicketedRequests(
-        application, forwarding, submission.desk.register, submission.relay
+        application, forwarding, submission.interface.register, submission.relay
     )
     callers.mount(PREFIX, ServiceResource(application, forwarding, tickets))
     callers.mount_klein('/healthz', daemon.resource.app)
     watch_jobs(daemon, submission)
-    # The doors close last, so that open requests get their answers.
+    # The listeners close last, so that open requests get their answers.
     daemon.add_operator_door()
     application.add(
-        Door(
+        HttpListener(
             reactor,
             settings.text('caller_address'),
             callers,
@@ -96,7 +96,7 @@
     application = daemon.application
     followed = EntryConfiguration.from_application(application, daemon.reactor)
     submission.engine.configuration = followed
-    submission.desk.agreements = ConfiguredJobs(
+    submission.interface.agreements = ConfiguredJobs(
         application, submission.engine, followed.configuration
     )
     daemon.resource.is_ready = followed.is_ready
--- a/jackdawridge/execution/component.py
+++ b/jackdawridge/execution/component.py
@@ -7,8 +7,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from jackdawridge.execution.gate import OpenGate
-from jackdawridge.execution.heart import Heart
-from jackdawridge.execution.line_server import LineServer
+from jackdawridge.execution.heartbeats import HeartbeatSender
 from jackdawridge.execution.messages import (
     CancelBatch,
     HeartbeatReply,
@@ -21,6 +20,7 @@
 from jackdawridge.execution.room import RoomLedger
 from jackdawridge.execution.sessions import Sessions
 from jackdawridge.execution.state import SideState
+from jackdawridge.execution.wait_queue_server import WaitQueueServer
 from jackdawridge.execution.watch import WorkerWatch
 from jackdawridge.execution.windows import SendWindows
 from jackdawridge.logs import get_logger, log_decision
@@ -71,11 +71,11 @@
         self.state = state
         self.sender = OutcomeSender(self.clock, peers, state)
         self.watch = WorkerWatch(application, worker, state, self.sender)
-        self.heart = Heart(application, peers, state)
+        self.heartbeats = HeartbeatSender(application, peers, state)
         self.sweeper = make_loop(self.clock, self.sweep)
         self.keeper = make_loop(self.clock, self.watch.keep)
         self.ready = False
-        self.line = LineServer(
+        self.wait_queue_server = WaitQueueServer(
             self.clock, state, self.watch.starter, self.sender
         )
         self.drained: Deferred[None] | None = None
@@ -131,7 +131,7 @@
         """Begin once the worker has told what it runs."""
         await self.watch.adopt()
         self.ready = True
-        self.heart.start()
+        self.heartbeats.start()
         lease = self.application.settings.number('task_lease')
         self.sweeper.start(max(LEAST_SWEEP_INTERVAL, lease / SWEEPS))
         self.keeper.start(lease)
@@ -140,7 +140,7 @@
     def stop(self) -> Deferred[None]:
         """Return a `Deferred` that fires when nothing is left to do."""
         self.drained = Deferred()
-        self.sender.listeners.append(self.heart.beat)
+        self.sender.listeners.append(self.heartbeats.beat)
         limit = self.application.settings.number('drain')
         self.clock.callLater(limit, self.finish)
         self.finish_if_idle()
@@ -148,7 +148,7 @@
 
     def shut(self, _: object) -> None:
         """Stop the loops and let go of the worker."""
-        self.heart.stop()
+        self.heartbeats.stop()
         for loop in (self.sweeper, self.keeper):
             if loop.running:
                 loop.stop()
@@ -158,7 +158,7 @@
         """Take no new work and say so."""
         self.state.draining = True
         if self.ready:
-            self.heart.beat()
+            self.heartbeats.beat()
 
     def finish(self) -> None:
         """End the draining."""
@@ -169,7 +169,7 @@
         """End the draining if every outcome has been received."""
         if self.drained is None or self.state.tasks:
             return
-        if self.state.room.line.waiters:
+        if self.state.room.wait_queue.waiters:
             return
         records = self.state.sessions.entries.values()
         if all(record.outbox.is_empty() for record in records):
@@ -188,7 +188,7 @@
         record = self.state.sessions.entry(incarnation, now)
         for kept in record.outbox.kept:
             peer.send(kept.batch)
-        self.heart.greet(peer)
+        self.heartbeats.greet(peer)
 
     def peer_left(self, peer: Peer) -> None:
         """End the session with an entry.
@@ -214,7 +214,7 @@
         incarnation = peer.introduction.incarnation
         admitted = self.state.admit(incarnation, batch, self.clock.seconds())
         self.watch.starter.add(admitted)
-        self.line.serve_soon()
+        self.wait_queue_server.serve_soon()
         if len(admitted) < len(batch.starts):
             self.log_refusals(peer, incarnation)
             self.sender.flush_soon()
@@ -247,7 +247,7 @@
         self.state.gate.heartbeat_answered(
             reply.window, reply.position, reply.age
         )
-        self.heart.answered(peer, reply)
+        self.heartbeats.answered(peer, reply)
         record = self.state.sessions.entry(incarnation, now)
         self.watch.ledger.passed_on(record.outbox.acknowledge(reply.received))
         self.finish_if_idle()
--- a/jackdawridge/execution/heart.py
+++ b/jackdawridge/execution/heartbeats.py
@@ -18,7 +18,7 @@
     from jackdawridge.wire.peers import Peer, Peers
 
 
-class Heart:
+class HeartbeatSender:
     """Sends heartbeats to the entries.
 
     :param application: the process.
--- a/jackdawridge/execution/room.py
+++ b/jackdawridge/execution/room.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from jackdawridge.execution.line import EMPTY, Line, Waiter
 from jackdawridge.execution.messages import Offer, Room
+from jackdawridge.execution.wait_queue import EMPTY, Waiter, WaitQueue
 
 if TYPE_CHECKING:
     from jackdawridge.execution.messages import Start, TaskKey
@@ -70,7 +70,7 @@
         #: Entries that were refused, the longest waiting first.
         self.waiting: dict[str, Waiting] = {}
         self.held: dict[str, Held] = {}
-        self.line = Line()
+        self.wait_queue = WaitQueue()
 
     def reserve(self, entry: str, start: Start, now: float) -> bool:
         """Reserve what a start asks for, if it fits.
@@ -120,7 +120,7 @@
         """
         if not fits(size_of(waiter.start), self.size):
             return False
-        return self.line.join(waiter)
+        return self.wait_queue.join(waiter)
 
     def next_in_line(self, now: float) -> Waiter | None:
         """Take the first start out of the line if it fits now.
@@ -129,14 +129,14 @@
 
         :param now: local time in seconds.
         """
-        if not self.line.waiters:
+        if not self.wait_queue.waiters:
             return None
-        waiter = self.line.waiters[0]
+        waiter = self.wait_queue.waiters[0]
         wanted = size_of(waiter.start)
         if not fits(wanted, self.free_for(waiter.entry, now)):
             return None
         self.take(waiter.entry, waiter.start.key(), wanted)
-        return self.line.leave()
+        return self.wait_queue.leave()
 
     def hold(self, key: TaskKey, wanted: Room) -> None:
         """Reserve room whether it fits or not, as for an adopted task.
@@ -182,8 +182,8 @@
         :param now: local time in seconds.
         """
         free = self.free_for(entry, now)
-        if self.line.waiters:
-            return minus(free, self.line.wanted)
+        if self.wait_queue.waiters:
+            return minus(free, self.wait_queue.wanted)
         return free
 
     def free_for(self, entry: str, now: float) -> Room:
--- a/jackdawridge/execution/state.py
+++ b/jackdawridge/execution/state.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.execution.fences import Fences
-from jackdawridge.execution.line import Waiter
 from jackdawridge.execution.messages import (
     Ending,
     Refusal,
@@ -15,6 +14,7 @@
 )
 from jackdawridge.execution.room import NO_ROOM
 from jackdawridge.execution.tasks import TaskRecord
+from jackdawridge.execution.wait_queue import Waiter
 from jackdawridge.submission.tickets import incarnation_of
 
 if TYPE_CHECKING:
@@ -90,7 +90,7 @@
         :param now: local time in seconds.
         """
         admitted = []
-        line = self.room.line
+        line = self.room.wait_queue
         while line.is_overdue(now):
             waiter = line.leave()
             record = self.sessions.entry(waiter.entry, now)
@@ -150,7 +150,7 @@
         if (
             key in self.fences
             or key in self.tasks
-            or key in self.room.line.keys
+            or key in self.room.wait_queue.keys
         ):
             return 'start was already handled'
         retired = self.gate.version_refusal(
@@ -294,7 +294,7 @@
         if record is None:
             return []
         wanted = set(tickets)
-        for waiter in self.room.line.remove(incarnation, wanted):
+        for waiter in self.room.wait_queue.remove(incarnation, wanted):
             self.refuse(record, waiter.start.key(), reason, now)
         keys = [key for key in record.keys if key.ticket in wanted]
         return self.stop(keys, reason)
--- a/jackdawridge/execution/line.py
+++ b/jackdawridge/execution/wait_queue.py
@@ -13,7 +13,7 @@
     from jackdawridge.execution.messages import Start, TaskKey
 
 #: Time that a start waits for room before it is refused, in seconds.
-LINE_TIME = 0.06
+WAIT_TIME = 0.06
 
 #: Starts that wait at a time.
 MAX_WAITERS = 64
@@ -33,7 +33,7 @@
     since: float
 
 
-class Line:
+class WaitQueue:
     """Starts in the order of their arrival; none overtakes another."""
 
     def __init__(self) -> None:
@@ -65,7 +65,7 @@
 
         :param now: local time in seconds.
         """
-        return bool(self.waiters) and (now - self.waiters[0].since >= LINE_TIME)
+        return bool(self.waiters) and (now - self.waiters[0].since >= WAIT_TIME)
 
     def remove(self, entry: str, tickets: Collection[str]) -> list[Waiter]:
         """Take out the starts of some jobs.
--- a/jackdawridge/execution/line_server.py
+++ b/jackdawridge/execution/wait_queue_server.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from jackdawridge.execution.line import LINE_TIME
+from jackdawridge.execution.wait_queue import WAIT_TIME
 
 if TYPE_CHECKING:
     from jackdawridge.execution.outcomes import OutcomeSender
@@ -13,7 +13,7 @@
     from jackdawridge.util.clock import Clock, DelayedCall
 
 
-class LineServer:
+class WaitQueueServer:
     """Serves the line before outcomes are sent, and when time is up.
 
     :param clock: the reactor.
@@ -45,7 +45,7 @@
     def serve_soon(self) -> None:
         """Look again before starts have waited too long."""
         is_set = self.timer is not None and self.timer.active()
-        if self.state.room.line.waiters and not is_set:
+        if self.state.room.wait_queue.waiters and not is_set:
             self.timer = self.clock.callLater(
-                LINE_TIME / 2, self.sender.flush_soon
+                WAIT_TIME / 2, self.sender.flush_soon
             )
--- a/jackdawridge/forwarding/queues.py
+++ b/jackdawridge/forwarding/queues.py
@@ -28,7 +28,7 @@
     evicted: Waiting | None
 
 
-class Lane(Generic[Waiting]):
+class TeamQueue(Generic[Waiting]):
     """The waiting requests of one team, oldest first."""
 
     def __init__(self, progress: float) -> None:
@@ -53,11 +53,11 @@
         """Start empty."""
         self.limit = limit
         self.size = 0
-        self.lanes: dict[str, Lane[Waiting]] = {}
+        self.by_team: dict[str, TeamQueue[Waiting]] = {}
         self.progress: float = 0
 
     def push(self, team: str, waiting: Waiting) -> Pushed[Waiting]:
-        """Add one at the end of its team's lane.
+        """Add one at the end of its team's team_queue.
 
         :param team: whose request it is.
         :param waiting: the request.
@@ -66,7 +66,7 @@
             self.append(team, waiting)
             return Pushed(True, None)
         longest = self.longest()
-        own = self.lanes.get(team)
+        own = self.by_team.get(team)
         own_length = len(own.waiting) if own else 0
         if longest is None or len(longest.waiting) <= own_length + 1:
             return Pushed(False, None)
@@ -76,12 +76,12 @@
         return Pushed(True, evicted)
 
     def push_back(self, team: str, waiting: Waiting) -> None:
-        """Return one that had been served to the head of its lane.
+        """Return one that had been served to the head of its team_queue.
 
         :param team: whose request it is.
         :param waiting: the request.
         """
-        self.lane(team).waiting.appendleft(waiting)
+        self.team_queue(team).waiting.appendleft(waiting)
         self.size += 1
 
     def pop(
@@ -92,19 +92,19 @@
         :param weight_of: returns the weight of a team.
         """
         team = min(
-            self.lanes,
-            key=lambda name: self.lanes[name].progress,
+            self.by_team,
+            key=lambda name: self.by_team[name].progress,
             default=None,
         )
         if team is None:
             return None
-        lane = self.lanes[team]
-        waiting = lane.waiting.popleft()
+        team_queue = self.by_team[team]
+        waiting = team_queue.waiting.popleft()
         self.size -= 1
-        self.progress = lane.progress
-        lane.progress += 1 / weight_of(team)
-        if not lane.waiting:
-            del self.lanes[team]
+        self.progress = team_queue.progress
+        team_queue.progress += 1 / weight_of(team)
+        if not team_queue.waiting:
+            del self.by_team[team]
         return waiting
 
     def discard(self, team: str, waiting: Waiting) -> bool:
@@ -113,13 +113,13 @@
         :param team: whose request it is.
         :param waiting: the request.
         """
-        lane = self.lanes.get(team)
-        if lane is None or waiting not in lane.waiting:
+        team_queue = self.by_team.get(team)
+        if team_queue is None or waiting not in team_queue.waiting:
             return False
-        lane.waiting.remove(waiting)
+        team_queue.waiting.remove(waiting)
         self.size -= 1
-        if not lane.waiting:
-            del self.lanes[team]
+        if not team_queue.waiting:
+            del self.by_team[team]
         return True
 
     def append(self, team: str, waiting: Waiting) -> None:
@@ -128,20 +128,20 @@
         :param team: whose request it is.
         :param waiting: the request.
         """
-        self.lane(team).waiting.append(waiting)
+        self.team_queue(team).waiting.append(waiting)
         self.size += 1
 
-    def lane(self, team: str) -> Lane[Waiting]:
-        """Return the lane of a team, made if need be.
+    def team_queue(self, team: str) -> TeamQueue[Waiting]:
+        """Return the team_queue of a team, made if need be.
 
         :param team: the team.
         """
-        return self.lanes.setdefault(team, Lane(self.progress))
+        return self.by_team.setdefault(team, TeamQueue(self.progress))
 
-    def longest(self) -> Lane[Waiting] | None:
-        """Return the lane in which most wait."""
+    def longest(self) -> TeamQueue[Waiting] | None:
+        """Return the team_queue in which most wait."""
         return max(
-            self.lanes.values(),
-            key=lambda lane: len(lane.waiting),
+            self.by_team.values(),
+            key=lambda team_queue: len(team_queue.waiting),
             default=None,
         )
--- a/jackdawridge/operations/doors.py
+++ b/jackdawridge/operations/listeners.py
@@ -16,7 +16,7 @@
     from twisted.python.failure import Failure
     from twisted.web.resource import Resource
 
-logger = get_logger('doors')
+logger = get_logger('listener')
 
 #: Longest body of a request, in bytes.
 MAX_BODY_BYTES = 2097152
@@ -24,9 +24,9 @@
 REQUEST_TIMEOUT = 15.0
 #: Time without a request after which a connection is closed, in seconds.
 IDLE_TIMEOUT = 60
-#: Connections that a door accepts at a time.
+#: Connections that a listener accepts at a time.
 MAX_CONNECTIONS = 1024
-#: Bytes of all bodies that a door holds unless its settings say otherwise.
+#: Bytes of all bodies that a listener holds unless its settings say otherwise.
 BODY_MEMORY = 8388608
 
 _TOO_LARGE = b'HTTP/1.1 413 Content Too Large\r\n'
@@ -41,7 +41,7 @@
 
 
 class BoundedRequest(Request):
-    """A request whose body may not take more than the door allows."""
+    """A request whose body may not take more than the listener allows."""
 
     def __init__(self, channel: Any, *args: Any, **options: Any) -> None:
         """Start without content."""
@@ -164,7 +164,7 @@
             transport.loseConnection()
 
 
-class Door(Site):
+class HttpListener(Site):
     """Listens for HTTP; a component.
 
     :param reactor: Twisted's reactor.
--- a/jackdawridge/operations/router.py
+++ b/jackdawridge/operations/router.py
@@ -1,4 +1,4 @@
-"""Chooses the resource that serves a path of a door."""
+"""Chooses the resource that serves a path of a listener."""
 
 from __future__ import annotations
 
--- a/jackdawridge/placement/rounds.py
+++ b/jackdawridge/placement/rounds.py
@@ -7,8 +7,8 @@
 
 from jackdawridge.placement.headroom import headroom
 from jackdawridge.placement.queues import Job
+from jackdawridge.placement.team_cursor import TeamCursor
 from jackdawridge.placement.tracking import Assignment
-from jackdawridge.placement.walk import Walk
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -77,35 +77,37 @@
         """Place tasks until none fits or the limit is reached."""
         if self.placer.policy.knows_room:
             self.sides = [side for side in self.sides if side.has_room()]
-        walks: dict[str, Walk] = {}
+        cursors: dict[str, TeamCursor] = {}
         names = set(self.placer.queues.active)
         while names and self.sides and self.tries < MAX_TRIES:
             if self.is_full():
                 return
-            self.serve_some(names, walks)
+            self.serve_some(names, cursors)
             names = {
                 name
                 for name in names
-                if name not in walks or walks[name].current is not None
+                if name not in cursors or cursors[name].current is not None
             }
 
     def is_full(self) -> bool:
         """Return whether the limit is reached."""
         return len(self.placements) >= self.limit
 
-    def serve_some(self, names: set[str], walks: dict[str, Walk]) -> None:
+    def serve_some(
+        self, names: set[str], cursors: dict[str, TeamCursor]
+    ) -> None:
         """Place the most urgent tasks of the teams that are not ahead.
 
         :param names: of all teams that have tasks to try.
-        :param walks: of the teams that were served in this pass.
+        :param cursors: of the teams that were served in this pass.
         """
         teams = [self.placer.queues.teams[name] for name in names]
         floor = min(team.virtual_time for team in teams)
         self.placer.queues.virtual_time = floor
         heap = [
             (team.urgency(), team.name)
-            if team.name not in walks
-            else (walks[team.name].deadline(), team.name)
+            if team.name not in cursors
+            else (cursors[team.name].deadline(), team.name)
             for team in teams
             if team.virtual_time <= floor + ALLOWANCE
         ]
@@ -114,53 +116,55 @@
             if not heap:
                 return
             _, name = heap[0]
-            walk = walks.get(name)
-            if walk is None:
-                walk = Walk(self.placer.queues.teams[name], self.placer)
-                walks[name] = walk
-            self.serve(walk)
-            if walk.current is None:
+            cursor = cursors.get(name)
+            if cursor is None:
+                cursor = TeamCursor(self.placer.queues.teams[name], self.placer)
+                cursors[name] = cursor
+            self.serve(cursor)
+            if cursor.current is None:
                 heapq.heappop(heap)
             else:
-                heapq.heapreplace(heap, (walk.deadline(), name))
+                heapq.heapreplace(heap, (cursor.deadline(), name))
 
-    def serve(self, walk: Walk) -> None:
+    def serve(self, cursor: TeamCursor) -> None:
         """Place one task of a team, or skip a group.
 
-        :param walk: of the team.
+        :param cursor: of the team.
         """
-        if walk.current is None:
+        if cursor.current is None:
             return
-        job, group, need = walk.current
+        job, group, need = cursor.current
         wanted = self.with_headroom(need, job)
-        if self.is_hopeless(wanted) or not walk.team.within_quota(need):
+        if self.is_hopeless(wanted) or not cursor.team.within_quota(need):
             self.tries += 1
-            walk.skip()
+            cursor.skip()
             return
-        side = self.same_side(walk, job, wanted) or self.placer.policy.choose(
+        side = self.same_side(cursor, job, wanted) or self.placer.policy.choose(
             wanted, self.sides, self.now
         )
         if side is None:
             self.misfits.append(wanted)
             self.tries += 1
-            walk.skip()
+            cursor.skip()
             return
         request = self.placer.queues.take(job, group)
         self.assign(job, request, side, 'most room')
-        walk.placed(job.ticket, side)
+        cursor.placed(job.ticket, side)
         if not group.requests:
-            walk.advance()
+            cursor.advance()
 
-    def same_side(self, walk: Walk, job: Job, need: Need) -> Side | None:
+    def same_side(
+        self, cursor: TeamCursor, job: Job, need: Need
+    ) -> Side | None:
         """Return the side of the job's last task if it has ample room left.
 
         Starts for one side share a message and a call to its worker.
 
-        :param walk: of the team.
+        :param cursor: of the team.
         :param job: to be placed.
         :param need: of its next task, headroom included.
         """
-        last = walk.last
+        last = cursor.last
         if last is None or not self.placer.policy.keeps_together:
             return None
         if last.ticket != job.ticket or last.tasks >= TOGETHER:
--- a/jackdawridge/placement/walk.py
+++ b/jackdawridge/placement/team_cursor.py
@@ -30,7 +30,7 @@
     tasks: int
 
 
-class Walk:
+class TeamCursor:
     """Goes through the groups of one team's tasks.
 
     Room only shrinks during a pass, so that a group that did not fit is not
--- a/jackdawridge/submission/component.py
+++ b/jackdawridge/submission/component.py
@@ -7,8 +7,8 @@
 from twisted.internet.defer import Deferred, succeed
 
 from jackdawridge.placement.placer import Placer
-from jackdawridge.submission.desk import JobDesk
 from jackdawridge.submission.engine import JobEngine
+from jackdawridge.submission.interface import JobInterface
 from jackdawridge.submission.relay import TicketRelay
 from jackdawridge.submission.tickets import TicketFormat, TicketRegister
 from jackdawridge.submission.tracking import SideTracker
@@ -39,8 +39,8 @@
             settings.integer('ticket_limit'),
         )
         self.engine = JobEngine(application, placer)
-        self.desk = JobDesk(application, self.engine, register)
-        self.relay = TicketRelay(application, self.desk, peers)
+        self.interface = JobInterface(application, self.engine, register)
+        self.relay = TicketRelay(application, self.interface, peers)
         self.tracker = SideTracker(application, self.engine)
 
     @classmethod
--- a/jackdawridge/submission/desk.py
+++ b/jackdawridge/submission/interface.py
@@ -64,7 +64,7 @@
     retry_after: float = 0
 
 
-class AgreementDesk(Protocol):
+class AgreementPinning(Protocol):
     """Pins the agreement version that a job is counted under."""
 
     def pin(self, spec: JobSpec) -> Result[JobSpec, str]:
@@ -74,7 +74,7 @@
         """Note that a job under a version has ended."""
 
 
-class JobDesk:
+class JobInterface:
     """Takes what callers ask about tickets of this incarnation.
 
     :param application: the process.
@@ -96,7 +96,7 @@
         self.job_limit = settings.integer('job_limit')
         self.most_tasks = settings.integer('job_tasks')
         #: Set by the component that knows the agreements.
-        self.agreements: AgreementDesk | None = None
+        self.agreements: AgreementPinning | None = None
 
     def put(self, ticket: str, body: bytes) -> Reply | None:
         """Submit or join a job; None if its answer has to be waited for.
--- a/jackdawridge/submission/relay.py
+++ b/jackdawridge/submission/relay.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from jackdawridge.logs import get_logger, log_decision
-from jackdawridge.submission.desk import (
+from jackdawridge.submission.interface import (
     Reply,
     issuer_gone,
     issuer_unreachable,
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
-    from jackdawridge.submission.desk import JobDesk
+    from jackdawridge.submission.interface import JobInterface
     from jackdawridge.submission.tickets import Ticket
     from jackdawridge.wire.peers import Peer, Peers
 
@@ -64,17 +64,17 @@
     """Answers questions here or has the issuer answer them.
 
     :param application: the process.
-    :param desk: answers for the tickets of this incarnation.
+    :param interface: answers for the tickets of this incarnation.
     :param peers: of the process.
     """
 
     def __init__(
-        self, application: Application, desk: JobDesk, peers: Peers
+        self, application: Application, interface: JobInterface, peers: Peers
     ) -> None:
         """Register for messages and events."""
         self.application = application
         self.clock = application.clock
-        self.desk = desk
+        self.interface = interface
         self.peers = peers
         #: Set by the component that knows the entries.
         self.entries: EntryView | None = None
@@ -91,10 +91,10 @@
 
         :param question: of a caller.
         """
-        if question.ticket in self.desk.register.unused:
+        if question.ticket in self.interface.register.unused:
             # Issued here, so that its code need not be checked.
             return self.answer(question)
-        read = self.desk.register.format.read(question.ticket)
+        read = self.interface.register.format.read(question.ticket)
         if isinstance(read, Err):
             return succeed(no_ticket(read.err_value))
         ticket = read.ok_value
@@ -107,7 +107,7 @@
 
         :param question: of a caller.
         """
-        reply = self.desk.handle(
+        reply = self.interface.handle(
             question.method, question.ticket, question.body
         )
         if reply is not None:
@@ -128,7 +128,7 @@
                 answered.callback(reply)
 
         wait = min(question.wait, MAX_WAIT)
-        waiter = self.desk.wait(question.ticket, wait, fire)
+        waiter = self.interface.wait(question.ticket, wait, fire)
         return answered
 
     def pass_on(self, ticket: Ticket, question: Question) -> Deferred[Reply]:
@@ -186,7 +186,7 @@
 
         :param ticket: of another incarnation.
         """
-        if ticket.address == self.desk.register.address:
+        if ticket.address == self.interface.register.address:
             return True
         return self.entries is not None and self.entries.is_gone(
             ticket.address, ticket.incarnation
@@ -199,7 +199,7 @@
         :param call: from it.
         """
         question = Question(call.method, call.ticket, call.wait, call.body)
-        read = self.desk.register.format.read(call.ticket)
+        read = self.interface.register.format.read(call.ticket)
         ours = read.is_ok() and (
             read.unwrap().incarnation == self.application.incarnation
         )
--- a/jackdawridge/submission/resource.py
+++ b/jackdawridge/submission/resource.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from jackdawridge.logs import get_logger
-from jackdawridge.submission.desk import (
+from jackdawridge.submission.interface import (
     Reply,
     error_body,
     refuse,
@@ -22,7 +22,7 @@
     from twisted.python.failure import Failure
 
     from jackdawridge.application import Application
-    from jackdawridge.submission.desk import JobDesk
+    from jackdawridge.submission.interface import JobInterface
     from jackdawridge.submission.relay import TicketRelay
     from jackdawridge.util.web import WebRequest
 
@@ -38,18 +38,21 @@
     """Routes for tickets and jobs.
 
     :param application: the process.
-    :param desk: issues tickets.
+    :param interface: issues tickets.
     :param relay: answers questions about tickets.
     """
 
     app = Klein()
 
     def __init__(
-        self, application: Application, desk: JobDesk, relay: TicketRelay
+        self,
+        application: Application,
+        interface: JobInterface,
+        relay: TicketRelay,
     ) -> None:
         """Keep the parts."""
         self.application = application
-        self.desk = desk
+        self.interface = interface
         self.relay = relay
 
     @app.route('/v1/tickets', methods=['POST'])
@@ -58,9 +61,11 @@
 
         :param request: of a caller.
         """
-        reply = self.desk.full()
+        reply = self.interface.full()
         if reply is None:
-            body = msgspec.json.encode({'ticket': self.desk.register.issue()})
+            body = msgspec.json.encode(
+                {'ticket': self.interface.register.issue()}
+            )
             reply = Reply(_CREATED, body)
         return write_reply(request, reply)
 
@@ -70,10 +75,10 @@
 
         :param request: of a caller.
         """
-        reply = self.desk.full()
+        reply = self.interface.full()
         if reply is not None:
             return write_reply(request, reply)
-        ticket = self.desk.register.issue()
+        ticket = self.interface.register.issue()
         request.setHeader('X-Ticket', ticket)
         return self.ask(request, 'PUT', ticket)
 
--- a/tests/test_cmd/test_daemon.py
+++ b/tests/test_cmd/test_daemon.py
@@ -50,7 +50,7 @@
 @pytest.mark.processes
 class TestStart:
     def test_daemon_that_cannot_listen_ends(self, tmp_path: Path) -> None:
-        """It would be linked, and placed work at, without all its doors."""
+        """It would be linked, and placed work at, without all its listeners."""
         settings = tmp_path / 'side.json'
         with socket.create_server(('127.0.0.1', 0)) as taken:
             address = '127.0.0.1:{0}'.format(taken.getsockname()[1])
--- a/tests/test_execution/test_room.py
+++ b/tests/test_execution/test_room.py
@@ -5,10 +5,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from jackdawridge.execution.line import Waiter
 from jackdawridge.execution.messages import Room, Start, TaskKey
 from jackdawridge.execution.relief import MemoryGuard, MemoryUse, Step
 from jackdawridge.execution.room import RoomLedger
+from jackdawridge.execution.wait_queue import Waiter
 
 SIZE = Room(16, 1000, 1, 0)
 
@@ -132,8 +132,8 @@
 
     def serve(self) -> None:
         """Start what waits, refuse what waited too long, send offers."""
-        if self.ledger.line.is_overdue(self.now):
-            waiter = self.ledger.line.leave()
+        if self.ledger.wait_queue.is_overdue(self.now):
+            waiter = self.ledger.wait_queue.leave()
             self.ledger.register(waiter.entry, waiter.start, self.now)
         waiting = self.ledger.next_in_line(self.now)
         if waiting is not None:
--- a/tests/test_forwarding/test_state.py
+++ b/tests/test_forwarding/test_state.py
@@ -86,7 +86,7 @@
                     served[waiting[0]] = waiting[1]
             else:
                 queues.push(team, (team, number))
-            held = sum(len(lane.waiting) for lane in queues.lanes.values())
+            held = sum(len(one.waiting) for one in queues.by_team.values())
             assert queues.size == held
             assert held <= 8
 
--- a/tests/test_submission/test_http.py
+++ b/tests/test_submission/test_http.py
@@ -1,4 +1,4 @@
-"""Tests of the callers' door of an entry over real connections."""
+"""Tests of the callers' listener of an entry over real connections."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from jackdawridge.operations.doors import MAX_BODY_BYTES
+from jackdawridge.operations.listeners import MAX_BODY_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -88,7 +88,7 @@
 
 
 @pytest.mark.processes
-class TestCallersDoor:
+class TestCallersListener:
     @pytest.mark.parametrize(
         ('method', 'path', 'body', 'status'),
         [
--- a/tests/test_submission/test_relay.py
+++ b/tests/test_submission/test_relay.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from jackdawridge.submission.desk import Reply
+from jackdawridge.submission.interface import Reply
 from jackdawridge.submission.relay import Question
 from tests.test_submission.world import World
 
@@ -27,7 +27,7 @@
 def ask(world: World, address: str, incarnation: str) -> Reply:
     component: Any = world.entries[0].application.components[0]
     component.relay.entries = FakeEntries('run-gone')
-    tickets = component.desk.register.format
+    tickets = component.interface.register.format
     text = tickets.write(address, incarnation, 1)
     replies: list[Reply] = []
     asked = component.relay.ask(Question('GET', text, 0, b''))
--- a/tests/test_submission/world.py
+++ b/tests/test_submission/world.py
@@ -374,7 +374,7 @@
 
     def register(self, number: int) -> Any:
         component: Any = self.entries[number].application.components[0]
-        return component.desk.register
+        return component.interface.register
 
     def started(self) -> list[tuple[str, int]]:
         """Return ticket and task of every start that a worker has made."""
