Drop two functions that nobody calls

Cause: RoomLedger.next_wakeup and Placer.next_wakeup had lost their callers. Change: both are gone, with a constant. Conclusion: no behaviour changes.

--- a/jackdawridge/execution/room.py
+++ b/jackdawridge/execution/room.py
@@ -268,12 +268,6 @@
         self.waiting.pop(entry, None)
         self.held.pop(entry, None)
 
-    def next_wakeup(self) -> float | None:
-        """Return when held room becomes free for others, or None."""
-        if not self.held:
-            return None
-        return min(held.until for held in self.held.values())
-
 
 def fits(wanted: Room, free: Room) -> bool:
     """Return whether one room is within another.
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -30,9 +30,6 @@
 #: Time between two looks at the tasks that run, in seconds.
 LOOK_INTERVAL = 0.25
 
-#: Time between two passes while tasks wait, in seconds.
-QUEUE_INTERVAL = 0.05
-
 
 class Placer(Tracking):
     """Holds the queues and the view of the sides, and joins them.
@@ -215,17 +212,6 @@
             if reason
         ]
 
-    def next_wakeup(self, now: float) -> float | None:
-        """Return when `place` and `expire` have something to do, or None.
-
-        :param now: the time.
-        """
-        if self.queues.queued:
-            return now + QUEUE_INTERVAL
-        if self.assignments:
-            return now + LOOK_INTERVAL
-        return None
-
     def why_never(self, request: Request) -> str:
         """Return why a task can never run, or an empty text.
 
