--- a/jackdawridge/cmd/jobs.py
+++ b/jackdawridge/cmd/jobs.py
@@ -13,7 +13,6 @@
 from jackdawridge.cmd.exits import Exit
 from jackdawridge.cmd.operator import Operator, pause, run_command
 from jackdawridge.errors import PeerUnavailableError
-from jackdawridge.logs import get_logger
 
 if TYPE_CHECKING:
     import argparse
@@ -21,8 +20,6 @@
 
     from jackdawridge.cmd.operator import Reply
 
-logger = get_logger('jobs')
-
 #: Time that an entry is asked to wait for an answer, in seconds.
 WAIT = 5.0
 #: Wait before a question is repeated, in seconds.
--- a/jackdawridge/execution/worker_starts.py
+++ b/jackdawridge/execution/worker_starts.py
@@ -15,14 +15,11 @@
     NotSentError,
     StartAnswer,
 )
-from jackdawridge.logs import get_logger
 from jackdawridge.util.clock import make_loop
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
 
-logger = get_logger('worker')
-
 #: Time to connect and for the answer to a batch, in seconds.
 CALL_TIMEOUT = 5.0
 #: Interval of the empty lines that keep an idle stream open, in seconds.
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -13,7 +13,6 @@
     Resolve,
 )
 from jackdawridge.execution.turns import moment_phase
-from jackdawridge.logs import get_logger
 from jackdawridge.placement.view import SideInfo
 from jackdawridge.submission.sides import SideRecord
 from jackdawridge.util.clock import make_loop
@@ -23,8 +22,6 @@
     from jackdawridge.submission.engine import JobEngine
     from jackdawridge.wire.peers import Peer
 
-logger = get_logger('submission')
-
 #: Part of a heartbeat interval after which silent sides are looked for.
 SWEEP_FRACTION = 0.25
 #: Shortest and longest time between two such looks, in seconds.
--- a/tests/test_processes/conftest.py
+++ b/tests/test_processes/conftest.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -22,6 +23,21 @@
     node.close()
 
 
+def plan(
+    tmp_path_factory: pytest.TempPathFactory,
+    proxies: str,
+    request: pytest.FixtureRequest,
+    **options: Any,
+) -> Deployment:
+    """Return a deployment that is not started yet."""
+    return Deployment(
+        tmp_path_factory.mktemp('deployment'),
+        seed=request.config.getoption('--seed'),
+        control=proxies,
+        **options,
+    )
+
+
 @pytest.fixture(scope='module')
 def lasting(
     tmp_path_factory: pytest.TempPathFactory,
@@ -29,11 +45,7 @@
     request: pytest.FixtureRequest,
 ) -> Iterator[Deployment]:
     """Return a deployment that the tests of a module share."""
-    with Deployment(
-        tmp_path_factory.mktemp('deployment'),
-        seed=request.config.getoption('--seed'),
-        control=proxies,
-    ) as deployment:
+    with plan(tmp_path_factory, proxies, request) as deployment:
         yield deployment
 
 
@@ -44,11 +56,8 @@
     request: pytest.FixtureRequest,
 ) -> Iterator[Deployment]:
     """Return one with short leases that the tests of a module share."""
-    with Deployment(
-        tmp_path_factory.mktemp('deployment'),
-        seed=request.config.getoption('--seed'),
-        control=proxies,
-        settings=LAPSING,
+    with plan(
+        tmp_path_factory, proxies, request, settings=LAPSING
     ) as deployment:
         yield deployment
 
--- a/tests/test_processes/test_links.py
+++ b/tests/test_processes/test_links.py
@@ -19,6 +19,15 @@
         deployment.proxies[name].set(**faults)
 
 
+def check_recovery(deployment: Deployment, callers: Callers) -> None:
+    """Check all answers, and that jobs complete after a failure."""
+    deployment.wait_linked()
+    callers.submit(deployment.entries[0].caller, 5)
+    answers = callers.answers()
+    check_answers(deployment, answers)
+    assert all(one.is_complete for one in answers[-5:])
+
+
 class TestCutAfterStart:
     def test_start_has_not_arrived(self, shared: Deployment) -> None:
         deployment = shared
@@ -85,11 +94,7 @@
         callers.submit(deployment.entries[0].caller, 3)
         time.sleep(2.5)
         set_links(deployment, 0)
-        deployment.wait_linked()
-        callers.submit(deployment.entries[0].caller, 5)
-        answers = callers.answers()
-        check_answers(deployment, answers)
-        assert all(one.is_complete for one in answers[-5:])
+        check_recovery(deployment, callers)
 
     def test_frozen_and_thawed(self, shared_lapsing: Deployment) -> None:
         """Let what lay in the network for longer than a window arrive."""
@@ -99,11 +104,7 @@
         callers.submit(deployment.entries[0].caller, 10)
         time.sleep(2.5)
         set_links(deployment, 0)
-        deployment.wait_linked()
-        callers.submit(deployment.entries[0].caller, 5)
-        answers = callers.answers()
-        check_answers(deployment, answers)
-        assert all(one.is_complete for one in answers[-5:])
+        check_recovery(deployment, callers)
 
 
 class TestSlowLink:
@@ -127,11 +128,7 @@
         callers.submit(deployment.entries[0].caller, 5)
         time.sleep(3)
         set_links(deployment, 0)
-        deployment.wait_linked()
-        callers.submit(deployment.entries[0].caller, 5)
-        answers = callers.answers()
-        check_answers(deployment, answers)
-        assert all(one.is_complete for one in answers[-5:])
+        check_recovery(deployment, callers)
 
 
 class TestWorkerLink:
