Serve jobs on the users' platform by a thin adapter

Cause: the product spoke its own interface only. Callers of the platform hand in jobs that are answered at their end, minions run tasks under leases, and operators write to the platform's store.

The engine, the ledger, the placement and the membership are the product's own. New in it: jobs whose callers wait (submission/attended), tasks that may run again once a run is certainly over, objectives for the order of jobs, a worker whose runs end with a lease (execution/leased_worker, run_table), heartbeats of a target told apart by its incarnations, and what operators have put in force (deployment/). platform/ translates.

--- a/jackdawridge/cmd/daemon.py
+++ b/jackdawridge/cmd/daemon.py
@@ -2,33 +2,22 @@
 
 from __future__ import annotations
 
-import gc
-import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import ensureDeferred
-
 from jackdawridge.cmd.exits import Exit
+from jackdawridge.cmd.serving import prepare, serve
 from jackdawridge.config import Settings, find_faults, load_document
 from jackdawridge.entry import build_entry
 from jackdawridge.errors import SettingsError
-from jackdawridge.logs import get_logger, install
 from jackdawridge.side import build_side
 
 if TYPE_CHECKING:
     import argparse
 
-    from jackdawridge.application import Application
-
-logger = get_logger('daemon')
-
 _BUILDERS = {'entry': build_entry, 'side': build_side}  # noqa: WPS407
 
-#: Allocations between two passes of the garbage collector.
-GC_THRESHOLD = 50000
-
 
 def add_parsers(subparsers: Any) -> None:
     """Add the commands of the daemons.
@@ -80,19 +69,8 @@
     if run_check_quietly(arguments) != Exit.ok:
         return Exit.invalid
     settings = Settings.from_file(arguments.settings)
-    install(
-        settings.text('log_level'),
-        settings.integer('decision_sampling'),
-        settings.text('node'),
-    )
-    from twisted.internet import reactor  # noqa: WPS433
-
-    gc.set_threshold(GC_THRESHOLD)
-    application = _BUILDERS[settings.role](settings, reactor)
-    # Passes of the collector leave out what lasts as long as the process.
-    gc.collect()
-    gc.freeze()
-    return serve(application, reactor)
+    reactor = prepare(settings, sys.stderr)
+    return serve(_BUILDERS[settings.role](settings, reactor), reactor)
 
 
 def run_check_quietly(arguments: argparse.Namespace) -> int:
@@ -112,45 +90,3 @@
         )
         return Exit.invalid
     return Exit.ok
-
-
-def serve(application: Application, reactor: Any) -> Exit:
-    """Start an application and drain it at the first signal.
-
-    A process that cannot start as a whole ends.
-
-    :param application: an entry or a side.
-    :param reactor: Twisted's reactor.
-    """
-    stopping: list[int] = []
-    failures: list[str] = []
-
-    def begin() -> None:  # noqa: WPS430
-        try:
-            application.start()
-        except Exception as error:
-            # It might be linked, and be given work, without all its listeners.
-            failures.append(str(error))
-            logger.error(str(error), step='start')
-            reactor.stop()
-        else:
-            logger.notice('ready', step='start')
-
-    def leave(number: int, _: object) -> None:  # noqa: WPS430
-        if not stopping:
-            stopping.append(number)
-            reactor.callFromThread(drain)
-
-    def drain() -> None:  # noqa: WPS430
-        logger.notice('leaving', step='stop')
-        left = ensureDeferred(application.stop())
-        left.addBoth(lambda _: reactor.stop())
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, leave)
-    application.events.connect(
-        'superseded', lambda: leave(signal.SIGTERM, None)
-    )
-    reactor.callWhenRunning(begin)
-    reactor.run(installSignalHandlers=False)
-    return Exit.failed if failures else Exit.ok
--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -341,6 +341,9 @@
     number_row('heartbeat', _BOTH, 1.0, (0.05, 10), 'seconds'),
     number_row('send_window', _BOTH, 3.0, (0.2, 60), 'seconds'),
     number_row('task_lease', _BOTH, 6.0, (0.5, 120), 'seconds'),
+    # Added to the wait for a silent side where its tasks may run again: the
+    # worker may go on for this time after its side has died.
+    number_row('orphan_time', _ENTRY, _NO_DELAY, (0, 120), 'seconds'),
     text_row(
         'policy',
         _ENTRY,
--- /dev/null
+++ b/jackdawridge/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""What operators have put in force for the queues of callers."""
--- a/jackdawridge/execution/heartbeats.py
+++ b/jackdawridge/execution/heartbeats.py
@@ -110,6 +110,6 @@
             window,
             record.processed,
             self.state.room.room_for(record.incarnation, now),
-            self.state.draining,
+            self.state.draining or bool(self.state.closed),
             self.state.gate.position,
         )
--- a/jackdawridge/execution/room.py
+++ b/jackdawridge/execution/room.py
@@ -72,6 +72,14 @@
         self.held: dict[str, Held] = {}
         self.wait_queue = WaitQueue()
 
+    def resize(self, size: Room) -> None:
+        """Change the size of the worker, whatever is reserved.
+
+        :param size: the empty worker.
+        """
+        self.free = plus(self.free, minus(size, self.size))
+        self.size = size
+
     def reserve(self, entry: str, start: Start, now: float) -> bool:
         """Reserve what a start asks for, if it fits.
 
--- /dev/null
+++ b/jackdawridge/execution/run_table.py
@@ -0,0 +1,225 @@
+"""What a side knows of the runs at its target, without input or output."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from jackdawridge.execution.leases import Run
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from jackdawridge.execution.leases import TargetReport
+
+#: Added to a fencing token that was refused. Tokens begin at the target's
+#: clock in milliseconds; an order of an earlier incarnation that is carried
+#: out late may have left one from a clock that had run for long.
+TOKEN_STEP = 1_000_000_000
+#: Most ends in a report; in a full one, ends may be missing.
+MAX_ENDS = 500
+
+_MILLISECONDS = 1000
+
+
+class LeaseTiming(NamedTuple):
+    """Times of the lease on what runs, in seconds."""
+
+    lease: float
+    #: Interval at which it is renewed.
+    renewal: float
+    #: Part by which the clock of the target may be slow.
+    drift: float
+    #: Time that the target takes to end what runs.
+    stop: float
+
+
+class LiveRun(NamedTuple):
+    """A run that was ordered and is not known to be over."""
+
+    task_id: str
+    #: When it was ordered or confirmed, in seconds.
+    began: float
+    #: Whether the target has said that it runs.
+    is_confirmed: bool
+
+
+class EndedRun(NamedTuple):
+    """A run that is over."""
+
+    run: Run
+    live: LiveRun
+    outcome: str
+    reason: str
+
+
+class News(NamedTuple):
+    """What a report tells that was not known."""
+
+    ended: tuple[EndedRun, ...]
+    #: Runs that nobody here has ordered.
+    strays: tuple[Run, ...]
+
+
+class RunTable:
+    """The live runs of one incarnation of a target.
+
+    :param timing: of the lease.
+    """
+
+    def __init__(self, timing: LeaseTiming) -> None:
+        """Begin without a target."""
+        self.timing = timing
+        self.runs: dict[Run, LiveRun] = {}
+        self.token = 0
+        self.reset()
+
+    def reset(self) -> None:
+        """Begin anew with an incarnation of which nothing is known."""
+        self.incarnation: int | None = None
+        #: Position up to which ends were seen.
+        self.seen = 0
+        #: The target's clock less the local one.
+        self.offset: float = 0
+        #: Number of the newest run.
+        self.number = 0
+        #: Local time at which all that runs is over unless it is renewed.
+        self.over_at = float('-inf')
+        self.reported: frozenset[Run] = frozenset()
+        #: When the newest report was asked for.
+        self.asked = float('-inf')
+
+    def is_live(self, name: str) -> bool:
+        """Return whether a task runs here or is being started.
+
+        :param name: by which the target knows the task.
+        """
+        return any(run.name == name for run in self.runs)
+
+    def begin(self, name: str, task_id: str, now: float) -> Run:
+        """Return a new run, numbered above all before.
+
+        :param name: by which the target knows the task.
+        :param task_id: by which the side knows it.
+        :param now: local time in seconds.
+        """
+        clock = int((now + self.offset) * _MILLISECONDS)
+        self.number = max(self.number + 1, clock)
+        run = Run(name, self.number)
+        self.runs[run] = LiveRun(task_id, now, is_confirmed=False)
+        return run
+
+    def confirm(self, run: Run, now: float) -> None:
+        """Note that the target runs what was ordered.
+
+        :param run: that was ordered.
+        :param now: local time in seconds.
+        """
+        live = self.runs.get(run)
+        if live is not None and not live.is_confirmed:
+            self.runs[run] = LiveRun(live.task_id, now, is_confirmed=True)
+
+    def drop(self, run: Run) -> None:
+        """Forget a run that never started or is over.
+
+        :param run: any run.
+        """
+        self.runs.pop(run, None)
+
+    def clear(self) -> tuple[tuple[Run, LiveRun], ...]:
+        """Forget all runs and return them."""
+        runs = tuple(self.runs.items())
+        self.runs.clear()
+        return runs
+
+    def runs_of(self, ids: Collection[str]) -> list[Run]:
+        """Return the live runs of tasks.
+
+        :param ids: by which the side knows the tasks.
+        """
+        wanted = set(ids)
+        return [
+            run for run, live in self.runs.items() if live.task_id in wanted
+        ]
+
+    def grant(self, now: float) -> float:
+        """Return the end of a lease that begins now, on the target's clock.
+
+        :param now: local time in seconds.
+        """
+        longest = self.timing.lease * (1 + self.timing.drift)
+        self.over_at = max(self.over_at, now + longest + self.timing.stop)
+        return now + self.offset + self.timing.lease
+
+    def raise_token(self) -> None:
+        """Use a higher fencing token after one was refused."""
+        self.token += TOKEN_STEP
+
+    def is_other(self, report: TargetReport) -> bool:
+        """Return whether a report is of another incarnation.
+
+        :param report: of the target.
+        """
+        return self.incarnation not in {None, report.incarnation}
+
+    def take(self, report: TargetReport, asked: float, received: float) -> News:
+        """Take a report in and return what is new.
+
+        :param report: of the target.
+        :param asked: local time at which it was asked for, in seconds.
+        :param received: local time at which it arrived, in seconds.
+        """
+        if self.incarnation is None:
+            self.incarnation = report.incarnation
+            self.token = max(self.token, int(report.clock * _MILLISECONDS))
+        # The answer was on its way for a moment, so that the target's clock is
+        # ahead of this; a lease ends a moment earlier for it.
+        self.offset = report.clock - received
+        self.reported = report.running
+        self.asked = asked
+        ended = []
+        for end in report.ends:
+            if end.position <= self.seen:
+                continue
+            self.seen = end.position
+            live = self.runs.pop(end.run, None)
+            if live is not None:
+                ended.append(EndedRun(end.run, live, end.outcome, end.reason))
+        if len(report.ends) < MAX_ENDS:
+            ended.extend(self.vanished(asked))
+        strays = tuple(run for run in report.running if run not in self.runs)
+        return News(tuple(ended), strays)
+
+    def vanished(self, asked: float) -> list[EndedRun]:
+        """Forget and return runs that are over without an end in the list.
+
+        :param asked: local time at which the report was asked for.
+        """
+        gone = [
+            (run, live)
+            for run, live in self.runs.items()
+            if live.is_confirmed
+            and live.began < asked
+            and run not in self.reported
+        ]
+        for run, _ in gone:
+            self.runs.pop(run)
+        return [
+            EndedRun(run, live, 'lost', 'target does not know the run')
+            for run, live in gone
+        ]
+
+    def was_running(self, run: Run, since: float) -> bool:
+        """Return whether a report asked for since a time shows a run.
+
+        :param run: that was ordered.
+        :param since: local time in seconds.
+        """
+        return self.asked >= since and run in self.reported
+
+    def was_absent(self, run: Run, since: float) -> bool:
+        """Return whether a report asked for since a time lacks a run.
+
+        :param run: that was ordered.
+        :param since: local time in seconds.
+        """
+        return self.asked >= since and run not in self.reported
--- a/jackdawridge/execution/starter.py
+++ b/jackdawridge/execution/starter.py
@@ -211,7 +211,7 @@
         try:
             return await self.worker.list()
         except JackdawridgeError as error:
-            logger.warning(error.message, step='list', peer=error.peer)
+            logger.info(error.message, step='list', peer=error.peer)
             return None
 
     def pause(self) -> Deferred[None]:
--- a/jackdawridge/execution/state.py
+++ b/jackdawridge/execution/state.py
@@ -53,6 +53,8 @@
         self.gate = gate
         #: Whether the side is leaving and takes no new work.
         self.draining = False
+        #: Why the target takes no new work, or empty.
+        self.closed = ''
         self.tasks: dict[TaskKey, TaskRecord] = {}
         self.fences = Fences(2 * sessions.windows.duration)
 
@@ -131,8 +133,8 @@
         :param window: that the batch came in.
         :param now: local time in seconds.
         """
-        if self.draining:
-            return 'side is leaving'
+        if self.draining or self.closed:
+            return self.closed or 'side is leaving'
         if not self.sessions.windows.accepts(window, now):
             return 'send window is closed'
         return self.gate.refusal(now)
--- a/jackdawridge/placement/fleet.py
+++ b/jackdawridge/placement/fleet.py
@@ -164,6 +164,7 @@
             need.cores <= info.cores
             and need.memory <= info.memory
             and need.accelerators <= info.accelerators
+            and info.serves(need)
             for info in self.shapes
         )
 
--- a/jackdawridge/placement/learning.py
+++ b/jackdawridge/placement/learning.py
@@ -54,6 +54,8 @@
     run_time: float
     #: Run time in seconds that few tasks exceed.
     late: float
+    #: Service whose workers run the task; any worker if it is empty.
+    service: str = ''
 
 
 class Estimate(NamedTuple):
@@ -183,6 +185,7 @@
                 request.accelerators,
                 request.run_time,
                 request.run_time,
+                request.service,
             )
         cores, _ = kind.cores.scale(request.cores)
         _, memory = kind.memory.scale(request.memory)
@@ -193,6 +196,7 @@
             request.accelerators,
             run_time,
             late,
+            request.service,
         )
 
     def knows(self, kind: str) -> bool:
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -10,7 +10,13 @@
 from jackdawridge.placement.headroom import BULK
 from jackdawridge.placement.policies import POLICIES, Policy
 from jackdawridge.placement.queues import Job, Standing, TeamLimits
-from jackdawridge.placement.request import Impossible, Key, Overload
+from jackdawridge.placement.request import (
+    NO_OBJECTIVE,
+    Impossible,
+    Key,
+    Objective,
+    Overload,
+)
 from jackdawridge.placement.rounds import NO_LIMIT, Asking, Round
 from jackdawridge.placement.tracking import Tracking
 
@@ -75,12 +81,16 @@
         self.queues.split(max(entries, 1), others)
 
     def enqueue(
-        self, requests: Sequence[Request], now: float
+        self,
+        requests: Sequence[Request],
+        now: float,
+        objective: Objective = NO_OBJECTIVE,
     ) -> Result[int, Overload]:
         """Queue all tasks of a job, or none of them.
 
         :param requests: at least one, all of one job and team.
         :param now: the time.
+        :param objective: for the response time of the job.
         """
         first = requests[0]
         team = self.queues.team(first.team)
@@ -90,7 +100,7 @@
         job = self.queues.make_job(requests)
         if any(self.why_never(group.sample) for group in job.groups.values()):
             self.doubtful[first.ticket] = now
-        self.queues.insert(job, self.standing(job, now))
+        self.queues.insert(job, self.standing(job, now, objective))
         return Ok(len(requests))
 
     def overload(self, reason: str) -> Overload:
@@ -100,7 +110,7 @@
         """
         return Overload(self.bounds.retry_after(self.queues.queued), reason)
 
-    def standing(self, job: Job, now: float) -> Standing:
+    def standing(self, job: Job, now: float, objective: Objective) -> Standing:
         """Return where a new job stands in the order.
 
         The ideal time of a job is its longest task, or its work over the
@@ -108,6 +118,7 @@
 
         :param job: none of whose tasks has been placed.
         :param now: the time.
+        :param objective: for the response time of the job.
         """
         longest: float = 0
         work: float = 0
@@ -116,8 +127,13 @@
             longest = max(longest, need.run_time)
             share = self.dominant_share(need)
             work += share * need.run_time * len(group.requests)
-        deadline = now + TARGET_SLOWDOWN * max(longest, work)
-        return Standing(deadline, now, work if job.size >= BULK else 0)
+        ideal = max(longest, work)
+        bulk = work if job.size >= BULK else 0
+        if objective == NO_OBJECTIVE:
+            return Standing(now + TARGET_SLOWDOWN * ideal, now, bulk)
+        aimed = objective.stretch * ideal + objective.allowance
+        # The order is that of the latest starts that are still in time.
+        return Standing(now + aimed - longest, now, bulk)
 
     def cancel(self, ticket: str) -> int:
         """Drop the queued tasks of a job and return how many there were.
--- a/jackdawridge/placement/request.py
+++ b/jackdawridge/placement/request.py
@@ -8,6 +8,19 @@
 Key = tuple[str, int]
 
 
+class Objective(NamedTuple):
+    """How long a job may take to be answered in time."""
+
+    #: Factor on the expected run time of its longest task.
+    stretch: float
+    #: Time besides, in seconds.
+    allowance: float
+
+
+#: Of jobs that name no objective.
+NO_OBJECTIVE = Objective(0, 0)
+
+
 class Request(NamedTuple):
     """A task that is to be placed, with what its caller declared."""
 
@@ -22,6 +35,8 @@
     accelerators: int
     #: In seconds.
     run_time: float
+    #: Service whose workers run the task; any worker if it is empty.
+    service: str = ''
 
     @property
     def key(self) -> Key:
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -153,10 +153,17 @@
         elif not self.policy.knows_room:
             side.closed_until = max(side.closed_until, now + BLIND_WAIT)
 
+    def queue_again(self, assignment: Assignment) -> None:
+        """Queue a task again whose run is over.
+
+        :param assignment: that was released.
+        """
+        self.queues.put_back(assignment.request, assignment.standing)
+
     def ended(
         self, key: Key, side_id: str, outcome: str, usage: Usage, now: float
-    ) -> None:
-        """Learn from a task that has ended.
+    ) -> Assignment | None:
+        """Learn from a task that has ended and return its assignment, if any.
 
         :param key: of the task.
         :param side_id: where it ran.
@@ -166,7 +173,7 @@
         """
         assignment = self.release(key)
         if assignment is None:
-            return
+            return None
         self.bounds.count_ended(now)
         request, need = assignment.request, assignment.need
         if outcome == 'succeeded':
@@ -183,13 +190,14 @@
             self.learner.observe(request, usage._replace(run_time=0))
             self.health.failed(side_id, request.kind, assignment.number, now)
         self.judge(side_id)
+        return assignment
 
-    def lost(self, key: Key) -> None:
+    def lost(self, key: Key) -> Assignment | None:
         """Free what a task reserved whose end will not be known.
 
         :param key: of the task.
         """
-        self.release(key)
+        return self.release(key)
 
     def look(self, now: float) -> None:
         """Find sides whose running tasks are far over their estimates.
--- a/jackdawridge/placement/view.py
+++ b/jackdawridge/placement/view.py
@@ -27,6 +27,15 @@
     #: In MB.
     memory: float
     accelerators: int
+    #: Of the target beside the side, or empty.
+    service: str = ''
+
+    def serves(self, need: Need) -> bool:
+        """Return whether the worker is one of those that a task asks for.
+
+        :param need: the estimate for the task.
+        """
+        return not need.service or need.service == self.service
 
 
 class Amount(NamedTuple):
@@ -179,6 +188,8 @@
             return False
         if need.accelerators > accelerators or not self.takes_work(now):
             return False
+        if not self.info.serves(need):
+            return False
         since = now - self.ramp_from
         if since >= RAMP_TIME:
             return True
@@ -194,6 +205,7 @@
             need.cores <= self.info.cores
             and need.memory <= self.info.memory
             and need.accelerators <= self.info.accelerators
+            and self.info.serves(need)
         )
 
     def score(self) -> float:
--- /dev/null
+++ b/jackdawridge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the product and the users' platform; decides nothing."""
--- /dev/null
+++ b/jackdawridge/platform/callers.py
@@ -0,0 +1,251 @@
+"""The HTTP of callers, and the platform's question for readiness."""
+
+from __future__ import annotations
+
+import math
+import re
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from klein import Klein
+from result import Err
+from twisted.internet.defer import CancelledError, Deferred
+
+from jackdawridge.logs import get_logger
+from jackdawridge.platform.jobs import Unserved, read_job
+from jackdawridge.submission.attended import RETRY_AFTER, Outcome, Verdict
+from jackdawridge.submission.documents import digest_of
+
+if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
+    from jackdawridge.application import Application
+    from jackdawridge.deployment.state import DeploymentState, Queue
+    from jackdawridge.submission.attended import AttendedJobs
+    from jackdawridge.util.web import WebRequest
+
+logger = get_logger('callers')
+
+#: Tells how long the caller waits for the answer, in milliseconds.
+PATIENCE_HEADER = 'Deadline-Ms'
+#: Used without that header, in seconds.
+DEFAULT_PATIENCE = 30.0
+#: Longest time that is believed of a caller, in seconds.
+MAX_PATIENCE = 600.0
+
+_JOB_ID = re.compile('[0-9a-fA-F]{16}')
+_MILLISECONDS = 1000
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_NOT_ALLOWED = 405
+_GONE = 410
+_TOO_MANY = 429
+_INTERNAL = 500
+_UNAVAILABLE = 503
+_NO_ANSWER = 504
+
+#: Status for each end of a job.
+_STATUS = {  # noqa: WPS407
+    Verdict.completed: _OK,
+    Verdict.failed: _OK,
+    Verdict.refused: _TOO_MANY,
+    Verdict.given_up: _NO_ANSWER,
+}
+
+
+class CallerResource:
+    """Serves jobs and queues by host and path.
+
+    :param application: the process.
+    :param state: what is in force.
+    :param jobs: runs the jobs.
+    """
+
+    app = Klein()
+
+    def __init__(
+        self,
+        application: Application,
+        state: DeploymentState,
+        jobs: AttendedJobs,
+    ) -> None:
+        """Keep the parts."""
+        self.application = application
+        self.state = state
+        self.jobs = jobs
+
+    @app.route('/', branch=True)
+    def serve(self, request: WebRequest) -> Deferred[bytes] | bytes:
+        """Find the queue of a request and serve it.
+
+        :param request: of a caller.
+        """
+        if self.application.draining:
+            request.setHeader('Connection', 'close')
+        if self.state.current is None:
+            return refuse(
+                request, _UNAVAILABLE, 'no configuration yet', RETRY_AFTER
+            )
+        path = request.path.decode('latin-1')
+        queue = self.state.table.find(host_of(request), path)
+        if queue is None:
+            return refuse(request, _NOT_FOUND, f'no queue serves {path!r}')
+        rest = path.removeprefix(queue.prefix)
+        if not rest:
+            return self.count(request, queue)
+        if not _JOB_ID.fullmatch(rest):
+            reason = f'{rest[:40]!r} is not an id of 16 hexadecimal digits'
+            return refuse(request, _BAD_REQUEST, reason)
+        return self.serve_job(request, queue, rest)
+
+    def serve_job(
+        self, request: WebRequest, queue: Queue, job_id: str
+    ) -> Deferred[bytes] | bytes:
+        """Run, show or cancel a job.
+
+        :param request: of a caller.
+        :param queue: of the job.
+        :param job_id: of the job.
+        """
+        if request.method == b'POST':
+            return self.submit(request, queue, job_id)
+        if request.method not in {b'GET', b'DELETE'}:
+            return refuse(request, _NOT_ALLOWED, 'allowed: POST, GET, DELETE')
+        if not self.jobs.is_open(job_id):
+            return refuse(request, _GONE, 'no such job')
+        if request.method == b'GET':
+            return write(request, {'state': 'running'})
+        self.jobs.give_up(job_id, 'cancelled')
+        return write(request, {'state': 'cancelled'})
+
+    def count(self, request: WebRequest, queue: Queue) -> bytes:
+        """Return how many jobs of a queue have begun nothing.
+
+        :param request: of a caller.
+        :param queue: that is asked about.
+        """
+        if request.method != b'GET':
+            return refuse(request, _NOT_ALLOWED, 'allowed: GET')
+        return write(request, {'pending': self.jobs.waiting(queue.name)})
+
+    def submit(
+        self, request: WebRequest, queue: Queue, job_id: str
+    ) -> Deferred[bytes] | bytes:
+        """Run a job and answer at its end.
+
+        :param request: of a caller.
+        :param queue: that it was sent to.
+        :param job_id: chosen by the caller.
+        """
+        content = request.content.read()
+        read = read_job(content, queue)
+        if isinstance(read, Err):
+            return refuse(request, _BAD_REQUEST, read.err_value)
+        spec = read.ok_value
+        if isinstance(spec, Unserved):
+            return refuse(request, _UNAVAILABLE, spec.reason)
+        ended = self.jobs.submit(
+            job_id.lower(), spec, digest_of(content), patience_of(request)
+        )
+        request.notifyFinish().addErrback(lambda _: ended.cancel())
+        return ended.addCallbacks(
+            lambda outcome: answer(request, outcome),
+            lambda failure: self.failed(request, failure),
+        )
+
+    def failed(self, request: WebRequest, failure: Failure) -> bytes:
+        """Answer when an error kept a job from its answer.
+
+        :param request: of a caller.
+        :param failure: why.
+        """
+        if failure.check(CancelledError):
+            return b''
+        logger.error(failure.getTraceback(), step='answer')
+        return refuse(request, _INTERNAL, 'internal error')
+
+
+class ReadinessResource:
+    """Tells the platform whether to send new connections here.
+
+    :param is_ready: says so.
+    """
+
+    app = Klein()
+
+    def __init__(self, is_ready: Any) -> None:
+        """Keep the question."""
+        self.is_ready = is_ready
+
+    @app.route('/v1/ready', methods=['GET', 'HEAD'])
+    def ready(self, request: WebRequest) -> bytes:
+        """Answer the platform.
+
+        :param request: of the platform.
+        """
+        ready = self.is_ready()
+        if not ready:
+            request.setResponseCode(_UNAVAILABLE)
+        return write(request, {'ready': ready})
+
+
+def host_of(request: Any) -> str:
+    """Return the host that a caller has asked for.
+
+    :param request: of a caller.
+    """
+    return str((request.getHeader(b'host') or b'').decode('latin-1'))
+
+
+def patience_of(request: Any) -> float:
+    """Return how long a caller waits, in seconds.
+
+    :param request: of a caller.
+    """
+    text = request.getHeader(PATIENCE_HEADER)
+    try:
+        patience = float(text) / _MILLISECONDS
+    except (TypeError, ValueError):
+        return DEFAULT_PATIENCE
+    if not math.isfinite(patience):
+        return DEFAULT_PATIENCE
+    return min(max(patience, 0), MAX_PATIENCE)
+
+
+def answer(request: WebRequest, outcome: Outcome) -> bytes:
+    """Write the outcome of a job.
+
+    :param request: of the caller.
+    :param outcome: of the job.
+    """
+    status = _STATUS[outcome.verdict]
+    if status != _OK:
+        return refuse(request, status, outcome.reason, outcome.retry_after)
+    return write(request, {'state': outcome.verdict.value})
+
+
+def refuse(
+    request: WebRequest, status: int, reason: str, retry_after: float = 0
+) -> bytes:
+    """Write an error.
+
+    :param request: of the caller.
+    :param status: of HTTP.
+    :param reason: for the caller.
+    :param retry_after: time after which to ask again in seconds, 0 for none.
+    """
+    request.setResponseCode(status)
+    if retry_after:
+        request.setHeader('Retry-After', str(max(1, math.ceil(retry_after))))
+    return write(request, {'error': reason})
+
+
+def write(request: WebRequest, document: dict[str, object]) -> bytes:
+    """Return a document as the body of a response.
+
+    :param request: of the caller.
+    :param document: to be written.
+    """
+    request.setHeader('Content-Type', 'application/json')
+    return msgspec.json.encode(document)
--- /dev/null
+++ b/jackdawridge/platform/entry.py
@@ -0,0 +1,99 @@
+"""Wires an entry on the users' platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from jackdawridge.daemon import Daemon
+from jackdawridge.deployment.entry import EntryDeployment
+from jackdawridge.deployment.state import DeploymentState
+from jackdawridge.membership.component import Membership
+from jackdawridge.operations.listeners import HttpListener
+from jackdawridge.operations.router import Router
+from jackdawridge.platform.callers import CallerResource, ReadinessResource
+from jackdawridge.platform.operators import OperatorRecords
+from jackdawridge.platform.store import RecordFollower, StoreClient
+from jackdawridge.submission.attended import AttendedJobs
+from jackdawridge.submission.component import EntrySubmission
+from jackdawridge.submission.status import describe_engine
+from jackdawridge.wire.peers import Listener
+
+if TYPE_CHECKING:
+    from jackdawridge.application import Application
+    from jackdawridge.platform.settings import NodeSettings
+
+
+def build_entry(node: NodeSettings, reactor: Any) -> Application:
+    """Return an entry that is ready to be started.
+
+    :param node: settings of the process.
+    :param reactor: Twisted's reactor.
+    """
+    daemon = Daemon.from_config(node.settings, reactor)
+    application = daemon.application
+    submission = EntrySubmission.from_application(application, daemon.peers)
+    engine = submission.engine
+    state = DeploymentState()
+    engine.configuration = EntryDeployment(application, engine, state)
+    jobs = AttendedJobs(application, engine, daemon.peers.introduction.address)
+    daemon.resource.sections['jobs'] = lambda: describe_engine(engine)
+
+    def is_ready() -> bool:  # noqa: WPS430
+        return (
+            state.current is not None
+            and not application.draining
+            and bool(engine.placer.sides)
+        )
+
+    daemon.resource.is_ready = is_ready
+    add_listeners(daemon, node, CallerResource(application, state, jobs))
+    membership = Membership.from_application(
+        application, daemon.peers, daemon.connector
+    )
+    submission.relay.entries = membership
+    daemon.resource.sections['membership'] = membership.describe
+    application.add(membership)
+    application.add(submission)
+    application.add(
+        RecordFollower(
+            reactor,
+            StoreClient(reactor, node.store_address),
+            OperatorRecords(application, state).changed,
+        )
+    )
+    return application
+
+
+def add_listeners(
+    daemon: Daemon, node: NodeSettings, callers: CallerResource
+) -> None:
+    """Serve operators, the platform, callers and peers.
+
+    The listeners close last, so that open requests get their answers.
+
+    :param daemon: the process.
+    :param node: settings of the process.
+    :param callers: serves the callers.
+    """
+    application = daemon.application
+    readiness = Router()
+    ready = ReadinessResource(daemon.resource.is_ready)
+    readiness.mount_klein('/v1/ready', ready.app)
+    daemon.add_operator_door()
+    application.add(
+        HttpListener(daemon.reactor, node.readiness_address, readiness)
+    )
+    application.add(
+        HttpListener(
+            daemon.reactor,
+            node.caller_address,
+            callers.app.resource(),
+            node.settings.memory_bytes('body_memory'),
+        )
+    )
+    application.add(
+        Listener(
+            daemon.reactor, daemon.peers, node.settings.text('peer_address')
+        )
+    )
+    application.add(daemon.connector)
--- /dev/null
+++ b/jackdawridge/platform/heartbeats.py
@@ -0,0 +1,112 @@
+"""Takes the heartbeats of the minion beside a side."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from klein import Klein
+
+from jackdawridge.execution.messages import Room
+from jackdawridge.execution.target import TargetNews
+from jackdawridge.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jackdawridge.util.web import WebRequest
+
+logger = get_logger('heartbeats')
+
+_BAD_REQUEST = 400
+_THOUSANDTHS = 1000
+_STATES = frozenset(('ready', 'draining'))
+
+
+class _Capacity(msgspec.Struct, rename='camel'):
+    """The size of the minion."""
+
+    #: In thousandths of a core.
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class _Heartbeat(msgspec.Struct, rename='camel'):
+    """What a minion says of itself."""
+
+    service: str
+    state: str
+    capacity: _Capacity
+    seq: int
+    #: Unix time of the minion's start, in milliseconds.
+    born: int
+
+
+class HeartbeatResource:
+    """Routes for the heartbeats of the minion.
+
+    :param joined: called with each heartbeat that can be read.
+    :param left: called with the id of a minion that has left.
+    """
+
+    app = Klein()
+
+    def __init__(
+        self,
+        joined: Callable[[TargetNews], None],
+        left: Callable[[str], None],
+    ) -> None:
+        """Keep what is called."""
+        self.joined = joined
+        self.left = left
+
+    @app.route('/v1/Instances.Heartbeat/<minion>', methods=['POST'])
+    def heartbeat(self, request: WebRequest, minion: str) -> bytes:
+        """Take a heartbeat; one that cannot be read changes nothing.
+
+        :param request: of the minion.
+        :param minion: its id.
+        """
+        request.setHeader('Content-Type', 'application/json')
+        try:
+            news = read_heartbeat(minion, request.content.read())
+        except msgspec.MsgspecError as error:
+            logger.warning(str(error), step='heartbeat', peer=minion)
+            request.setResponseCode(_BAD_REQUEST)
+            return msgspec.json.encode({'error': str(error)})
+        self.joined(news)
+        return b'{}'
+
+    @app.route('/v1/Instances.Deregister/<minion>', methods=['POST'])
+    def deregister(self, request: WebRequest, minion: str) -> bytes:
+        """Take note that the minion ends.
+
+        :param request: of the minion.
+        :param minion: its id.
+        """
+        request.setHeader('Content-Type', 'application/json')
+        self.left(minion)
+        return b'{}'
+
+
+def read_heartbeat(minion: str, content: bytes) -> TargetNews:
+    """Return what a minion says of itself.
+
+    :param minion: its id.
+    :param content: JSON.
+    :raises msgspec.MsgspecError: if it is not what a minion sends.
+    """
+    document = msgspec.json.decode(content, type=_Heartbeat)
+    if document.state not in _STATES:
+        raise msgspec.ValidationError(f'state {document.state!r} is not known')
+    capacity = document.capacity
+    room = Room(capacity.cpu / _THOUSANDTHS, capacity.mem_mb, capacity.gpu, 0)
+    return TargetNews(
+        minion,
+        document.born,
+        document.seq,
+        document.service,
+        document.state == 'draining',
+        room,
+    )
--- a/jackdawridge/submission/answers.py
+++ b/jackdawridge/submission/answers.py
@@ -23,6 +23,9 @@
     digest: bytes
     #: Local time at which it is forgotten, in seconds.
     until: float
+    reason: str = ''
+    #: Whether the job has failed because a task of it can never succeed.
+    is_final: bool = False
 
 
 class AnswerStore(RetainedAnswers[KeptAnswer]):
@@ -41,6 +44,8 @@
             write_answer(answer),
             digest,
             now + self.bounds.retention,
+            answer.reason,
+            answer.is_final,
         )
         self.add(answer.ticket, kept, now)
         return kept
--- /dev/null
+++ b/jackdawridge/submission/attended.py
@@ -0,0 +1,239 @@
+"""Jobs whose callers wait for the end; nobody asks for them later."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, NamedTuple
+
+from result import Err
+from twisted.internet.defer import Deferred, succeed
+
+from jackdawridge.logs import get_logger
+from jackdawridge.placement.request import Overload
+from jackdawridge.submission.jobs import Started
+from jackdawridge.submission.tickets import write_caller_ticket
+
+if TYPE_CHECKING:
+    from jackdawridge.application import Application
+    from jackdawridge.submission.answers import KeptAnswer
+    from jackdawridge.submission.engine import JobEngine
+    from jackdawridge.submission.jobs import JobSpec
+    from jackdawridge.util.clock import DelayedCall
+
+logger = get_logger('submission')
+
+#: Time after which a caller should ask again where nothing better is known,
+#: in seconds.
+RETRY_AFTER = 1.0
+#: Time after a signal to stop in which jobs are still taken, in seconds: the
+#: callers of open connections have not heard of it yet.
+FAREWELL = 3.0
+
+
+class Verdict(enum.Enum):
+    """What became of a job."""
+
+    #: All tasks have succeeded.
+    completed = 'completed'
+    #: A task can never succeed.
+    failed = 'failed'
+    #: Nothing of the job has run, and nothing will.
+    refused = 'refused'
+    #: Some of the job may have run; it may be sent again.
+    given_up = 'given up'
+
+
+class Outcome(NamedTuple):
+    """What a caller is answered."""
+
+    verdict: Verdict
+    reason: str = ''
+    #: Time after which to ask again in seconds, 0 if it is of no use.
+    retry_after: float = 0
+
+
+class Attendance(NamedTuple):
+    """An open job with the callers who wait for it."""
+
+    ticket: str
+    spec: JobSpec
+    waiters: list[Deferred[Outcome]]
+    #: Ends the job when the callers stop waiting.
+    timer: DelayedCall
+
+
+class AttendedJobs:
+    """Runs jobs for callers that choose their ids and wait.
+
+    A job belongs to the entry that its caller has reached. The caller may
+    send it again, here or elsewhere, once it has given up on the answer; by
+    then this entry has stopped the job, or the sides have, to whom this entry
+    is lost.
+
+    :param application: the process.
+    :param engine: owns the jobs.
+    :param address: peer address of this entry.
+    """
+
+    def __init__(
+        self, application: Application, engine: JobEngine, address: str
+    ) -> None:
+        """Begin without jobs."""
+        self.application = application
+        self.clock = application.clock
+        self.engine = engine
+        self.address = address
+        self.open: dict[str, Attendance] = {}
+        #: Time from which a leaving entry takes no more jobs.
+        self.closes_at = float('inf')
+        application.events.connect('draining', self.drain)
+
+    def drain(self) -> None:
+        """Take jobs for a last while."""
+        self.closes_at = self.clock.seconds() + FAREWELL
+
+    def submit(
+        self, job_id: str, spec: JobSpec, digest: bytes, patience: float
+    ) -> Deferred[Outcome]:
+        """Run a job, or wait for it if it runs here already.
+
+        Cancel the returned `Deferred` when the caller has gone.
+
+        :param job_id: chosen by the caller.
+        :param spec: what the caller has declared.
+        :param digest: of the caller's body.
+        :param patience: time for which the caller waits, in seconds.
+        """
+        attendance = self.open.get(job_id)
+        if attendance is not None:
+            return self.join(job_id, attendance)
+        ticket = self.ticket(job_id)
+        now = self.clock.seconds()
+        kept = self.engine.answers.find(ticket, now)
+        if kept is not None and kept.state == 'complete':
+            return succeed(judge(kept))
+        if now >= self.closes_at:
+            refusal = Overload(RETRY_AFTER, 'entry is leaving')
+            return succeed(refused(ticket, refusal))
+        queued = self.engine.submit(ticket, spec, digest)
+        if isinstance(queued, Err):
+            return succeed(refused(ticket, queued.err_value))
+        return self.join(job_id, self.attend(job_id, spec, patience))
+
+    def ticket(self, job_id: str) -> str:
+        """Return the ticket of a job at this entry.
+
+        :param job_id: chosen by the caller.
+        """
+        return write_caller_ticket(
+            self.address, self.application.incarnation, job_id
+        )
+
+    def attend(self, job_id: str, spec: JobSpec, patience: float) -> Attendance:
+        """Wait for the answer of a job that has just been queued.
+
+        :param job_id: chosen by the caller.
+        :param spec: what the caller has declared.
+        :param patience: time for which the caller waits, in seconds.
+        """
+        ticket = self.ticket(job_id)
+        timer = self.clock.callLater(
+            patience, self.give_up, job_id, 'caller waits no longer'
+        )
+        attendance = Attendance(ticket, spec, [], timer)
+        self.open[job_id] = attendance
+        self.engine.wait(ticket).addCallback(self.answered, job_id)
+        return attendance
+
+    def join(self, job_id: str, attendance: Attendance) -> Deferred[Outcome]:
+        """Let a caller wait for a job.
+
+        :param job_id: of the job.
+        :param attendance: of the job.
+        """
+
+        def leave(_: Deferred[Outcome]) -> None:  # noqa: WPS430
+            attendance.waiters.remove(waiter)
+            if not attendance.waiters:
+                self.give_up(job_id, 'caller has gone')
+
+        waiter: Deferred[Outcome] = Deferred(leave)
+        attendance.waiters.append(waiter)
+        return waiter
+
+    def give_up(self, job_id: str, reason: str) -> None:
+        """End a job for which nobody waits any more.
+
+        :param job_id: of the job.
+        :param reason: for the log.
+        """
+        attendance = self.open.get(job_id)
+        if attendance is not None:
+            self.engine.fail(attendance.ticket, reason)
+
+    def answered(self, answer: KeptAnswer, job_id: str) -> None:
+        """Tell those who wait what became of a job.
+
+        :param answer: of the engine.
+        :param job_id: of the job.
+        """
+        attendance = self.open.pop(job_id)
+        if attendance.timer.active():
+            attendance.timer.cancel()
+        outcome = judge(answer)
+        waiters = tuple(attendance.waiters)
+        attendance.waiters.clear()
+        for waiter in waiters:
+            waiter.callback(outcome)
+
+    def is_open(self, job_id: str) -> bool:
+        """Return whether a job runs here.
+
+        :param job_id: of the job.
+        """
+        return job_id in self.open
+
+    def waiting(self, kind: str) -> int:
+        """Return how many jobs of a kind have begun nothing.
+
+        :param kind: of the tasks.
+        """
+        return sum(
+            attendance.spec.tasks[0].kind == kind
+            and not self.has_begun(attendance.ticket)
+            for attendance in self.open.values()
+        )
+
+    def has_begun(self, ticket: str) -> bool:
+        """Return whether a task of an open job was sent to a side.
+
+        :param ticket: of the job.
+        """
+        job = self.engine.jobs.get(ticket)
+        if job is None:
+            return True
+        return bool(job.sent or job.answers) or job.started != Started.nothing
+
+
+def refused(ticket: str, overload: Overload) -> Outcome:
+    """Return the outcome of a job that was not queued.
+
+    :param ticket: of the job.
+    :param overload: why.
+    """
+    logger.info('job refused', ticket=ticket, reason=overload.reason)
+    return Outcome(Verdict.refused, overload.reason, overload.retry_after)
+
+
+def judge(answer: KeptAnswer) -> Outcome:
+    """Return what a caller is told about the end of a job.
+
+    :param answer: of the engine.
+    """
+    if answer.state == 'complete':
+        return Outcome(Verdict.completed)
+    if answer.is_final:
+        return Outcome(Verdict.failed, answer.reason)
+    if answer.started is Started.nothing:
+        return Outcome(Verdict.refused, answer.reason, RETRY_AFTER)
+    return Outcome(Verdict.given_up, answer.reason)
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -99,13 +99,16 @@
                 task.memory,
                 task.accelerators,
                 task.run_time,
+                spec.service,
             )
             for position, task in enumerate(spec.tasks)
         ]
         lack = self.payloads.take(ticket, spec)
         if lack:
             return Err(self.placer.overload(lack))
-        queued = self.placer.enqueue(requests, self.clock.seconds())
+        queued = self.placer.enqueue(
+            requests, self.clock.seconds(), spec.objective
+        )
         if queued.is_err():
             self.payloads.release(ticket)
         else:
@@ -147,14 +150,18 @@
             self.idle.callback(None)
             self.idle = None
 
-    def fail(self, ticket: str, reason: str) -> None:
+    def fail(self, ticket: str, reason: str, *, is_final: bool = False) -> None:
         """Fail an open job and stop what runs of it.
 
         :param ticket: of the job.
         :param reason: for the caller.
+        :param is_final: whether the job can never succeed.
         """
         job = self.jobs.get(ticket)
-        if job is not None and job.fail(reason):
+        if job is None:
+            return
+        job.is_final = job.is_final or is_final
+        if job.fail(reason):
             self.stop_rest(ticket)
 
     def stop_rest(self, ticket: str) -> None:
@@ -292,13 +299,22 @@
             return
         key = ending.key[:2]
         if ending.outcome == 'lost':
-            self.placer.lost(key)
+            assignment = self.placer.lost(key)
         else:
             usage = Usage(ending.cores, ending.memory, ending.run_time)
-            self.placer.ended(
+            assignment = self.placer.ended(
                 key, record.node, ending.outcome, usage, self.clock.seconds()
             )
-        if job.end(ending):
+        if assignment is not None and job.repeat(ending):
+            logger.info(
+                'task runs again',
+                step=ending.outcome,
+                peer=record.node,
+                reason=ending.reason,
+                **ending.key._asdict(),
+            )
+            self.placer.queue_again(assignment)
+        elif job.end(ending):
             self.stop_rest(ending.key.ticket)
 
     def take(self, record: SideRecord, key: TaskKey) -> Job | None:
--- a/jackdawridge/submission/jobs.py
+++ b/jackdawridge/submission/jobs.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
+from jackdawridge.placement.request import NO_OBJECTIVE, Objective
 from jackdawridge.submission.life import make_life
 
 if TYPE_CHECKING:
@@ -46,6 +48,15 @@
     #: Version of the agreement, 0 for the current one.
     agreement_version: int
     tasks: tuple[TaskSpec, ...]
+    #: Runs of a task that may fail before the job fails.
+    attempts: int = 1
+    #: Whether a task may run again whose run was lost or stopped, once that
+    #: run is certainly over. Otherwise no task starts twice.
+    reruns: bool = False
+    #: What the job's response time is measured by.
+    objective: Objective = NO_OBJECTIVE
+    #: Service whose workers run the tasks; any worker if it is empty.
+    service: str = ''
 
 
 class JobAnswer(NamedTuple):
@@ -58,6 +69,8 @@
     answers: tuple[bytes, ...]
     reason: str
     started: Started
+    #: Whether the job has failed because a task of it can never succeed.
+    is_final: bool = False
 
 
 class Sent(NamedTuple):
@@ -92,8 +105,11 @@
         self.answers: dict[int, bytes] = {}
         #: Starts without a known outcome, by the position of the task.
         self.sent: dict[int, Sent] = {}
+        #: Runs that have failed, by the position of the task.
+        self.failures: Counter[int] = Counter()
         self.started = Started.nothing
         self.reason = ''
+        self.is_final = False
         self.life = make_life(self)
 
     @property
@@ -130,6 +146,27 @@
         self.life.settle()
         return may_repeat
 
+    def repeat(self, ending: Ending) -> bool:
+        """Take the end of a run if the task may run again.
+
+        :param ending: whose key the job owns.
+        :returns: whether the task has to be queued again; if not, `end` has
+            to be called.
+        """
+        if ending.outcome == 'succeeded' or not self.life.is_open():
+            return False
+        task = ending.key.task
+        if ending.outcome == 'failed':
+            self.failures[task] += 1
+            if self.failures[task] >= self.spec.attempts:
+                self.is_final = self.spec.reruns
+                return False
+        elif not self.spec.reruns:
+            return False
+        self.sent.pop(task)
+        self.started = Started.some
+        return True
+
     def end(self, ending: Ending) -> bool:
         """Take the outcome of a task that was started.
 
@@ -174,4 +211,13 @@
             answers = tuple(
                 self.answers[task] for task in range(len(self.spec.tasks))
             )
-        self.done(JobAnswer(self.ticket, state, answers, reason, self.started))
+        self.done(
+            JobAnswer(
+                self.ticket,
+                state,
+                answers,
+                reason,
+                self.started,
+                self.is_final,
+            )
+        )
--- a/jackdawridge/submission/tickets.py
+++ b/jackdawridge/submission/tickets.py
@@ -123,6 +123,25 @@
         self.unused[text] = None
 
 
+def write_caller_ticket(address: str, incarnation: str, job_id: str) -> str:
+    """Return the ticket of a job whose id the caller has chosen.
+
+    :param address: peer address of the entry that owns the job.
+    :param incarnation: of the entry.
+    :param job_id: chosen by the caller, without separators.
+    """
+    return _SEPARATOR.join((address, incarnation, '', job_id))
+
+
+def job_id_of(ticket: str) -> str:
+    """Return the id that the caller has chosen, empty if it has none.
+
+    :param ticket: text that need not be a ticket.
+    """
+    parts = ticket.split(_SEPARATOR)
+    return parts[-1] if len(parts) == _FIELDS else ''
+
+
 def incarnation_of(ticket: str) -> str:
     """Return the incarnation in a ticket's text, empty if it has none.
 
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -51,9 +51,13 @@
         self.sweep_interval = min(
             max(self.interval * SWEEP_FRACTION, SWEEP_FLOOR), SWEEP_CEILING
         )
-        self.give_up = self.sweep_interval + max(
-            settings.number('task_lease'),
-            settings.number('send_window') * DRIFT,
+        self.give_up = (
+            self.sweep_interval
+            + settings.number('orphan_time')
+            + max(
+                settings.number('task_lease'),
+                settings.number('send_window') * DRIFT,
+            )
         )
         self.swept = self.clock.seconds()
         self.sweeper = make_loop(self.clock, self.sweep)
@@ -120,7 +124,11 @@
         """
         told = peer.introduction
         info = SideInfo(
-            told.failure_domain, told.cores, told.memory, told.accelerators
+            told.failure_domain,
+            told.cores,
+            told.memory,
+            told.accelerators,
+            told.service,
         )
         record.ready = True
         self.engine.placer.side_joined(record.node, info, self.clock.seconds())
@@ -242,7 +250,9 @@
             if silence > self.give_up:
                 self.drop(record)
         for impossible in self.engine.placer.expire(now):
-            self.engine.fail(impossible.request.ticket, impossible.reason)
+            self.engine.fail(
+                impossible.request.ticket, impossible.reason, is_final=True
+            )
         self.engine.answers.expire(now)
         self.engine.place_soon()
 
--- a/jackdawridge/util/client.py
+++ b/jackdawridge/util/client.py
@@ -1,14 +1,20 @@
-"""JSON over HTTP for the command line and the demo."""
+"""JSON over HTTP, with whole answers."""
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 import treq
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+#: No headers besides those of every request.
+NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 #: Connections to one address that are kept open.
 MAX_CONNECTIONS = 64
 
@@ -58,6 +64,7 @@
         url: str,
         document: object = None,
         timeout: float = 60,
+        headers: Mapping[str, str] = NO_HEADERS,
     ) -> Answer:
         """Return the answer to a request.
 
@@ -65,13 +72,19 @@
         :param url: with the parameters.
         :param document: sent as JSON; no body if it is None.
         :param timeout: for the whole answer, in seconds.
+        :param headers: besides the type of the content.
         """
         body = None if document is None else msgspec.json.encode(document)
         response = await treq.request(
             method,
             url,
             data=body,
-            headers=Headers({'Content-Type': ['application/json']}),
+            headers=Headers(
+                {
+                    'Content-Type': ['application/json'],
+                    **{name: [text] for name, text in headers.items()},
+                }
+            ),
             agent=self.agent,
             timeout=timeout,
         )
--- a/jackdawridge/util/retained.py
+++ b/jackdawridge/util/retained.py
@@ -52,6 +52,9 @@
         :param answer: to be kept.
         :param now: local time in seconds.
         """
+        older = self.kept.pop(ticket, None)
+        if older is not None:
+            self.size -= len(older.body)
         self.kept[ticket] = answer
         self.size += len(answer.body)
         self.expire(now)
--- a/jackdawridge/wire/peers.py
+++ b/jackdawridge/wire/peers.py
@@ -127,6 +127,19 @@
         logger.info('link opened', peer=peer.name)
         self.application.events.emit('peer_joined', peer)
 
+    def introduce_again(self, introduction: Introduction) -> None:
+        """Tell all peers something else about this process from now on.
+
+        Peers take an introduction only at the beginning of a link.
+
+        :param introduction: that replaces the one before.
+        """
+        if introduction == self.introduction:
+            return
+        self.introduction = introduction
+        for link in tuple(self.by_link):
+            link.close('introduction has changed')
+
     def is_redundant(self, peer: Peer, older: Peer | None) -> bool:
         """Return whether the new link to a peer is not needed.
 
