Split the keeper of leases from the worker that starts and stops

No change of behaviour but one: a fencing token that was refused is replaced by the target's clock at that moment instead of a fixed step, so that a side that starts again is above the one before.

--- a/jackdawridge/cmd/serving.py
+++ b/jackdawridge/cmd/serving.py
@@ -12,6 +12,8 @@
 from jackdawridge.logs import get_logger, install
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from jackdawridge.application import Application
     from jackdawridge.config import Settings
 
@@ -47,9 +49,7 @@
     :param application: an entry or a side.
     :param reactor: Twisted's reactor.
     """
-    # Passes of the collector leave out what lasts as long as the process.
-    gc.collect()
-    gc.freeze()
+    spare_collector()
     stopping: list[int] = []
     failures: list[str] = []
 
@@ -74,13 +74,27 @@
         left = ensureDeferred(application.stop())
         left.addBoth(lambda _: reactor.stop())
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, leave)
-    # Settings are read at the start only; the signal must not end a process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    listen_to_signals(leave)
     application.events.connect(
         'superseded', lambda: leave(signal.SIGTERM, None)
     )
     reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=False)
     return Exit.failed if failures else Exit.ok
+
+
+def listen_to_signals(leave: Callable[[int, object], None]) -> None:
+    """Call a function at the signals that ask for the end.
+
+    :param leave: called with the number of the signal.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, leave)
+    # Settings are read at the start only; the signal must not end a process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
+def spare_collector() -> None:
+    """Leave what lasts as long as the process out of later collections."""
+    gc.collect()
+    gc.freeze()
--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -23,6 +23,7 @@
 _MAX_PORT = 65535
 _MIN_KEY_LENGTH = 16
 _NO_DELAY = float(0)
+_SECONDS = 'seconds'
 _BYTES_IN_MB = 1048576
 
 
@@ -338,19 +339,19 @@
     number_row('accelerators', _SIDE, 0, (0, 64), 'accelerators'),
     number_row('minion_slots', _SIDE, 8, (1, 4096), 'slots'),
     number_row('minion_connections', _SIDE, 64, (1, 4096), 'connections'),
-    number_row('heartbeat', _BOTH, 1.0, (0.05, 10), 'seconds'),
-    number_row('send_window', _BOTH, 3.0, (0.2, 60), 'seconds'),
-    number_row('task_lease', _BOTH, 6.0, (0.5, 120), 'seconds'),
+    number_row('heartbeat', _BOTH, 1.0, (0.05, 10), _SECONDS),
+    number_row('send_window', _BOTH, 3.0, (0.2, 60), _SECONDS),
+    number_row('task_lease', _BOTH, 6.0, (0.5, 120), _SECONDS),
     # Added to the wait for a silent side where its tasks may run again: the
     # worker may go on for this time after its side has died.
-    number_row('orphan_time', _ENTRY, _NO_DELAY, (0, 120), 'seconds'),
+    number_row('orphan_time', _ENTRY, _NO_DELAY, (0, 120), _SECONDS),
     text_row(
         'policy',
         _ENTRY,
         default='room',
         choices=('room', 'random', 'round-robin', 'least-load'),
     ),
-    number_row('answer_retention', _ENTRY, 600.0, (1, 86400), 'seconds'),
+    number_row('answer_retention', _ENTRY, 600.0, (1, 86400), _SECONDS),
     number_row('answer_limit', _ENTRY, 20000, (1, 10000000), 'answers'),
     number_row('answer_memory', _ENTRY, 16, (1, 1048576), 'MB'),
     number_row('request_answer_memory', _ENTRY, 4, (2, 1048576), 'MB'),
@@ -363,10 +364,10 @@
     number_row('request_queue', _ENTRY, 1024, (1, 1000000), 'waiting requests'),
     number_row('queue_limit', _ENTRY, 30000, (1, 10000000), 'queued tasks'),
     number_row('link_delay', _BOTH, _NO_DELAY, (0, 1), 'seconds, for trials'),
-    number_row('freshness', _SIDE, 2.5, (0.2, 60), 'seconds'),
+    number_row('freshness', _SIDE, 2.5, (0.2, 60), _SECONDS),
     text_row('log_stream', _ENTRY, default='configuration'),
-    number_row('log_poll', _ENTRY, 0.3, (0.05, 10), 'seconds'),
-    number_row('snapshot_interval', _ENTRY, 600.0, (1, 86400), 'seconds'),
-    number_row('drain', _BOTH, 20.0, (0.1, 3600), 'seconds'),
+    number_row('log_poll', _ENTRY, 0.3, (0.05, 10), _SECONDS),
+    number_row('snapshot_interval', _ENTRY, 600.0, (1, 86400), _SECONDS),
+    number_row('drain', _BOTH, 20.0, (0.1, 3600), _SECONDS),
     number_row('entries_per_side', _BOTH, 5, (1, 64), 'entries'),
 )
--- a/jackdawridge/execution/leases.py
+++ b/jackdawridge/execution/leases.py
@@ -71,7 +71,19 @@
 
 
 class FencedError(JackdawridgeError):
-    """The target has seen a higher fencing token and has done nothing."""
+    """The target has seen a higher fencing token and has done nothing.
+
+    :param message: what is wrong.
+    :param clock: of the target when it answered, in seconds.
+    """
+
+    def __init__(
+        self, message: str, clock: float, *, step: str = '', peer: str = ''
+    ) -> None:
+        """Keep the clock, from which a higher token is made."""
+        super().__init__(message, step=step, peer=peer)
+        #: In seconds.
+        self.clock = clock
 
 
 class OtherIncarnationError(JackdawridgeError):
--- a/jackdawridge/execution/run_table.py
+++ b/jackdawridge/execution/run_table.py
@@ -150,9 +150,16 @@
         self.over_at = max(self.over_at, now + longest + self.timing.stop)
         return now + self.offset + self.timing.lease
 
-    def raise_token(self) -> None:
-        """Use a higher fencing token after one was refused."""
-        self.token += TOKEN_STEP
+    def raise_token(self, clock: float) -> None:
+        """Use a higher fencing token after one was refused.
+
+        :param clock: of the target when it refused, in seconds.
+        """
+        by_clock = int(clock * _MILLISECONDS)
+        if by_clock <= self.token:
+            self.token += TOKEN_STEP
+        else:
+            self.token = by_clock
 
     def is_other(self, report: TargetReport) -> bool:
         """Return whether a report is of another incarnation.
@@ -195,17 +202,15 @@
         :param asked: local time at which the report was asked for.
         """
         gone = [
-            (run, live)
+            run
             for run, live in self.runs.items()
             if live.is_confirmed
             and live.began < asked
             and run not in self.reported
         ]
-        for run, _ in gone:
-            self.runs.pop(run)
+        reason = 'target does not know the run'
         return [
-            EndedRun(run, live, 'lost', 'target does not know the run')
-            for run, live in gone
+            EndedRun(lost, self.runs.pop(lost), 'lost', reason) for lost in gone
         ]
 
     def was_running(self, run: Run, since: float) -> bool:
--- a/jackdawridge/platform/callers.py
+++ b/jackdawridge/platform/callers.py
@@ -95,7 +95,7 @@
         if not rest:
             return self.count(request, queue)
         if not _JOB_ID.fullmatch(rest):
-            reason = f'{rest[:40]!r} is not an id of 16 hexadecimal digits'
+            reason = f'{path!r} does not end with 16 hexadecimal digits'
             return refuse(request, _BAD_REQUEST, reason)
         return self.serve_job(request, queue, rest)
 
--- a/jackdawridge/platform/entry.py
+++ b/jackdawridge/platform/entry.py
@@ -23,7 +23,7 @@
     from jackdawridge.platform.settings import NodeSettings
 
 
-def build_entry(node: NodeSettings, reactor: Any) -> Application:
+def build(node: NodeSettings, reactor: Any) -> Application:
     """Return an entry that is ready to be started.
 
     :param node: settings of the process.
--- a/jackdawridge/platform/minion.py
+++ b/jackdawridge/platform/minion.py
@@ -52,10 +52,11 @@
     born: int = 0
 
 
-class _Refusal(msgspec.Struct):
+class _Refusal(msgspec.Struct, rename='camel'):
     """The answer to an order that was not carried out."""
 
     reason: str = ''
+    clock_ms: float = 0
 
 
 class MinionClient:
@@ -185,9 +186,12 @@
                 'another minion is there', step=step, peer=self.address
             )
         if answer.status == _CONFLICT:
-            reason = self.decode(answer.body, _Refusal, step).reason
+            refusal = self.decode(answer.body, _Refusal, step)
             raise FencedError(
-                f'refused: {reason}', step=step, peer=self.address
+                f'refused: {refusal.reason}',
+                refusal.clock_ms / _MILLISECONDS,
+                step=step,
+                peer=self.address,
             )
         raise AnswerLostError(
             f'status {answer.status}', step=step, peer=self.address
--- a/jackdawridge/platform/side.py
+++ b/jackdawridge/platform/side.py
@@ -8,7 +8,8 @@
 from jackdawridge.deployment.gate import DeploymentGate
 from jackdawridge.deployment.state import DeploymentState
 from jackdawridge.execution.component import SideExecution
-from jackdawridge.execution.leased_worker import NOT_TAKEN, LeasedWorker
+from jackdawridge.execution.lease_keeper import NOT_TAKEN, LeaseKeeper
+from jackdawridge.execution.leased_worker import LeasedWorker
 from jackdawridge.execution.run_table import LeaseTiming
 from jackdawridge.execution.target import TargetRecord
 from jackdawridge.logs import get_logger
@@ -33,29 +34,27 @@
     """Makes the minion's heartbeats known to the side.
 
     :param daemon: the process.
-    :param client: of the minion.
-    :param timing: of the leases.
+    :param node: settings of the process.
     :param gate: says whether anything may start here.
     """
 
     def __init__(
-        self,
-        daemon: Daemon,
-        client: MinionClient,
-        timing: LeaseTiming,
-        gate: DeploymentGate,
+        self, daemon: Daemon, node: NodeSettings, gate: DeploymentGate
     ) -> None:
         """Wire the worker and the execution."""
         self.daemon = daemon
-        self.client = client
+        self.client = MinionClient(daemon.reactor, node.minion_address)
+        timing = LeaseTiming(
+            node.worker_lease, RENEWAL, CLOCK_DRIFT, node.stop_time
+        )
         self.record = TargetRecord()
         #: Why the minion cannot be called, or empty.
         self.away = NOT_TAKEN
-        self.worker = LeasedWorker(
-            daemon.reactor, client, timing, self.announced
+        self.keeper = LeaseKeeper(
+            daemon.reactor, self.client, timing, self.announced
         )
         self.execution = SideExecution.from_application(
-            daemon.application, daemon.peers, self.worker, gate
+            daemon.application, daemon.peers, LeasedWorker(self.keeper), gate
         )
 
     def announced(self, reason: str) -> None:
@@ -86,7 +85,7 @@
                 memory=news.room.memory,
             )
             self.client.minion = news.id
-            self.worker.target_joined()
+            self.keeper.target_joined()
         if is_other or before is None or before.room != news.room:
             self.resize(news)
         if before is None or before.draining != news.draining:
@@ -137,7 +136,7 @@
         )
 
 
-def build_side(node: NodeSettings, reactor: Any) -> Application:
+def build(node: NodeSettings, reactor: Any) -> Application:
     """Return a side that is ready to be started.
 
     :param node: settings of the process.
@@ -147,11 +146,7 @@
     application = daemon.application
     state = DeploymentState()
     gate = DeploymentGate(state, node.settings.text('failure_domain'))
-    timing = LeaseTiming(
-        node.worker_lease, RENEWAL, CLOCK_DRIFT, node.stop_time
-    )
-    client = MinionClient(reactor, node.minion_address)
-    watch = MinionWatch(daemon, client, timing, gate)
+    watch = MinionWatch(daemon, node, gate)
     daemon.resource.sections['tasks'] = watch.execution.describe
     membership = Membership.from_application(
         application, daemon.peers, daemon.connector, 'side_ready'
--- a/jackdawridge/platform/store.py
+++ b/jackdawridge/platform/store.py
@@ -279,7 +279,7 @@
     place = _READ_HEAD.size
     records: list[Record] = []
     while place < len(body):
-        (length,) = _RECORD_LENGTH.unpack_from(body, place)
+        length = _RECORD_LENGTH.unpack_from(body, place)[0]
         place += _RECORD_LENGTH.size
         content = body[place : place + length]
         if len(content) < length:
