Keep orders for one incarnation of a target from running on the next

Cause: fencing tokens began at the target's clock, which starts anew with each incarnation. A start that was carried out late after a restart had a higher token and a deadline of the old clock, and ran beside the new run of its task. Tokens begin at the time of the target's start plus its clock, so they rise from one incarnation to the next. Ruled out: numbering the runs higher, since a minion starts a lower run beside a higher one.

Left: an order that reaches a new incarnation before the first call of its side; no side can prevent that.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -82,10 +82,14 @@
         self.listener = listener
         ensureDeferred(self.keep())
 
-    def target_joined(self) -> None:
-        """Begin to use the target, which is a new incarnation."""
+    def target_joined(self, incarnation: int, clock: float) -> None:
+        """Begin to use the target, which is a new incarnation.
+
+        :param incarnation: when it has started, in milliseconds.
+        :param clock: of the target, in seconds.
+        """
         self.lose_all('target has restarted')
-        self.table.reset()
+        self.table.reset(incarnation, clock)
         self.is_known = True
         self.is_taken = False
         self.tell(NOT_TAKEN)
@@ -114,7 +118,7 @@
         renews = self.silent_calls < MAX_SILENT
         report = await self.ask(self.timing.renewal, renews=renews)
         if self.table.is_other(report):
-            self.target_joined()
+            self.target_joined(report.incarnation, report.clock)
             return
         self.silent_calls = 0
         self.tell('')
@@ -136,7 +140,7 @@
         try:
             return await self.target.hold(order)
         except FencedError as error:
-            self.table.raise_token(error.clock)
+            self.table.raise_token()
             raise AnswerLostError(error.message, step=_STEP) from error
 
     async def take_over(self) -> None:
@@ -146,7 +150,8 @@
             asked = self.clock.seconds()
             report = await self.ask(0, renews=False)
             if self.table.is_other(report):
-                self.table.reset()
+                self.target_joined(report.incarnation, report.clock)
+                continue
             self.table.take(report, asked, self.clock.seconds())
             left = bool(report.running)
             for run in report.running:
@@ -218,8 +223,8 @@
                 await self.target.stop(run, self.table.token)
             except AnswerLostError:
                 await self.pause(RETRY_WAIT)
-            except FencedError as fenced:
-                self.table.raise_token(fenced.clock)
+            except FencedError:
+                self.table.raise_token()
             except JackdawridgeError as error:
                 logger.info(error.message, step='stop', run=run.name)
                 return
--- a/jackdawridge/execution/leased_worker.py
+++ b/jackdawridge/execution/leased_worker.py
@@ -96,9 +96,9 @@
             logger.warning(
                 error.message, step='start', run=run.name, number=run.number
             )
-            return await self.settle(run, task, now)
+            return await self.settle(run, task)
         except FencedError as error:
-            self.table.raise_token(error.clock)
+            self.table.raise_token()
             return self.not_started(run, task, error.message)
         except JackdawridgeError as error:
             return self.not_started(run, task, error.message)
@@ -119,19 +119,16 @@
         self.table.drop(run)
         return StartAnswer(task.id, False, reason)
 
-    async def settle(
-        self, run: Run, task: WorkerTask, sent: float
-    ) -> StartAnswer:
+    async def settle(self, run: Run, task: WorkerTask) -> StartAnswer:
         """Find out what became of a start without an answer.
 
-        A report that was asked for after the order may show the run. If none
-        does, the run is stopped, which also keeps it from starting later.
+        A report may show the run. If none does, the run is stopped, which
+        also keeps it from starting later.
 
         :param run: that was ordered.
         :param task: that it belongs to.
-        :param sent: time of the order in seconds.
         """
-        if self.table.was_running(run, sent):
+        if run in self.table.reported:
             self.table.confirm(run, self.clock.seconds())
             return StartAnswer(task.id, True, '')
         await self.keeper.stop_run(run)
--- a/jackdawridge/execution/leases.py
+++ b/jackdawridge/execution/leases.py
@@ -30,7 +30,7 @@
 class TargetReport(NamedTuple):
     """What a target says of its runs."""
 
-    #: Tells apart the incarnations of a target.
+    #: When the target has started, in milliseconds since 1970.
     incarnation: int
     #: Of the target when it answered, in seconds.
     clock: float
@@ -71,19 +71,7 @@
 
 
 class FencedError(JackdawridgeError):
-    """The target has seen a higher fencing token and has done nothing.
-
-    :param message: what is wrong.
-    :param clock: of the target when it answered, in seconds.
-    """
-
-    def __init__(
-        self, message: str, clock: float, *, step: str = '', peer: str = ''
-    ) -> None:
-        """Keep the clock, from which a higher token is made."""
-        super().__init__(message, step=step, peer=peer)
-        #: In seconds.
-        self.clock = clock
+    """The target has seen a higher fencing token and has done nothing."""
 
 
 class OtherIncarnationError(JackdawridgeError):
--- a/jackdawridge/execution/run_table.py
+++ b/jackdawridge/execution/run_table.py
@@ -11,10 +11,8 @@
 
     from jackdawridge.execution.leases import TargetReport
 
-#: Added to a fencing token that was refused. Tokens begin at the target's
-#: clock in milliseconds; an order of an earlier incarnation that is carried
-#: out late may have left one from a clock that had run for long.
-TOKEN_STEP = 1_000_000_000
+#: Added to a fencing token that was refused, until one is taken.
+TOKEN_STEP = 1_000_000
 #: Most ends in a report; in a full one, ends may be missing.
 MAX_ENDS = 500
 
@@ -71,11 +69,21 @@
         self.timing = timing
         self.runs: dict[Run, LiveRun] = {}
         self.token = 0
-        self.reset()
+        self.reset(0, 0)
 
-    def reset(self) -> None:
-        """Begin anew with an incarnation of which nothing is known."""
-        self.incarnation: int | None = None
+    def reset(self, incarnation: int, clock: float) -> None:
+        """Begin anew with an incarnation of which nothing is known.
+
+        Its fencing token is above those of all sides and incarnations before,
+        so that none of their orders is carried out after the first one here.
+
+        :param incarnation: of the target: when it has started, in
+            milliseconds.
+        :param clock: of the target, in seconds from then on.
+        """
+        self.incarnation = incarnation
+        begun = incarnation + int(clock * _MILLISECONDS)
+        self.token = max(self.token + 1, begun)
         #: Position up to which ends were seen.
         self.seen = 0
         #: The target's clock less the local one.
@@ -150,23 +158,16 @@
         self.over_at = max(self.over_at, now + longest + self.timing.stop)
         return now + self.offset + self.timing.lease
 
-    def raise_token(self, clock: float) -> None:
-        """Use a higher fencing token after one was refused.
-
-        :param clock: of the target when it refused, in seconds.
-        """
-        by_clock = int(clock * _MILLISECONDS)
-        if by_clock <= self.token:
-            self.token += TOKEN_STEP
-        else:
-            self.token = by_clock
+    def raise_token(self) -> None:
+        """Use a higher fencing token after one was refused."""
+        self.token += TOKEN_STEP
 
     def is_other(self, report: TargetReport) -> bool:
         """Return whether a report is of another incarnation.
 
         :param report: of the target.
         """
-        return self.incarnation not in {None, report.incarnation}
+        return report.incarnation != self.incarnation
 
     def take(self, report: TargetReport, asked: float, received: float) -> News:
         """Take a report in and return what is new.
@@ -175,9 +176,6 @@
         :param asked: local time at which it was asked for, in seconds.
         :param received: local time at which it arrived, in seconds.
         """
-        if self.incarnation is None:
-            self.incarnation = report.incarnation
-            self.token = max(self.token, int(report.clock * _MILLISECONDS))
         # The answer was on its way for a moment, so that the target's clock is
         # ahead of this; a lease ends a moment earlier for it.
         self.offset = report.clock - received
@@ -213,14 +211,6 @@
             EndedRun(lost, self.runs.pop(lost), 'lost', reason) for lost in gone
         ]
 
-    def was_running(self, run: Run, since: float) -> bool:
-        """Return whether a report asked for since a time shows a run.
-
-        :param run: that was ordered.
-        :param since: local time in seconds.
-        """
-        return self.asked >= since and run in self.reported
-
     def was_absent(self, run: Run, since: float) -> bool:
         """Return whether a report asked for since a time lacks a run.
 
--- a/jackdawridge/execution/target.py
+++ b/jackdawridge/execution/target.py
@@ -13,8 +13,10 @@
 
     #: Given by the platform; a target may start again under the same.
     id: str
-    #: Rises with each incarnation.
+    #: When the incarnation has started, in milliseconds since 1970.
     incarnation: int
+    #: Time since then in seconds, by the target's clock.
+    clock: float
     #: Rises with each heartbeat of an incarnation.
     sequence: int
     service: str
--- a/jackdawridge/platform/heartbeats.py
+++ b/jackdawridge/platform/heartbeats.py
@@ -20,6 +20,7 @@
 
 _BAD_REQUEST = 400
 _THOUSANDTHS = 1000
+_MILLISECONDS = 1000
 _STATES = frozenset(('ready', 'draining'))
 
 
@@ -39,6 +40,8 @@
     state: str
     capacity: _Capacity
     seq: int
+    #: Time since the start by the minion's own clock.
+    clock_ms: float
     #: Unix time of the minion's start, in milliseconds.
     born: int
 
@@ -105,6 +108,7 @@
     return TargetNews(
         minion,
         document.born,
+        document.clock_ms / _MILLISECONDS,
         document.seq,
         document.service,
         document.state == 'draining',
--- a/jackdawridge/platform/minion.py
+++ b/jackdawridge/platform/minion.py
@@ -52,11 +52,10 @@
     born: int = 0
 
 
-class _Refusal(msgspec.Struct, rename='camel'):
+class _Refusal(msgspec.Struct):
     """The answer to an order that was not carried out."""
 
     reason: str = ''
-    clock_ms: float = 0
 
 
 class MinionClient:
@@ -186,12 +185,9 @@
                 'another minion is there', step=step, peer=self.address
             )
         if answer.status == _CONFLICT:
-            refusal = self.decode(answer.body, _Refusal, step)
+            reason = self.decode(answer.body, _Refusal, step).reason
             raise FencedError(
-                f'refused: {refusal.reason}',
-                refusal.clock_ms / _MILLISECONDS,
-                step=step,
-                peer=self.address,
+                f'refused: {reason}', step=step, peer=self.address
             )
         raise AnswerLostError(
             f'status {answer.status}', step=step, peer=self.address
--- a/jackdawridge/platform/side.py
+++ b/jackdawridge/platform/side.py
@@ -85,7 +85,7 @@
                 memory=news.room.memory,
             )
             self.client.minion = news.id
-            self.keeper.target_joined()
+            self.keeper.target_joined(news.incarnation, news.clock)
         if is_other or before is None or before.room != news.room:
             self.resize(news)
         if before is None or before.draining != news.draining:
--- /dev/null
+++ b/tests/test_deployment/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what operators have put in force."""
--- /dev/null
+++ b/tests/test_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter for the users' platform."""
--- a/tests/test_submission/world.py
+++ b/tests/test_submission/world.py
@@ -4,6 +4,8 @@
 
 import logging
 from collections import defaultdict, deque
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from twisted.internet.defer import Deferred
@@ -29,10 +31,13 @@
 logging.getLogger('twisted').setLevel(logging.CRITICAL)
 
 KEY = 'a key that is long enough'
+NO_CHANGES: Mapping[str, object] = MappingProxyType({})
 CORES = 4
 
 
-def make_settings(role: str, node: str) -> Settings:
+def make_settings(
+    role: str, node: str, changes: Mapping[str, object]
+) -> Settings:
     document: dict[str, Any] = {
         'role': role,
         'node': node,
@@ -47,6 +52,7 @@
             document[name] = '127.0.0.1:1'
     else:
         document |= {'worker': '127.0.0.1:1', 'cores': CORES, 'memory': 4096}
+    document.update(changes)
     return Settings.from_config(document)
 
 
@@ -226,11 +232,17 @@
 class FakeProcess:
     """A run of an entry or a side with a clock of its own."""
 
-    def __init__(self, role: str, node: str, incarnation: str) -> None:
+    def __init__(
+        self,
+        role: str,
+        node: str,
+        incarnation: str,
+        changes: Mapping[str, object] = NO_CHANGES,
+    ) -> None:
         self.clock = Clock()
         self.behind: float = 0
         self.paused = False
-        settings = make_settings(role, node)
+        settings = make_settings(role, node, changes)
         self.application = Application(settings, self.clock, incarnation)
         self.introduction = Introduction(
             role, node, incarnation, 'Soweto', '127.0.0.1:1', '', 4, 4096, 0, 0
