Repeat a start that was not answered after 60 ms, at the same target

Ruled out by a property test that failed first: repeating a start whose run is stopped meanwhile reported the stopped run as the task's end, and the second run was not counted in the room.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -114,14 +114,22 @@
         """Renew the lease once, after a take-over if need be."""
         if not self.is_taken:
             await self.take_over()
+        await self.look(self.timing.renewal)
+        self.silent_calls = 0
+        if self.is_taken:
+            self.tell('')
+
+    async def look(self, wait: float) -> None:
+        """Renew the lease and act on the report.
+
+        :param wait: time that the target waits for a new end, in seconds.
+        """
         asked = self.clock.seconds()
         renews = self.silent_calls < MAX_SILENT
-        report = await self.ask(self.timing.renewal, renews=renews)
+        report = await self.ask(wait, renews=renews)
         if self.table.is_other(report):
             self.target_joined(report.incarnation, report.clock)
             return
-        self.silent_calls = 0
-        self.tell('')
         news = self.table.take(report, asked, self.clock.seconds())
         for run, live, outcome, reason in news.ended:
             self.report(live, outcome, reason, run)
--- a/jackdawridge/execution/leased_worker.py
+++ b/jackdawridge/execution/leased_worker.py
@@ -26,10 +26,14 @@
 
 logger = get_logger('worker')
 
-#: Wait before a report is looked at again, in seconds.
+#: Wait before a report is asked for again after a failure, in seconds.
 LOOK_WAIT = 0.03
 #: Starts that are under way at a time, each on a connection of its own.
-MAX_STARTING = 4
+MAX_STARTING = 6
+#: Orders for one start before it is refused.
+MAX_ORDERS = 3
+#: Why a start was refused that the target has never carried out.
+UNANSWERED = 'start was not answered'
 
 
 class LeasedWorker:
@@ -76,10 +80,25 @@
         run = self.table.begin(name, task.id, now)
         await self.starting.acquire()
         try:
-            return await self.order(run, task)
+            return await self.order_until_answered(run, task)
         finally:
             self.starting.release()
 
+    async def order_until_answered(
+        self, run: Run, task: WorkerTask
+    ) -> StartAnswer:
+        """Order a start, and again if that was not carried out.
+
+        :param run: that was begun.
+        :param task: to start.
+        """
+        for _ in range(MAX_ORDERS - 1):
+            answer = await self.order(run, task)
+            if answer.reason != UNANSWERED or self.keeper.reason:
+                return answer
+            run = self.table.begin(run.name, task.id, self.clock.seconds())
+        return await self.order(run, task)
+
     async def order(self, run: Run, task: WorkerTask) -> StartAnswer:
         """Order a start and find out whether it was carried out.
 
@@ -131,13 +150,25 @@
         if run in self.table.reported:
             self.table.confirm(run, self.clock.seconds())
             return StartAnswer(task.id, True, '')
+        self.table.withdraw(run)
         await self.keeper.stop_run(run)
         stopped = self.clock.seconds()
         while run in self.table.runs and not self.table.was_absent(
             run, stopped
         ):
+            await self.look()
+        if self.table.settled(run):
+            # It ended by itself, or with its target, before it was stopped.
+            return StartAnswer(task.id, True, '')
+        return StartAnswer(task.id, False, UNANSWERED)
+
+    async def look(self) -> None:
+        """Ask for a report at once instead of waiting for the next."""
+        try:
+            await self.keeper.look(0)
+        except JackdawridgeError as error:
+            logger.info(error.message, step='settle')
             await self.keeper.pause(LOOK_WAIT)
-        return self.not_started(run, task, 'start was not answered')
 
     async def stop(self, ids: tuple[str, ...]) -> None:
         """Stop tasks.
--- a/jackdawridge/execution/run_table.py
+++ b/jackdawridge/execution/run_table.py
@@ -93,6 +93,10 @@
         #: Local time at which all that runs is over unless it is renewed.
         self.over_at = float('-inf')
         self.reported: frozenset[Run] = frozenset()
+        #: Runs whose start was not answered and that are being stopped.
+        self.withdrawn: set[Run] = set()
+        #: Those of them that had started and were stopped.
+        self.cancelled: set[Run] = set()
         #: When the newest report was asked for.
         self.asked = float('-inf')
 
@@ -126,6 +130,24 @@
         if live is not None and not live.is_confirmed:
             self.runs[run] = LiveRun(live.task_id, now, is_confirmed=True)
 
+    def withdraw(self, run: Run) -> None:
+        """Note that a run is stopped whose start was not answered.
+
+        :param run: that was ordered.
+        """
+        self.withdrawn.add(run)
+
+    def settled(self, run: Run) -> bool:
+        """Forget a withdrawn run; return whether its end was reported.
+
+        :param run: that is over.
+        """
+        was_reported = run not in self.runs and run not in self.cancelled
+        self.runs.pop(run, None)
+        self.withdrawn.discard(run)
+        self.cancelled.discard(run)
+        return was_reported
+
     def drop(self, run: Run) -> None:
         """Forget a run that never started or is over.
 
@@ -179,32 +201,35 @@
         # The answer was on its way for a moment, so that the target's clock is
         # ahead of this; a lease ends a moment earlier for it.
         self.offset = report.clock - received
-        self.reported = report.running
-        self.asked = asked
+        if asked >= self.asked:
+            # An older answer may arrive on another connection after a newer.
+            self.reported = report.running
+            self.asked = asked
         ended = []
         for end in report.ends:
             if end.position <= self.seen:
                 continue
             self.seen = end.position
             live = self.runs.pop(end.run, None)
-            if live is not None:
+            if end.run in self.withdrawn and end.outcome == 'stopped':
+                self.cancelled.add(end.run)
+            elif live is not None:
                 ended.append(EndedRun(end.run, live, end.outcome, end.reason))
         if len(report.ends) < MAX_ENDS:
-            ended.extend(self.vanished(asked))
+            ended.extend(self.vanished(asked, report.running))
         strays = tuple(run for run in report.running if run not in self.runs)
         return News(tuple(ended), strays)
 
-    def vanished(self, asked: float) -> list[EndedRun]:
+    def vanished(self, asked: float, running: frozenset[Run]) -> list[EndedRun]:
         """Forget and return runs that are over without an end in the list.
 
         :param asked: local time at which the report was asked for.
+        :param running: that are in the report.
         """
         gone = [
             run
             for run, live in self.runs.items()
-            if live.is_confirmed
-            and live.began < asked
-            and run not in self.reported
+            if live.is_confirmed and live.began < asked and run not in running
         ]
         reason = 'target does not know the run'
         return [
--- a/jackdawridge/platform/minion.py
+++ b/jackdawridge/platform/minion.py
@@ -27,6 +27,9 @@
 #: Time for an answer beyond what the minion is asked to wait, in seconds. An
 #: answer on the same machine takes some milliseconds.
 ANSWER_TIME = 0.3
+#: Time for the answer to a start or a stop, in seconds: a start is tried again
+#: after it, and callers wait for the last of a job's tasks.
+ORDER_TIME = 0.06
 #: Names the minion that an order is for.
 INSTANCE_HEADER = 'Expect-Instance'
 
@@ -95,7 +98,7 @@
             document['deadlineMs'] = int(order.lease_until * _MILLISECONDS)
         if order.wait:
             document['waitMs'] = int(order.wait * _MILLISECONDS)
-        answer = await self.call('hold', document, order.wait)
+        answer = await self.call('hold', document, order.wait + ANSWER_TIME)
         self.check(answer, 'hold')
         report = self.decode(answer.body, _Report, 'hold')
         return TargetReport(
@@ -144,13 +147,13 @@
         self.check(answer, 'run-stop')
 
     async def call(
-        self, path: str, document: object, wait: float = 0
+        self, path: str, document: object, timeout: float = ORDER_TIME
     ) -> Answer:
         """Return the minion's answer to an order.
 
         :param path: below `/v1`.
         :param document: of the order.
-        :param wait: time that the minion is asked to wait, in seconds.
+        :param timeout: for the whole answer, in seconds.
         :raises NotSentError: if nothing listens at the address.
         :raises AnswerLostError: if the order may be carried out.
         """
@@ -160,7 +163,7 @@
                 'POST',
                 f'http://{self.address}/v1/{path}',
                 document,
-                wait + ANSWER_TIME,
+                timeout,
                 headers,
             )
         except RefusedError as error:
