Report runs of a restarted target as over only once they are

Cause: a side that noticed a restart took all its runs for lost at once, but some of them had been ordered after the restart and ran on the new incarnation while their tasks ran again elsewhere. The take-over comes first: it stops all that runs and keeps earlier orders out.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -13,7 +13,12 @@
     OtherIncarnationError,
     Run,
 )
-from jackdawridge.execution.run_table import LeaseTiming, LiveRun, RunTable
+from jackdawridge.execution.run_table import (
+    LeaseTiming,
+    LiveRun,
+    News,
+    RunTable,
+)
 from jackdawridge.execution.worker import (
     AnswerLostError,
     NotSentError,
@@ -88,7 +93,6 @@
         :param incarnation: when it has started, in milliseconds.
         :param clock: of the target, in seconds.
         """
-        self.lose_all('target has restarted')
         self.table.reset(incarnation, clock)
         self.is_known = True
         self.is_taken = False
@@ -131,8 +135,7 @@
             self.target_joined(report.incarnation, report.clock)
             return
         news = self.table.take(report, asked, self.clock.seconds())
-        for run, live, outcome, reason in news.ended:
-            self.report(live, outcome, reason, run)
+        self.act_on(news)
         for run in news.strays:
             logger.warning('stops a stray run', run=run.name)
             await self.target.stop(run, self.table.token)
@@ -152,7 +155,12 @@
             raise AnswerLostError(error.message, step=_STEP) from error
 
     async def take_over(self) -> None:
-        """Use a token that is the highest, and stop all that runs."""
+        """Stop all that runs, then report what was ordered before as over.
+
+        Orders of before may have reached the new incarnation; its reports
+        tell. None is carried out any more after the first call with the new
+        fencing token.
+        """
         left = True
         while left:
             asked = self.clock.seconds()
@@ -160,14 +168,23 @@
             if self.table.is_other(report):
                 self.target_joined(report.incarnation, report.clock)
                 continue
-            self.table.take(report, asked, self.clock.seconds())
+            self.act_on(self.table.take(report, asked, self.clock.seconds()))
             left = bool(report.running)
             for run in report.running:
                 logger.info('stops a run of before', run=run.name, step='adopt')
                 await self.target.stop(run, self.table.token)
+        self.lose_all('target was taken over')
         self.is_taken = True
         self.tell('')
 
+    def act_on(self, news: News) -> None:
+        """Report the runs that are over.
+
+        :param news: of the target.
+        """
+        for run, live, outcome, reason in news.ended:
+            self.report(live, outcome, reason, run)
+
     def failed(self, error: JackdawridgeError) -> None:
         """Act on a call that was not answered.
 
--- a/jackdawridge/execution/leased_worker.py
+++ b/jackdawridge/execution/leased_worker.py
@@ -105,6 +105,8 @@
         :param run: that was begun.
         :param task: to start.
         """
+        if self.keeper.reason:
+            return self.not_started(run, task, self.keeper.reason)
         now = self.clock.seconds()
         order = StartOrder(
             run, task.payload, self.table.grant(now), self.table.token
