--- a/jackdawridge/placement/health.py
+++ b/jackdawridge/placement/health.py
@@ -112,13 +112,17 @@
         self.sides.pop(side_id, None)
         self.limited.discard(side_id)
 
-    def failed(self, side_id: str, kind: str, number: int, now: float) -> None:
+    def failed(
+        self, side_id: str, kind: str, number: int, now: float, ticket: str = ''
+    ) -> None:
         """Take in that a task failed.
 
         :param side_id: where it ran.
         :param kind: of the task.
         :param number: of its placement.
         :param now: the time.
+        :param ticket: of its job if the task runs again elsewhere. Such a job
+            alone is no reason to limit a side.
         """
         where = self.failing_kinds.setdefault(kind, set())
         where.add(side_id)
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -8,6 +8,7 @@
 
 from jackdawridge.placement.admission import QueueBounds
 from jackdawridge.placement.headroom import BULK
+from jackdawridge.placement.lateness import USEFUL_OBJECTIVES, Lateness
 from jackdawridge.placement.policies import POLICIES, Policy
 from jackdawridge.placement.queues import Job, Standing, TeamLimits
 from jackdawridge.placement.request import (
@@ -53,6 +54,7 @@
         #: Sides that offered room, with the task that waits for it.
         self.offers: list[tuple[str, Key]] = []
         self.asking = Asking()
+        self.lateness = Lateness()
 
     @classmethod
     def from_config(cls, settings: Settings, seed: str = '') -> Placer:
@@ -133,7 +135,13 @@
             return Standing(now + TARGET_SLOWDOWN * ideal, now, bulk)
         aimed = objective.stretch * ideal + objective.allowance
         # The order is that of the latest starts that are still in time.
-        return Standing(now + aimed - longest, now, bulk)
+        return Standing(
+            now + aimed - longest,
+            now,
+            bulk,
+            now + USEFUL_OBJECTIVES * aimed - longest,
+            work,
+        )
 
     def cancel(self, ticket: str) -> int:
         """Drop the queued tasks of a job and return how many there were.
@@ -143,6 +151,19 @@
         self.doubtful.pop(ticket, None)
         return self.queues.cancel(ticket)
 
+    def give_up(self, now: float) -> tuple[Impossible, ...]:
+        """Return tasks whose jobs are of no use any more; the caller cancels.
+
+        Jobs that cannot be answered in time any more make way for those that
+        can, as long as they have not begun.
+
+        :param now: the time.
+        """
+        found = self.lateness.sort_out(self.queues, now, self.queues.part)
+        return tuple(
+            Impossible(useless.job.first(), useless.reason) for useless in found
+        )
+
     def place(
         self, now: float, limit: float = NO_LIMIT
     ) -> tuple[Placement, ...]:
--- a/jackdawridge/placement/queues.py
+++ b/jackdawridge/placement/queues.py
@@ -37,6 +37,10 @@
     queued_at: float
     #: Its work, in seconds of the whole room; 0 if it has few tasks.
     work: float = 0
+    #: Time from which an answer would be of no use to the caller.
+    useless_from: float = float('inf')
+    #: Its work, in seconds of the whole room, whatever its size.
+    whole_work: float = 0
 
 
 class Group(NamedTuple):
@@ -66,6 +70,10 @@
             self.queued += 1
         #: Tasks when the job was queued.
         self.size = self.queued
+        #: Whether a task of the job was placed.
+        self.has_begun = False
+        #: Whether the job can no longer be answered in time.
+        self.is_late = False
 
     def order(self) -> tuple[float, int]:
         """Return where the job stands among those of its team."""
@@ -83,6 +91,14 @@
             self.groups[alike] = group
         return group
 
+    def first(self) -> Request:
+        """Return a task that waits."""
+        return next(
+            group.requests[0]
+            for group in self.groups.values()
+            if group.requests
+        )
+
     def longest_first(self, learner: Learner) -> list[Group]:
         """Return the groups, those with the longest tasks first.
 
@@ -226,11 +242,24 @@
         """
         job = self.jobs.get(request.ticket)
         if job is None:
-            self.insert(self.make_job((request,)), standing)
+            rest = self.make_job((request,))
+            rest.has_begun = True
+            self.insert(rest, standing)
             return
         job.group(request).requests.appendleft(request)
         self.count(job, 1)
 
+    def move(self, job: Job, standing: Standing) -> None:
+        """Give a job another place in the order.
+
+        :param job: one that is queued.
+        :param standing: the new place.
+        """
+        team = self.team(job.team)
+        team.remove(job)
+        job.standing = standing
+        team.add(job)
+
     def take(self, job: Job, group: Group) -> Request:
         """Take the first task out of a group.
 
@@ -238,6 +267,7 @@
         :param group: with at least one task.
         """
         request = group.requests.popleft()
+        job.has_begun = True
         self.count(job, -1)
         if not job.queued:
             self.forget(job)
--- a/jackdawridge/placement/rounds.py
+++ b/jackdawridge/placement/rounds.py
@@ -15,6 +15,7 @@
 
     from jackdawridge.placement.learning import Need
     from jackdawridge.placement.placer import Placer
+    from jackdawridge.placement.queues import Group
     from jackdawridge.placement.request import Key, Placement, Request
     from jackdawridge.placement.view import Side
 
@@ -140,7 +141,7 @@
             cursor.skip()
             return
         side = self.same_side(cursor, job, wanted) or self.placer.policy.choose(
-            wanted, self.sides, self.now
+            wanted, self.sides_for(group), self.now
         )
         if side is None:
             self.misfits.append(wanted)
@@ -153,6 +154,20 @@
         if not group.requests:
             cursor.advance()
 
+    def sides_for(self, group: Group) -> Sequence[Side]:
+        """Return the sides for the next task of a group.
+
+        A task that runs again goes elsewhere than before, if there is
+        another side.
+
+        :param group: with at least one task.
+        """
+        avoided = self.placer.avoided.get(group.requests[0].key)
+        if avoided is None:
+            return self.sides
+        others = [side for side in self.sides if side.side_id != avoided]
+        return others or self.sides
+
     def same_side(
         self, cursor: TeamCursor, job: Job, need: Need
     ) -> Side | None:
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -59,6 +59,8 @@
         self.queues = Queues()
         self.learner = Learner()
         self.assignments: dict[Key, Assignment] = {}
+        #: Where tasks that run again ran before.
+        self.avoided: dict[Key, str] = {}
         self.placed = 0
         #: Starts that came back because the side did not take them.
         self.refusals = 0
@@ -83,6 +85,7 @@
         """
         need, request = assignment.need, assignment.request
         self.placed += 1
+        self.avoided.pop(request.key, None)
         side.reserve(need)
         self.assignments[request.key] = assignment
         team = self.queues.team(request.team)
@@ -159,6 +162,7 @@
         :param assignment: that was released.
         """
         self.queues.put_back(assignment.request, assignment.standing)
+        self.avoided[assignment.request.key] = assignment.side_id
 
     def ended(
         self, key: Key, side_id: str, outcome: str, usage: Usage, now: float
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -188,6 +188,8 @@
     def act(self) -> None:
         """Send the cancellations that have gathered, then place."""
         self.placing = False
+        for useless in self.placer.give_up(self.clock.seconds()):
+            self.fail(useless.request.ticket, useless.reason)
         self.send_cancellations()
         by_side: dict[str, list[Placement]] = defaultdict(list)
         placed = self.placer.place(self.clock.seconds(), TURN_PLACEMENTS)
--- /dev/null
+++ b/tests/test_placement/test_lateness.py
@@ -0,0 +1,115 @@
+"""Tests of the jobs that wait too long, by the load they are meant for."""
+
+from __future__ import annotations
+
+from jackdawridge.execution.messages import Room
+from jackdawridge.placement.admission import QueueBounds
+from jackdawridge.placement.lateness import LATE_WORK
+from jackdawridge.placement.placer import Placer
+from jackdawridge.placement.policies import RoomPolicy
+from jackdawridge.placement.request import Objective, Request
+from jackdawridge.placement.view import SideInfo
+
+CORES = 10
+OBJECTIVE = Objective(1.5, 0.1)
+RUN_TIME = 0.4
+#: Time after arrival up to which a start is in time, and of any use.
+IN_TIME = 0.3
+OF_USE = 1.7
+
+
+class Bed:
+    """A placer with one side, which is full unless it is freed."""
+
+    def __init__(self) -> None:
+        self.placer = Placer(RoomPolicy(), QueueBounds(10000))
+        self.placer.side_joined('s', SideInfo('d', CORES, 1000, 0), -10)
+        self.report(0, -10)
+        self.jobs = 0
+        self.batch = 0
+
+    def report(self, cores: float, now: float) -> None:
+        self.placer.side_reported('s', Room(cores, 1000, 0, 0), 10**6, now)
+
+    def arrive(self, now: float, tasks: int = 1) -> str:
+        self.jobs += 1
+        ticket = f'job {self.jobs}'
+        requests = [
+            Request(ticket, task, 'team', 'kind', 1, 1, 0, RUN_TIME)
+            for task in range(tasks)
+        ]
+        assert self.placer.enqueue(requests, now, OBJECTIVE).is_ok()
+        return ticket
+
+    def give_up(self, now: float) -> list[str]:
+        found = [useless.request.ticket for useless in self.placer.give_up(now)]
+        for ticket in found:
+            self.placer.cancel(ticket)
+        return found
+
+    def place(self, now: float) -> list[str]:
+        placed = self.placer.place(now)
+        self.batch += 1
+        self.placer.sent('s', self.batch, placed)
+        return [placement.request.ticket for placement in placed]
+
+
+class TestLateness:
+    def test_job_in_time_goes_before_one_that_is_late(self) -> None:
+        bed = Bed()
+        late = bed.arrive(0)
+        fresh = bed.arrive(0.5)
+        assert not bed.give_up(0.5)
+        bed.report(1, 0.5)
+        assert bed.place(0.5) == [fresh]
+        bed.report(1, 0.6)
+        assert bed.place(0.6) == [late]
+
+    def test_late_job_is_given_up_once_it_is_useless(self) -> None:
+        bed = Bed()
+        late = bed.arrive(0)
+        assert not bed.give_up(IN_TIME + 0.1)
+        assert not bed.give_up(OF_USE - 0.1)
+        assert bed.give_up(OF_USE + 0.1) == [late]
+
+    def test_late_work_beyond_the_bound_is_refused_at_once(self) -> None:
+        bed = Bed()
+        tasks = int(LATE_WORK * CORES / RUN_TIME) - 1
+        first = bed.arrive(0, tasks)
+        second = bed.arrive(0.01, 2)
+        assert bed.give_up(IN_TIME + 0.1) == [second]
+        assert bed.give_up(OF_USE + 0.1) == [first]
+
+    def test_job_that_has_begun_keeps_its_place(self) -> None:
+        bed = Bed()
+        begun = bed.arrive(0, 2)
+        bed.report(1, 0)
+        assert bed.place(0) == [begun]
+        bed.arrive(0.5)
+        assert not bed.give_up(0.5)
+        bed.report(1, 0.5)
+        assert bed.place(0.5) == [begun]
+
+    def test_burst_leaves_most_jobs_in_time(self) -> None:
+        """A load of 1.5 times the room for 4 s, one task a job."""
+        bed = Bed()
+        served: dict[str, float] = {}
+        arrived: dict[str, float] = {}
+        running: list[float] = []
+        for step in range(600):
+            now = step / 100
+            if now < 4 and step % 8 < 3:
+                arrived[bed.arrive(now)] = now
+            bed.give_up(now)
+            running = [until for until in running if until > now]
+            bed.report(CORES - len(running), now)
+            for ticket in bed.place(now):
+                served[ticket] = now
+                running.append(now + RUN_TIME)
+        in_time = [
+            ticket
+            for ticket, start in served.items()
+            if start - arrived[ticket] <= IN_TIME
+        ]
+        # The room is for two thirds of the work at most.
+        assert len(in_time) >= 0.6 * len(arrived)
