Limit a side only after two jobs have failed there, where they run again

Cause: one failed task closed its side for 4 s, up to 30% of the sides. Tests: TestSuspects fails without it. Also splits what runs a process into a class, without change.

--- a/jackdawridge/cmd/serving.py
+++ b/jackdawridge/cmd/serving.py
@@ -12,8 +12,6 @@
 from jackdawridge.logs import get_logger, install
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from jackdawridge.application import Application
     from jackdawridge.config import Settings
 
@@ -41,57 +39,65 @@
     return reactor
 
 
-def serve(application: Application, reactor: Any) -> Exit:
-    """Start an application and drain it at the first signal.
-
-    A process that cannot start as a whole ends.
+class Runner:
+    """Runs an application until a signal, then lets it drain.
 
     :param application: an entry or a side.
     :param reactor: Twisted's reactor.
     """
-    spare_collector()
-    stopping: list[int] = []
-    failures: list[str] = []
 
-    def begin() -> None:  # noqa: WPS430
+    def __init__(self, application: Application, reactor: Any) -> None:
+        """Keep both."""
+        self.application = application
+        self.reactor = reactor
+        self.is_leaving = False
+        self.has_failed = False
+
+    def begin(self) -> None:
+        """Start the application; one that cannot start as a whole ends."""
         try:
-            application.start()
+            self.application.start()
         except Exception as error:
             # It might be linked, and be given work, without all its listeners.
-            failures.append(str(error))
+            self.has_failed = True
             logger.error(str(error), step='start')
-            reactor.stop()
+            self.reactor.stop()
         else:
             logger.notice('ready', step='start')
 
-    def leave(number: int, _: object) -> None:  # noqa: WPS430
-        if not stopping:
-            stopping.append(number)
-            reactor.callFromThread(drain)
+    def leave(self, *_: object) -> None:
+        """Drain at the first signal; the others change nothing."""
+        if not self.is_leaving:
+            self.is_leaving = True
+            self.reactor.callFromThread(self.drain)
 
-    def drain() -> None:  # noqa: WPS430
+    def drain(self) -> None:
+        """End the process once the application has drained."""
         logger.notice('leaving', step='stop')
-        left = ensureDeferred(application.stop())
-        left.addBoth(lambda _: reactor.stop())
+        left = ensureDeferred(self.application.stop())
+        left.addBoth(lambda _: self.reactor.stop())
 
-    listen_to_signals(leave)
-    application.events.connect(
-        'superseded', lambda: leave(signal.SIGTERM, None)
-    )
-    reactor.callWhenRunning(begin)
-    reactor.run(installSignalHandlers=False)
-    return Exit.failed if failures else Exit.ok
+    def listen_to_signals(self) -> None:
+        """Leave at the signals that ask for it."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self.leave)
+        # Settings are read at the start only; the signal must not end us.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
-def listen_to_signals(leave: Callable[[int, object], None]) -> None:
-    """Call a function at the signals that ask for the end.
+def serve(application: Application, reactor: Any) -> Exit:
+    """Run an application until a signal and return the exit code.
 
-    :param leave: called with the number of the signal.
+    :param application: an entry or a side.
+    :param reactor: Twisted's reactor.
     """
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, leave)
-    # Settings are read at the start only; the signal must not end a process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    runner = Runner(application, reactor)
+    spare_collector()
+    runner.listen_to_signals()
+    application.events.connect('superseded', runner.leave)
+    reactor.callWhenRunning(runner.begin)
+    reactor.run(installSignalHandlers=False)
+    return Exit.failed if runner.has_failed else Exit.ok
 
 
 def spare_collector() -> None:
--- a/jackdawridge/execution/run_table.py
+++ b/jackdawridge/execution/run_table.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from jackdawridge.execution.leases import TargetReport
+    from jackdawridge.execution.leases import RunEnd, TargetReport
 
 #: Added to a fencing token that was refused, until one is taken.
 TOKEN_STEP = 1_000_000
@@ -205,8 +205,19 @@
             # An older answer may arrive on another connection after a newer.
             self.reported = report.running
             self.asked = asked
+        ended = self.take_ends(report.ends)
+        if len(report.ends) < MAX_ENDS:
+            ended.extend(self.vanished(asked, report.running))
+        strays = tuple(run for run in report.running if run not in self.runs)
+        return News(tuple(ended), strays)
+
+    def take_ends(self, ends: tuple[RunEnd, ...]) -> list[EndedRun]:
+        """Forget the runs that are over and return those to report.
+
+        :param ends: of the target, of which some may be known.
+        """
         ended = []
-        for end in report.ends:
+        for end in ends:
             if end.position <= self.seen:
                 continue
             self.seen = end.position
@@ -215,10 +226,7 @@
                 self.cancelled.add(end.run)
             elif live is not None:
                 ended.append(EndedRun(end.run, live, end.outcome, end.reason))
-        if len(report.ends) < MAX_ENDS:
-            ended.extend(self.vanished(asked, report.running))
-        strays = tuple(run for run in report.running if run not in self.runs)
-        return News(tuple(ended), strays)
+        return ended
 
     def vanished(self, asked: float, running: frozenset[Run]) -> list[EndedRun]:
         """Forget and return runs that are over without an end in the list.
--- a/jackdawridge/placement/health.py
+++ b/jackdawridge/placement/health.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import math
+from collections import OrderedDict
 from typing import NamedTuple
 
 #: Largest part of the fleet that is limited to one task at a time.
 MAX_LIMITED_PART = 0.3
 
+#: Jobs that fail at a side before it is limited, where they run again
+#: elsewhere: tasks fail by their own fault too.
+SUSPECTS = 2
 #: Wait before the first probe of a failing side, in seconds.
 FIRST_PROBE = 4.0
 
@@ -49,6 +53,9 @@
         #: Placement number of the newest task that failed.
         self.failed_number = -1
         self.probe_at = float('-inf')
+        #: Jobs that failed here and run again elsewhere, the oldest first,
+        #: less one for each success since.
+        self.suspects: OrderedDict[str, None] = OrderedDict()
         #: Decayed mean of the octaves by which tasks exceed their estimate.
         self.octaves: float = 0
         self.tasks = 0
@@ -131,6 +138,10 @@
                 self.of(blamed).failures = 0
             return
         health = self.of(side_id)
+        if ticket:
+            health.suspects[ticket] = None
+            if len(health.suspects) < SUSPECTS:
+                return
         health.failed_number = max(health.failed_number, number)
         if now >= health.probe_at:
             health.failures += 1
@@ -149,6 +160,8 @@
         """
         self.failing_kinds.pop(kind, None)
         health = self.of(side_id)
+        if health.suspects:
+            health.suspects.popitem(last=False)
         if number > health.failed_number:
             health.failures = 0
             health.probe_at = float('-inf')
--- a/jackdawridge/placement/request.py
+++ b/jackdawridge/placement/request.py
@@ -37,6 +37,8 @@
     run_time: float
     #: Service whose workers run the task; any worker if it is empty.
     service: str = ''
+    #: Whether the task runs again where a run of it has failed.
+    reruns: bool = False
 
     @property
     def key(self) -> Key:
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -192,7 +192,13 @@
             team.virtual_time += excess / team.limits.weight
         elif outcome == 'failed':
             self.learner.observe(request, usage._replace(run_time=0))
-            self.health.failed(side_id, request.kind, assignment.number, now)
+            self.health.failed(
+                side_id,
+                request.kind,
+                assignment.number,
+                now,
+                request.ticket if request.reruns else '',
+            )
         self.judge(side_id)
         return assignment
 
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -100,6 +100,7 @@
                 task.accelerators,
                 task.run_time,
                 spec.service,
+                spec.reruns,
             )
             for position, task in enumerate(spec.tasks)
         ]
--- a/tests/test_placement/test_learning.py
+++ b/tests/test_placement/test_learning.py
@@ -111,3 +111,25 @@
         fleet.failed('s1', 'kind', 2, 0)
         assert not fleet.judge('s0', 4).is_limited
         assert not fleet.judge('s1', 4).is_limited
+
+
+class TestSuspects:
+    """Failures of tasks that run again elsewhere."""
+
+    def failing(self, tickets: list[str]) -> FleetHealth:
+        fleet = FleetHealth()
+        for number, ticket in enumerate(tickets):
+            fleet.failed('s0', 'kind', number, 0, ticket)
+        return fleet
+
+    def test_one_job_limits_no_side(self) -> None:
+        assert not self.failing(['a', 'a', 'a']).is_limited('s0')
+
+    def test_two_jobs_limit_a_side(self) -> None:
+        assert self.failing(['a', 'b']).is_limited('s0')
+
+    def test_success_between_them_takes_the_first_back(self) -> None:
+        fleet = self.failing(['a'])
+        fleet.succeeded('s0', 'kind', 1, 1)
+        fleet.failed('s0', 'kind', 2, 0, 'b')
+        assert not fleet.is_limited('s0')
