--- /dev/null
+++ b/tests/test_platform/test_codecs.py
@@ -0,0 +1,404 @@
+"""Tests of what the adapter reads and writes."""
+
+from __future__ import annotations
+
+import json
+import struct
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import pytest
+from result import Err
+from twisted.internet.defer import ensureDeferred
+
+from jackdawridge.application import Application
+from jackdawridge.deployment.state import DeploymentState, Queue
+from jackdawridge.errors import PeerUnavailableError, SettingsError
+from jackdawridge.execution.leases import HoldOrder, Run, StartOrder
+from jackdawridge.execution.messages import TaskKey
+from jackdawridge.execution.starter import write_id
+from jackdawridge.execution.worker import AnswerLostError
+from jackdawridge.platform.heartbeats import read_heartbeat
+from jackdawridge.platform.jobs import MAX_PAYLOAD_BYTES, Unserved, read_job
+from jackdawridge.platform.minion import MinionClient
+from jackdawridge.platform.operators import OperatorRecords, read_configuration
+from jackdawridge.platform.settings import load_node_settings
+from jackdawridge.platform.store import Record, fold, parse_records
+from jackdawridge.submission.jobs import JobSpec
+from jackdawridge.util.client import Answer
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+ENTRY_FILE = """
+nodeName = "front-1"
+role = "entry"
+machineClass = "front"
+serves = ["front", "control"]
+ip = "10.1.0.13"
+zone = "soweto"
+region = "gauteng"
+internalPorts = [7720, 7735]
+seeds = ["10.1.0.13:8166", "10.2.0.30:8166"]
+aFieldOfTomorrow = {a = 1}
+[listen]
+front = "10.1.0.13:8161"
+ready = "10.1.0.13:8167"
+control = "10.1.0.13:8166"
+[bounds]
+graceS = 6
+holdMaxMs = 1000
+stopTimeoutMs = 50
+resendMs = 1300
+[platform]
+address = "10.200.1.7:8169"
+form = "log"
+"""
+SIDE_FILE = ENTRY_FILE.replace('role = "entry"', 'role = "side"').replace(
+    'region = "gauteng"',
+    'region = "gauteng"\napp = "10.1.0.13:8165"\nservice = "ledger"',
+)
+QUEUE = Queue('fills', 'a.example', '/fills/', 'ledger', 1, 3, 1.6, 0.06)
+HEARTBEAT = {
+    'service': 'ledger',
+    'address': '10.1.0.13:8165',
+    'zone': 'soweto',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'coldRemainingMs': 0,
+    'capacity': {'cpu': 16000, 'memMb': 32768, 'gpu': 0},
+    'labels': ['a', 'r1-3'],
+    'clockMs': 482113,
+    'seq': 4,
+    'born': 1768840776800,
+}
+
+
+def job(**changes: Any) -> bytes:
+    """Return a job that is served, with other values at the top."""
+    document: dict[str, Any] = {
+        'spec': 'text',
+        'bestEffort': True,
+        'steps': [{'count': 2, 'cpu': 500, 'memMb': 64, 'estDurationMs': 400}],
+    }
+    return json.dumps(document | changes).encode()
+
+
+class TestSettings:
+    def write(self, tmp_path: Path, text: str) -> Path:
+        path = tmp_path / 'boot.toml'
+        path.write_text(text)
+        return path
+
+    def test_entry(self, tmp_path: Path) -> None:
+        node = load_node_settings(self.write(tmp_path, ENTRY_FILE))
+        assert node.caller_address == '10.1.0.13:8161'
+        assert node.store_address == '10.200.1.7:8169'
+        settings = node.settings
+        assert settings.role == 'entry'
+        assert settings.text('failure_domain') == 'soweto'
+        assert settings.texts('entries') == (
+            '10.1.0.13:7720',
+            '10.2.0.30:7720',
+        )
+
+    def test_side(self, tmp_path: Path) -> None:
+        node = load_node_settings(self.write(tmp_path, SIDE_FILE))
+        assert node.settings.role == 'side'
+        assert node.minion_address == '10.1.0.13:8165'
+        assert node.heartbeat_address == '10.1.0.13:8166'
+
+    def test_tasks_of_a_lost_entry_end_before_callers_send_again(
+        self, tmp_path: Path
+    ) -> None:
+        for resend in (1000, 1300, 2000):
+            text = ENTRY_FILE.replace('1300', str(resend))
+            node = load_node_settings(self.write(tmp_path, text))
+            lease = node.settings.number('task_lease')
+            look = max(0.25, lease / 6)
+            assert lease + look + node.stop_time < resend / 1000
+
+    def test_lease_at_the_minion_is_within_its_bound(
+        self, tmp_path: Path
+    ) -> None:
+        text = ENTRY_FILE.replace('holdMaxMs = 1000', 'holdMaxMs = 400')
+        node = load_node_settings(self.write(tmp_path, text))
+        assert node.worker_lease == pytest.approx(0.4)
+
+    @pytest.mark.parametrize(
+        ('old', 'new', 'named'),
+        [
+            ('nodeName = "front-1"', '', 'node_name'),
+            ('[7720, 7735]', '"7720"', 'internal_ports'),
+            ('role = "entry"', 'role = "cook"', 'role'),
+            ('[listen]', '[listen', ''),
+        ],
+    )
+    def test_fault_is_named(
+        self, tmp_path: Path, old: str, new: str, named: str
+    ) -> None:
+        path = self.write(tmp_path, ENTRY_FILE.replace(old, new))
+        with pytest.raises(SettingsError) as raised:
+            load_node_settings(path)
+        assert named.replace('_', '') in str(raised.value).lower().replace(
+            '_', ''
+        )
+
+    def test_missing_file(self, tmp_path: Path) -> None:
+        with pytest.raises(SettingsError):
+            load_node_settings(tmp_path / 'none')
+
+
+class TestConfiguration:
+    document = {
+        'version': 7,
+        'routes': [
+            {
+                'name': 'r-1',
+                'host': 'a.example',
+                'pathPrefix': '/fills/',
+                'kind': 'non_idempotent',
+                'timeoutMs': 1500,
+                'targetLatencyMs': 60,
+                'priority': 1,
+                'service': 'ledger',
+                'maxAttempts': 2,
+                'stretch': 1.6,
+            }
+        ],
+        'services': [],
+        'limits': {'maxBodyBytes': 1000},
+    }
+
+    def test_queue(self) -> None:
+        deployment = read_configuration(json.dumps(self.document).encode())
+        assert deployment.version == 7
+        assert deployment.queues == (
+            Queue('r-1', 'a.example', '/fills/', 'ledger', 1, 2, 1.6, 0.06),
+        )
+        assert deployment.limits.body_bytes == 1000
+
+    def test_records_are_put_in_force(self) -> None:
+        events: list[object] = []
+        application: Any = Application.__new__(Application)
+        application.events = type(
+            'Events', (), {'emit': lambda _, *args: events.append(args)}
+        )()
+        state = DeploymentState()
+        records = OperatorRecords(application, state)
+        content = json.dumps(self.document).encode()
+        records.changed(
+            {
+                'config': Record('config', content, 0),
+                'evacuate/soweto': Record('evacuate/soweto', b'{}', 1),
+            }
+        )
+        assert state.version == 7
+        assert state.out == {'soweto'}
+        records.changed({'config': Record('config', b'garbage', 2)})
+        assert state.version == 7
+        assert not state.out
+        assert ('deployment_changed',) in events
+
+
+class TestRecords:
+    head = struct.pack('>QQ', 5, 0)
+
+    def record(self, key: bytes, value: bytes) -> bytes:
+        content = bytes((len(key),)) + key + value
+        return struct.pack('>I', len(content)) + content
+
+    def test_records_of_a_read(self) -> None:
+        body = self.head + self.record(b'a', b'1') + self.record(b'b', b'')
+        page = parse_records(body, 3, 'store')
+        assert page.end == 5
+        assert page.records == (Record('a', b'1', 3), Record('b', b'', 4))
+
+    def test_nothing_new(self) -> None:
+        assert parse_records(self.head, 5, 'store').end == 5
+
+    def test_body_that_is_cut_off(self) -> None:
+        whole = self.head + self.record(b'a', b'12345')
+        for length in (3, len(self.head) + 2, len(whole) - 1):
+            with pytest.raises(PeerUnavailableError):
+                parse_records(whole[:length], 0, 'store')
+
+    def test_older_record_replaces_nothing(self) -> None:
+        records: dict[str, Record] = {}
+        fold(records, Record('a', b'new', 9))
+        fold(records, Record('a', b'old', 4))
+        assert records['a'].value == b'new'
+
+    def test_record_without_a_value_drops_its_key(self) -> None:
+        records: dict[str, Record] = {}
+        fold(records, Record('a', b'1', 1))
+        fold(records, Record('a', b'', 2))
+        assert not records
+
+
+class TestJobs:
+    def test_job_that_is_served(self) -> None:
+        spec = read_job(job(), QUEUE).unwrap()
+        assert isinstance(spec, JobSpec)
+        assert len(spec.tasks) == 2
+        assert spec.tasks[0].cores == pytest.approx(0.5)
+        assert spec.attempts == 3
+        assert spec.reruns
+
+    @pytest.mark.parametrize(
+        'content',
+        [
+            b'',
+            b'[]',
+            b'{"spec":1}',
+            b'\xff',
+            job(steps=[]),
+            job(steps=[{'count': 0}]),
+            job(steps=[{'count': 1, 'cpu': -1}]),
+            job(steps=[{'count': 711}]),
+            job(spec='x' * (MAX_PAYLOAD_BYTES + 1)),
+        ],
+    )
+    def test_bad_input_is_refused(self, content: bytes) -> None:
+        read = read_job(content, QUEUE)
+        assert isinstance(read, Err)
+        assert read.err_value
+
+    @pytest.mark.parametrize(
+        'content',
+        [
+            job(bestEffort=False),
+            job(repeatCount=3),
+            job(steps=[{'count': 1}, {'count': 1, 'dependsOn': [0]}]),
+            job(steps=[{'count': 1, 'gang': True}]),
+            job(steps=[{'count': 1, 'requiredLabel': 'b'}]),
+            job(steps=[{'count': 1, 'antiAffinity': 1}]),
+            job(steps=[{'count': 1, 'longRunning': True}]),
+        ],
+    )
+    def test_other_kinds_are_refused_with_a_reason(
+        self, content: bytes
+    ) -> None:
+        spec = read_job(content, QUEUE).unwrap()
+        assert isinstance(spec, Unserved)
+        assert spec.reason
+
+    def test_advised_queue_is_not_served(self) -> None:
+        spec = read_job(job(), QUEUE._replace(is_advised=True)).unwrap()
+        assert isinstance(spec, Unserved)
+
+
+class TestHeartbeats:
+    def test_heartbeat(self) -> None:
+        news = read_heartbeat('i-1', json.dumps(HEARTBEAT).encode())
+        assert news.incarnation == 1768840776800
+        assert news.clock == pytest.approx(482.113)
+        assert news.room.cores == 16
+        assert not news.draining
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'state': 'dancing'},
+            {'seq': 'four'},
+            {'capacity': None},
+            {'born': None},
+        ],
+    )
+    def test_what_another_writer_sends_is_passed_over(
+        self, changes: dict[str, object]
+    ) -> None:
+        with pytest.raises(msgspec.MsgspecError):
+            read_heartbeat('i-1', json.dumps(HEARTBEAT | changes).encode())
+
+
+class Recorder:
+    """Stands for the HTTP client; answers what it is told."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self.answer = Answer(status, body, None)  # type: ignore[arg-type]
+        self.calls: list[tuple[Any, ...]] = []
+
+    async def ask(self, *call: Any) -> Answer:
+        self.calls.append(call)
+        return self.answer
+
+
+class TestMinion:
+    def client(self, status: int, body: bytes) -> tuple[MinionClient, Recorder]:
+        minion = MinionClient(None, '10.1.0.13:8165')
+        recorder: Any = Recorder(status, body)
+        minion.client = recorder
+        minion.minion = 'i-1'
+        return minion, recorder
+
+    def outcome(self, call: Any) -> Any:
+        kept: list[Any] = []
+        ensureDeferred(call).addBoth(kept.append)
+        return kept[0]
+
+    def test_report(self) -> None:
+        body = {
+            'clockMs': 5000,
+            'born': 77,
+            'running': [['abc.0.0.1', 7, '', 50, 1]],
+            'endedRuns': [
+                [1, 'abc.0.0.2', 4, 'done', ''],
+                [2, 'abc.0.0.3', 5, 'failed', ''],
+                [3, 'abc.0.0.4', 6, 'lapsed', ''],
+            ],
+        }
+        minion, recorder = self.client(200, json.dumps(body).encode())
+        report = self.outcome(minion.hold(HoldOrder(9, 0, 5.7, 0.2)))
+        assert report.incarnation == 77
+        assert report.running == {Run('abc.0.0.1', 7)}
+        outcomes = [end.outcome for end in report.ends]
+        assert outcomes == ['succeeded', 'failed', 'stopped']
+        sent = recorder.calls[0]
+        assert sent[2] == {
+            'fence': 9,
+            'lastSeen': 0,
+            'deadlineMs': 5700,
+            'waitMs': 200,
+        }
+        assert sent[4] == {'Expect-Instance': 'i-1'}
+
+    @pytest.mark.parametrize(
+        ('status', 'body', 'started'),
+        [
+            (200, b'{"clockMs":1}', True),
+            (409, b'{"clockMs":1,"reason":"late"}', False),
+            (409, b'{"clockMs":1,"reason":"old"}', False),
+            (503, b'', False),
+            (429, b'', False),
+        ],
+    )
+    def test_start(self, status: int, body: bytes, *, started: bool) -> None:
+        minion, _ = self.client(status, body)
+        order = StartOrder(Run('abc.0.0.1', 3), b'spec', 5, 9)
+        assert self.outcome(minion.start(order)).started is started
+
+    @pytest.mark.parametrize(
+        ('status', 'body', 'error'),
+        [
+            (409, b'{"reason":"fence"}', 'FencedError'),
+            (421, b'', 'OtherIncarnationError'),
+            (500, b'', 'AnswerLostError'),
+            (409, b'garbage', 'AnswerLostError'),
+        ],
+    )
+    def test_errors(self, status: int, body: bytes, error: str) -> None:
+        minion, _ = self.client(status, body)
+        failure = self.outcome(minion.stop(Run('abc.0.0.1', 3), 9))
+        assert failure.type.__name__ == error
+
+    def test_report_that_cannot_be_read(self) -> None:
+        minion, _ = self.client(200, b'{"running":7}')
+        failure = self.outcome(minion.hold(HoldOrder(9, 0, None, 0)))
+        assert failure.check(AnswerLostError)
+
+    def test_name_of_a_task(self) -> None:
+        minion, _ = self.client(200, b'')
+        key = TaskKey('10.1.0.1:1~inc~~0123456789abcdef', 4, 99)
+        assert minion.name_of(write_id(key)) == '0123456789abcdef.0.0.4'
