--- a/tests/test_execution/fake_target.py
+++ b/tests/test_execution/fake_target.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
@@ -54,8 +54,8 @@
     ordered is started, whether it fits or not.
     """
 
-    def __init__(self) -> None:
-        self.clock = Clock()
+    def __init__(self, clock: Any = None) -> None:
+        self.clock = clock or Clock()
         self.incarnation = 0
         self.boot()
         #: How the next orders go: ok, lost, late, vanished or refused.
@@ -64,6 +64,7 @@
         self.late: list[LateOrder] = []
         #: All runs that were ever started, for checks.
         self.history: list[Started] = []
+        self.ended_at: dict[Run, float] = {}
         self.tick()
 
     def boot(self) -> None:
@@ -108,6 +109,7 @@
         """End a run that is running."""
         if self.running.pop(run, None) is None:
             return
+        self.ended_at[run] = self.clock.seconds()
         self.ended += 1
         self.ends.append(RunEnd(self.ended, run, outcome, reason))
         self.block(run)
--- /dev/null
+++ b/tests/test_platform/standin.py
@@ -0,0 +1,237 @@
+"""The users' platform in one process: its store and its minions."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+import sys
+import time
+from typing import TYPE_CHECKING, Any
+
+from klein import Klein
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import LoopingCall
+from twisted.web.server import Site
+
+from jackdawridge.execution.leases import (
+    FencedError,
+    HoldOrder,
+    Run,
+    StartOrder,
+)
+from jackdawridge.util.client import JsonClient
+from tests.test_execution.fake_target import FakeTarget
+
+if TYPE_CHECKING:
+    from jackdawridge.execution.leases import TargetReport
+
+HEARTBEAT = 0.3
+CORES = 4
+any_reactor: Any = reactor
+
+
+class Store:
+    """A keyed topic, in which `PUT /records/KEY` appends."""
+
+    app = Klein()
+
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bytes]] = []
+        self.waiting: list[Deferred[None]] = []
+
+    @app.route('/records/<path:key>', methods=['PUT', 'DELETE'])
+    def write(self, request: Any, key: str) -> bytes:
+        self.records.append((key, request.content.read()))
+        waiting = self.waiting
+        self.waiting = []
+        for one in waiting:
+            one.callback(None)
+        return b'{}'
+
+    @app.route('/v1/log-newest')
+    def newest(self, request: Any) -> bytes:
+        newest = {
+            key: (offset, value)
+            for offset, (key, value) in enumerate(self.records)
+        }
+        items = [
+            {
+                'key': key,
+                'value': base64.b64encode(value).decode(),
+                'offset': offset,
+            }
+            for key, (offset, value) in newest.items()
+            if value
+        ]
+        end = len(self.records)
+        return json.dumps({'items': items, 'endOffset': end}).encode()
+
+    @app.route('/v1/log-read')
+    def read(self, request: Any) -> Any:
+        start = int(request.args[b'from'][0])
+        if start < len(self.records):
+            return self.page(start)
+        wait = int(request.args[b'waitMs'][0]) / 1000
+        waited: Deferred[None] = Deferred()
+        self.waiting.append(waited)
+        waited.addTimeout(wait, any_reactor, lambda *_: None)
+        return waited.addCallback(lambda _: self.page(start))
+
+    def page(self, start: int) -> bytes:
+        body = struct.pack('>QQ', len(self.records), 0)
+        for key, value in self.records[start:]:
+            content = bytes((len(key),)) + key.encode() + value
+            body += struct.pack('>I', len(content)) + content
+        return body
+
+
+class Minion:
+    """One minion, which sends heartbeats to the side beside it."""
+
+    app = Klein()
+
+    def __init__(self, host: str, ports: dict[str, int], zone: str) -> None:
+        self.address = f'{host}:{ports["app"]}'
+        self.control = f'{host}:{ports["control"]}'
+        self.zone = zone
+        self.target = FakeTarget(any_reactor)
+        self.target.incarnation = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = 'ready'
+        self.client = JsonClient(any_reactor)
+        self.ids = f'i-{ports["app"]}-{host}'
+
+    def start(self) -> None:
+        LoopingCall(self.beat).start(HEARTBEAT)
+
+    def beat(self) -> None:
+        self.sequence += 1
+        document = {
+            'service': 'ledger',
+            'address': self.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': 8,
+            'state': self.state,
+            'coldRemainingMs': 0,
+            'capacity': {'cpu': CORES * 1000, 'memMb': 1000, 'gpu': 0},
+            'labels': ['a', 'r1'],
+            'clockMs': int(self.target.now() * 1000),
+            'seq': self.sequence,
+            'born': self.target.incarnation,
+        }
+        url = f'http://{self.control}/v1/Instances.Heartbeat/{self.ids}'
+        sent = ensureDeferred(self.client.ask('POST', url, document, 1))
+        # The side may not be there; the next heartbeat follows anyway.
+        sent.addErrback(lambda _: None)
+
+    @app.route('/state/<state>', methods=['PUT'])
+    def change(self, request: Any, state: str) -> bytes:
+        self.state = state
+        self.beat()
+        return b'{}'
+
+    @app.route('/history')
+    def history(self, request: Any) -> bytes:
+        """Return name, start and end of every run, on one clock for all."""
+        ended = self.target.ended_at
+        rows = [
+            [one.run.name, one.since, ended.get(one.run)]
+            for one in self.target.history
+        ]
+        return json.dumps(rows).encode()
+
+    @app.route('/v1/hold', methods=['POST'])
+    def hold(self, request: Any) -> Any:
+        body = json.loads(request.content.read())
+        lease = body.get('deadlineMs')
+        order = HoldOrder(
+            body['fence'],
+            body['lastSeen'],
+            None if lease is None else lease / 1000,
+            body.get('waitMs', 0) / 1000,
+        )
+        return self.answer(request, self.target.hold(order), self.describe)
+
+    @app.route('/v1/run-start', methods=['POST'])
+    def run_start(self, request: Any) -> Any:
+        body = json.loads(request.content.read())
+        run = Run(body['task'], body['run'])
+        order = StartOrder(run, b'', body['deadlineMs'] / 1000, body['fence'])
+        any_reactor.callLater(
+            float(body['spec']), self.target.end, run, 'succeeded'
+        )
+
+        def write(verdict: Any) -> dict[str, Any]:  # noqa: WPS430
+            if not verdict.started:
+                request.setResponseCode(409)
+            return {'reason': verdict.reason}
+
+        return self.answer(request, self.target.start(order), write)
+
+    @app.route('/v1/run-stop', methods=['POST'])
+    def run_stop(self, request: Any) -> Any:
+        body = json.loads(request.content.read())
+        stopped = self.target.stop(
+            Run(body['task'], body['run']), body['fence']
+        )
+        return self.answer(request, stopped, lambda _: {})
+
+    def answer(self, request: Any, call: Any, write: Any) -> Any:
+        """Carry an order out and answer with the clock."""
+
+        def fenced(failure: Any) -> dict[str, Any]:  # noqa: WPS430
+            failure.trap(FencedError)
+            request.setResponseCode(409)
+            return {'reason': 'fence'}
+
+        def finish(document: dict[str, Any]) -> bytes:  # noqa: WPS430
+            document['clockMs'] = int(self.target.now() * 1000)
+            document['born'] = self.target.incarnation
+            return json.dumps(document).encode()
+
+        carried = ensureDeferred(call)
+        carried.addCallbacks(write, fenced)
+        return carried.addCallback(finish)
+
+    def describe(self, report: TargetReport) -> dict[str, Any]:
+        return {
+            'running': [
+                [run.name, run.number, '', 0, 0] for run in report.running
+            ],
+            'endedRuns': [
+                [
+                    end.position,
+                    end.run.name,
+                    end.run.number,
+                    'done' if end.outcome == 'succeeded' else 'stopped',
+                    '',
+                ]
+                for end in report.ends
+            ],
+        }
+
+
+def main() -> None:
+    """Serve what the argument describes, and say so."""
+    plan = json.loads(sys.argv[1])
+    host, _, port = plan['store'].rpartition(':')
+    store = Store()
+    any_reactor.listenTCP(int(port), Site(store.app.resource()), interface=host)
+    for host, zone in plan['minions'].items():
+        minion = Minion(host, plan['ports'], zone)
+        any_reactor.listenTCP(
+            plan['ports']['app'],
+            Site(minion.app.resource()),
+            interface=host,
+        )
+        minion.start()
+    sys.stdout.write('{"ready": true}\n')
+    sys.stdout.flush()
+    any_reactor.run()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/test_platform/test_processes.py
@@ -0,0 +1,320 @@
+"""Tests of real entries and sides against a stand-in of the platform."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import threading
+import time
+from itertools import combinations
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from tests.processes.http import Reply, request
+from tests.processes.ports import find_free_addresses
+from tests.processes.process import Process
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+pytestmark = pytest.mark.processes
+
+ENTRIES = ('127.0.1.1', '127.0.1.2')
+SIDES = {'127.0.2.1': 'north', '127.0.2.2': 'south'}
+ZONES = {'127.0.1.1': 'north', '127.0.1.2': 'south', **SIDES}
+#: Time for everything to have found each other, in seconds.
+START_TIME = 20
+#: Time after which a caller without an answer sends again, in seconds.
+RESEND = 1.3
+ROUTE = {
+    'name': 'r-1',
+    'host': 'a.example',
+    'pathPrefix': '/fills/',
+    'kind': 'non_idempotent',
+    'timeoutMs': 1500,
+    'targetLatencyMs': 60,
+    'service': 'ledger',
+    'maxAttempts': 2,
+    'stretch': 20,
+}
+BOOT = """
+nodeName = "{name}"
+role = "{role}"
+ip = "{ip}"
+zone = "{zone}"
+internalPorts = [{peer}, {operator}]
+seeds = ["127.0.1.1:{control}", "127.0.1.2:{control}"]
+app = "{ip}:{app}"
+service = "ledger"
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+[bounds]
+graceS = 3
+[platform]
+address = "{store}"
+"""
+
+
+class Site:
+    """Two entries, two sides with minions, and the store."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        names = ('peer', 'operator', 'control', 'app', 'front', 'ready')
+        found = find_free_addresses(len(names) + 1)
+        self.ports = {
+            name: int(address.rpartition(':')[2])
+            for name, address in zip(names, found, strict=False)
+        }
+        self.store = found[-1]
+        plan = {'store': self.store, 'ports': self.ports, 'minions': SIDES}
+        self.platform = Process(
+            'platform',
+            ['tests.test_platform.standin', json.dumps(plan)],
+            folder / 'platform.log',
+        )
+        self.platform.wait_ready()
+        self.configure(1)
+        self.nodes = {host: self.run(host) for host in ZONES}
+        self.wait_until_ready()
+
+    def run(self, host: str) -> Process:
+        """Start the process of a machine."""
+        path = self.folder / f'{host}.toml'
+        role = 'side' if host in SIDES else 'entry'
+        path.write_text(
+            BOOT.format(
+                name=f'{role}-{host}',
+                role=role,
+                ip=host,
+                zone=ZONES[host],
+                store=self.store,
+                **self.ports,
+            )
+        )
+        os.environ['JACKDAWRIDGE_NODE_FILE'] = str(path)
+        return Process(
+            host,
+            ['jackdawridge.platform'],
+            self.folder / f'{host}.log',
+            announces=False,
+        )
+
+    def configure(self, version: int) -> None:
+        document = {'version': version, 'routes': [ROUTE], 'limits': {}}
+        request(self.store, 'PUT', '/records/config', document)
+
+    def wait_until_ready(self) -> None:
+        until = time.monotonic() + START_TIME
+        while time.monotonic() < until:
+            if all(self.is_ready(host) for host in ENTRIES):
+                if len(self.sides_of(ENTRIES[0])) == len(SIDES):
+                    return
+            time.sleep(0.1)
+        logs = [process.tail() for process in self.nodes.values()]
+        raise AssertionError('\n'.join(logs))
+
+    def is_ready(self, host: str) -> bool:
+        try:
+            reply = request(f'{host}:{self.ports["ready"]}', 'GET', '/v1/ready')
+        except OSError:
+            return False
+        return reply.status == 200
+
+    def sides_of(self, host: str) -> list[Any]:
+        address = f'{host}:{self.ports["operator"]}'
+        status = request(address, 'GET', '/v1/status').body
+        sides: list[Any] = status['jobs']['sides']
+        return sides
+
+    def ask(
+        self, host: str, method: str, path: str, body: object = None
+    ) -> Reply:
+        headers = {'Host': 'a.example', 'Deadline-Ms': '8000'}
+        address = f'{host}:{self.ports["front"]}'
+        return request(address, method, path, body, headers)
+
+    def submit(
+        self, host: str, job_id: str, tasks: int = 2, seconds: float = 0.1
+    ) -> Reply:
+        job = {
+            'spec': str(seconds),
+            'bestEffort': True,
+            'steps': [
+                {
+                    'count': tasks,
+                    'cpu': 1000,
+                    'memMb': 10,
+                    'estDurationMs': int(seconds * 1000),
+                }
+            ],
+        }
+        return self.ask(host, 'POST', f'/fills/{job_id}', job)
+
+    def minion(self, host: str, method: str, path: str) -> Any:
+        address = f'{host}:{self.ports["app"]}'
+        return request(address, method, path).body
+
+    def history(self) -> list[list[Any]]:
+        """Return name, start and end of every run of both minions."""
+        return [
+            run
+            for host in SIDES
+            for run in self.minion(host, 'GET', '/history')
+        ]
+
+    def close(self) -> None:
+        for process in (*self.nodes.values(), self.platform):
+            process.close()
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    """A site that serves callers."""
+    running = Site(tmp_path)
+    yield running
+    running.close()
+
+
+def overlaps(history: list[list[Any]]) -> list[tuple[Any, Any]]:
+    """Return pairs of runs of one task that ran at the same time."""
+    forever = float('inf')
+    return [
+        (one, other)
+        for one, other in combinations(history, 2)
+        if one[0] == other[0]
+        and one[1] < (other[2] or forever)
+        and other[1] < (one[2] or forever)
+    ]
+
+
+class TestCallers:
+    def test_job_is_answered_when_it_has_ended(self, site: Site) -> None:
+        reply = site.submit(ENTRIES[0], '0123456789abcdef', tasks=6)
+        assert (reply.status, reply.body) == (200, {'state': 'completed'})
+        names = sorted(run[0] for run in site.history())
+        expected = [f'0123456789abcdef.0.0.{task}' for task in range(6)]
+        assert names == expected
+
+    def test_answers_that_need_no_run(self, site: Site) -> None:
+        entry = ENTRIES[0]
+        assert site.ask(entry, 'GET', '/fills/').body == {'pending': 0}
+        for method, path, status in (
+            ('POST', '/other/0123456789abcdef', 404),
+            ('POST', '/fills/not-an-id', 400),
+            ('POST', '/fills/0123456789abcdef', 400),
+            ('GET', '/fills/0123456789abcdef', 410),
+            ('DELETE', '/fills/0123456789abcdef', 410),
+            ('PUT', '/fills/0123456789abcdef', 405),
+        ):
+            reply = site.ask(entry, method, path, [])
+            assert reply.status == status, path
+            assert reply.body['error']
+        stored = {'spec': '', 'steps': [{'count': 1}]}
+        reply = site.ask(entry, 'POST', '/fills/0123456789abcdef', stored)
+        assert reply.status == 503
+        assert not site.history()
+
+    def test_caller_who_leaves_ends_the_job(self, site: Site) -> None:
+        address = f'{ENTRIES[0]}:{site.ports["front"]}'
+        connection = http.client.HTTPConnection(address, timeout=5)
+        job = {
+            'spec': '20',
+            'bestEffort': True,
+            'steps': [{'count': 2, 'cpu': 1000, 'memMb': 10}],
+        }
+        connection.request(
+            'POST',
+            '/fills/0123456789abcdef',
+            json.dumps(job),
+            {'Host': 'a.example'},
+        )
+        time.sleep(1)
+        assert len(site.history()) == 2
+        connection.close()
+        time.sleep(0.5)
+        assert all(run[2] is not None for run in site.history())
+
+
+class TestOperators:
+    def test_zone_out_of_service_gets_nothing(self, site: Site) -> None:
+        request(site.store, 'PUT', '/records/evacuate/north', {})
+        time.sleep(1)
+        assert site.submit(ENTRIES[0], '0123456789abcdef', 4).status == 200
+        assert not site.minion('127.0.2.1', 'GET', '/history')
+        request(site.store, 'DELETE', '/records/evacuate/north')
+        time.sleep(3)
+        assert site.submit(ENTRIES[0], '0123456789abcdee', 8).status == 200
+        assert site.minion('127.0.2.1', 'GET', '/history')
+
+    def test_minion_that_drains_gets_nothing(self, site: Site) -> None:
+        site.minion('127.0.2.1', 'PUT', '/state/draining')
+        time.sleep(0.2)
+        assert site.submit(ENTRIES[1], '0123456789abcdef', 4).status == 200
+        assert not site.minion('127.0.2.1', 'GET', '/history')
+
+
+class TestFailures:
+    def test_job_sent_again_after_its_entry_died_runs_once_at_a_time(
+        self, site: Site
+    ) -> None:
+        job_id = '0123456789abcdef'
+        errors: list[Exception] = []
+
+        def first() -> None:  # noqa: WPS430
+            try:
+                site.submit(ENTRIES[0], job_id, tasks=4, seconds=3)
+            except Exception as error:
+                errors.append(error)
+
+        caller = threading.Thread(target=first)
+        caller.start()
+        time.sleep(1)
+        site.nodes[ENTRIES[0]].kill()
+        caller.join()
+        assert errors
+        time.sleep(RESEND)
+        reply = site.submit(ENTRIES[1], job_id, tasks=4, seconds=0.2)
+        assert reply.status == 200
+        history = site.history()
+        assert len(history) == 8
+        assert not overlaps(history)
+
+    def test_side_that_dies_costs_no_job(self, site: Site) -> None:
+        replies: list[Reply] = []
+
+        def submit() -> None:  # noqa: WPS430
+            replies.append(
+                site.submit(ENTRIES[0], '0123456789abcdef', 6, seconds=1.5)
+            )
+
+        caller = threading.Thread(target=submit)
+        caller.start()
+        time.sleep(0.8)
+        site.nodes['127.0.2.1'].kill()
+        caller.join()
+        assert [reply.status for reply in replies] == [200]
+        assert not overlaps(site.history())
+
+    def test_entry_that_leaves_answers_what_it_has_taken(
+        self, site: Site
+    ) -> None:
+        replies: list[Reply] = []
+
+        def submit() -> None:  # noqa: WPS430
+            replies.append(
+                site.submit(ENTRIES[0], '0123456789abcdef', 2, seconds=1)
+            )
+
+        caller = threading.Thread(target=submit)
+        caller.start()
+        time.sleep(0.3)
+        site.nodes[ENTRIES[0]].terminate()
+        caller.join()
+        assert [reply.status for reply in replies] == [200]
+        assert site.nodes[ENTRIES[0]].wait(5) == 0
