Send callers elsewhere at once while an entry reaches no side

After 0.5 s without any side it answers 502 and closes the connection, upon which the callers send their jobs again to any entry; by then the sides have stopped what this entry had started.

--- a/jackdawridge/platform/callers.py
+++ b/jackdawridge/platform/callers.py
@@ -42,6 +42,7 @@
 _GONE = 410
 _TOO_MANY = 429
 _INTERNAL = 500
+_BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _NO_ANSWER = 504
 
@@ -51,6 +52,8 @@
     Verdict.failed: _OK,
     Verdict.refused: _TOO_MANY,
     Verdict.given_up: _NO_ANSWER,
+    # The caller sends such a job again, to any entry.
+    Verdict.isolated: _BAD_GATEWAY,
 }
 
 
@@ -220,6 +223,9 @@
     :param outcome: of the job.
     """
     status = _STATUS[outcome.verdict]
+    if outcome.verdict is Verdict.isolated:
+        # A new connection may lead to another entry.
+        request.setHeader('Connection', 'close')
     if status != _OK:
         return refuse(request, status, outcome.reason, outcome.retry_after)
     return write(request, {'state': outcome.verdict.value})
--- a/jackdawridge/submission/attended.py
+++ b/jackdawridge/submission/attended.py
@@ -25,6 +25,9 @@
 #: Time after which a caller should ask again where nothing better is known,
 #: in seconds.
 RETRY_AFTER = 1.0
+#: Time without any side after which an entry takes itself for cut off, in
+#: seconds; links that were reset are back sooner.
+ISOLATED_AFTER = 0.5
 #: Time after a signal to stop in which jobs are still taken, in seconds: the
 #: callers of open connections have not heard of it yet.
 FAREWELL = 3.0
@@ -41,6 +44,8 @@
     refused = 'refused'
     #: Some of the job may have run; it may be sent again.
     given_up = 'given up'
+    #: This entry reaches no side; another may.
+    isolated = 'isolated'
 
 
 class Outcome(NamedTuple):
@@ -52,6 +57,10 @@
     retry_after: float = 0
 
 
+#: The outcome of jobs at an entry that reaches no side.
+ISOLATED = Outcome(Verdict.isolated, 'no side is in touch', RETRY_AFTER)
+
+
 class Attendance(NamedTuple):
     """An open job with the callers who wait for it."""
 
@@ -86,12 +95,42 @@
         self.open: dict[str, Attendance] = {}
         #: Time from which a leaving entry takes no more jobs.
         self.closes_at = float('inf')
+        #: Whether no side has been in touch for a while.
+        self.is_isolated = True
         application.events.connect('draining', self.drain)
+        application.events.connect('side_admitted', self.side_admitted)
+        application.events.connect('sides_lost', self.sides_lost)
 
     def drain(self) -> None:
         """Take jobs for a last while."""
         self.closes_at = self.clock.seconds() + FAREWELL
 
+    def side_admitted(self) -> None:
+        """Take jobs again."""
+        self.is_isolated = False
+
+    def sides_lost(self) -> None:
+        """Look a little later whether a side is back."""
+        self.clock.callLater(ISOLATED_AFTER, self.check_isolation)
+
+    def check_isolation(self) -> None:
+        """Send the callers elsewhere if no side is in touch.
+
+        The sides stop this entry's tasks before the callers send again.
+        """
+        if self.engine.placer.sides or self.is_isolated:
+            return
+        self.is_isolated = True
+        logger.warning(
+            'no side is in touch', step='isolation', jobs=len(self.open)
+        )
+        for job_id, attendance in tuple(self.open.items()):
+            waiters = tuple(attendance.waiters)
+            attendance.waiters.clear()
+            for waiter in waiters:
+                waiter.callback(ISOLATED)
+            self.give_up(job_id, ISOLATED.reason)
+
     def submit(
         self, job_id: str, spec: JobSpec, digest: bytes, patience: float
     ) -> Deferred[Outcome]:
@@ -104,6 +143,8 @@
         :param digest: of the caller's body.
         :param patience: time for which the caller waits, in seconds.
         """
+        if self.is_isolated:
+            return succeed(ISOLATED)
         attendance = self.open.get(job_id)
         if attendance is not None:
             return self.join(job_id, attendance)
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -115,6 +115,8 @@
         if record.ready:
             record.ready = False
             self.engine.placer.side_left(record.node)
+            if not self.engine.placer.sides:
+                self.application.events.emit('sides_lost')
 
     def admit(self, record: SideRecord, peer: Peer) -> None:
         """Begin to place work at a side.
@@ -132,6 +134,7 @@
         )
         record.ready = True
         self.engine.placer.side_joined(record.node, info, self.clock.seconds())
+        self.application.events.emit('side_admitted')
 
     def current(self, peer: Peer) -> SideRecord | None:
         """Return the record of a side whose current link this is.
