Use a side whole from its start where its worker is not slow at first

Cause: a side that is linked anew got 40% of its room at first and all after 2 s. The ramp is a setting now, 0 in the adapter. A side also takes its minion over with the first heartbeat instead of at the next look 0.3 s later. Tests: TestRamp.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred, succeed
 
 from jackdawridge.errors import JackdawridgeError
 from jackdawridge.execution.leases import (
@@ -72,6 +72,7 @@
         self.listener: WorkerListener | None = None
         #: Whether the target is there, as far as its heartbeats tell.
         self.is_known = False
+        self.waiting: list[Deferred[None]] = []
         #: Whether what an earlier side has left there was stopped.
         self.is_taken = False
         self.silent_calls = 0
@@ -97,6 +98,18 @@
         self.is_known = True
         self.is_taken = False
         self.tell(NOT_TAKEN)
+        waiting = self.waiting
+        self.waiting = []
+        for waiter in waiting:
+            waiter.callback(None)
+
+    def when_known(self) -> Deferred[None]:
+        """Return a `Deferred` that fires when the target is there."""
+        if self.is_known:
+            return succeed(None)
+        waiter: Deferred[None] = Deferred()
+        self.waiting.append(waiter)
+        return waiter
 
     async def keep(self) -> None:
         """Renew the lease until the end of the process."""
--- a/jackdawridge/execution/leased_worker.py
+++ b/jackdawridge/execution/leased_worker.py
@@ -181,14 +181,11 @@
             ensureDeferred(self.keeper.stop_run(run))
 
     async def list(self) -> TaskList:
-        """Stop what an earlier side has left at the target.
+        """Stop what an earlier side has left, as soon as the target is there.
 
         Its entries are told that its tasks are over, so nothing is adopted.
-
-        :raises NotSentError: while the target is not known.
         """
-        if not self.keeper.is_known:
-            raise NotSentError('no heartbeat of the target yet', step='list')
+        await self.keeper.when_known()
         await self.keeper.take_over()
         return TaskList(0, ())
 
--- a/jackdawridge/placement/fleet.py
+++ b/jackdawridge/placement/fleet.py
@@ -5,7 +5,13 @@
 from typing import TYPE_CHECKING
 
 from jackdawridge.placement.health import FleetHealth
-from jackdawridge.placement.view import NOTHING, Amount, Side, SideInfo
+from jackdawridge.placement.view import (
+    NOTHING,
+    RAMP_TIME,
+    Amount,
+    Side,
+    SideInfo,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -23,6 +29,9 @@
 
     def __init__(self) -> None:
         """Begin without sides."""
+        #: Time in which a side that joins or returns comes to its full share,
+        #: in seconds.
+        self.ramp_time = RAMP_TIME
         self.sides: dict[str, Side] = {}
         self.open_sides: list[Side] = []
         self.out_of_service: set[str] = set()
@@ -39,7 +48,7 @@
         :param info: what the side says about itself.
         :param now: the time.
         """
-        side = Side(side_id, info)
+        side = Side(side_id, info, self.ramp_time)
         side.ramp_from = now
         self.sides[side_id] = side
         if all(info[1:] != shape[1:] for shape in self.shapes):
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -64,7 +64,9 @@
         :param seed: of random choices.
         """
         policy = POLICIES[settings.text('policy')](seed)
-        return cls(policy, QueueBounds(settings.integer('queue_limit')))
+        placer = cls(policy, QueueBounds(settings.integer('queue_limit')))
+        placer.ramp_time = settings.number('ramp_time')
+        return placer
 
     def set_limits(self, team: str, limits: TeamLimits) -> None:
         """Change what a team is granted.
--- a/jackdawridge/placement/view.py
+++ b/jackdawridge/placement/view.py
@@ -12,7 +12,8 @@
     from jackdawridge.placement.learning import Need
     from jackdawridge.placement.request import Placement
 
-#: Time in which a returning side comes back to its full share, in seconds.
+#: Time in which a returning side comes back to its full share, in seconds,
+#: unless the settings say otherwise.
 RAMP_TIME = 2.0
 
 #: Share of its capacity that a returning side may use at once.
@@ -80,12 +81,16 @@
 
     :param side_id: identifies the side.
     :param info: what the side says about itself.
+    :param ramp_time: in which it comes to its full share, in seconds.
     """
 
-    def __init__(self, side_id: str, info: SideInfo) -> None:
+    def __init__(
+        self, side_id: str, info: SideInfo, ramp_time: float = RAMP_TIME
+    ) -> None:
         """Begin without room, until the side reports some."""
         self.side_id = side_id
         self.info = info
+        self.ramp_time = ramp_time
         #: Room reported less what was placed since.
         self.free = NOTHING
         #: What was placed and is in no batch yet.
@@ -191,9 +196,9 @@
         if not self.info.serves(need):
             return False
         since = now - self.ramp_from
-        if since >= RAMP_TIME:
+        if since >= self.ramp_time:
             return True
-        held = (1 - RAMP_START) * (1 - since / RAMP_TIME)
+        held = (1 - RAMP_START) * (1 - since / self.ramp_time)
         return need.cores <= cores - held * self.info.cores
 
     def could_fit(self, need: Need) -> bool:
--- a/jackdawridge/platform/settings.py
+++ b/jackdawridge/platform/settings.py
@@ -132,6 +132,8 @@
             caller_address=boot.listen.front,
             peer_address=f'{boot.ip}:{boot.internal_ports[0]}',
             log_service=boot.platform.address,
+            # Minions that start are not slow at first on these deployments.
+            ramp_time=0,
             orphan_time=worker_lease * (1 + CLOCK_DRIFT) + stop_time,
         )
     else:
--- a/tests/test_placement/test_lateness.py
+++ b/tests/test_placement/test_lateness.py
@@ -113,3 +113,17 @@
         ]
         # The room is for two thirds of the work at most.
         assert len(in_time) >= 0.6 * len(arrived)
+
+
+class TestRamp:
+    def test_side_without_a_ramp_is_used_whole_at_once(self) -> None:
+        placer = Placer(RoomPolicy(), QueueBounds(1000))
+        placer.ramp_time = 0
+        placer.side_joined('s', SideInfo('d', CORES, 1000, 0), 0)
+        placer.side_reported('s', Room(CORES, 1000, 0, 0), 0, 0)
+        requests = [
+            Request('job', task, 'team', 'kind', 1, 1, 0, RUN_TIME)
+            for task in range(CORES)
+        ]
+        assert placer.enqueue(requests, 0, OBJECTIVE).is_ok()
+        assert len(placer.place(0)) == CORES
