--- a/jackdawridge/execution/component.py
+++ b/jackdawridge/execution/component.py
@@ -14,6 +14,7 @@
     Resolve,
     Room,
     StartBatch,
+    StopBatch,
 )
 from jackdawridge.execution.outcomes import OutcomeSender
 from jackdawridge.execution.relieving import WorkerRelief
@@ -29,6 +30,7 @@
 if TYPE_CHECKING:
     from jackdawridge.application import Application
     from jackdawridge.execution.gate import StartGate
+    from jackdawridge.execution.sessions import EntryRecord
     from jackdawridge.execution.worker import Worker
     from jackdawridge.wire.peers import Peer, Peers
 
@@ -85,6 +87,7 @@
         application.on_message(StartBatch, self.starts_received)
         application.on_message(HeartbeatReply, self.reply_received)
         application.on_message(CancelBatch, self.cancel_received)
+        application.on_message(StopBatch, self.stop_received)
         application.on_message(Resolve, self.resolve_received)
 
     @classmethod
@@ -216,24 +219,11 @@
         self.watch.starter.add(admitted)
         self.wait_queue_server.serve_soon()
         if len(admitted) < len(batch.starts):
-            self.log_refusals(peer, incarnation)
-            self.sender.flush_soon()
-
-    def log_refusals(self, peer: Peer, incarnation: str) -> None:
-        """Write a line for each refusal that is about to be sent.
-
-        :param peer: the entry.
-        :param incarnation: of the entry.
-        """
-        record = self.state.sessions.entry(incarnation, self.clock.seconds())
-        for refusal in record.outbox.refusals:
-            log_decision(
-                decisions,
-                'refuse',
-                peer.name,
-                refusal.reason,
-                refusal.key._asdict(),
+            record = self.state.sessions.entry(
+                incarnation, self.clock.seconds()
             )
+            log_refusals(peer, record)
+            self.sender.flush_soon()
 
     def reply_received(self, peer: Peer, reply: HeartbeatReply) -> None:
         """Renew leases and forget what the entry has received.
@@ -267,6 +257,15 @@
         self.sender.flush_soon()
         self.watch.stop_tasks(keys)
 
+    def stop_received(self, peer: Peer, batch: StopBatch) -> None:
+        """Stop single tasks.
+
+        :param peer: the entry.
+        :param batch: of their keys.
+        """
+        known = [key for key in batch.keys if key in self.state.tasks]
+        self.watch.stop_tasks(self.state.stop(known, 'stalled'))
+
     def resolve_received(self, peer: Peer, resolve: Resolve) -> None:
         """Tell an entry what became of its starts.
 
@@ -289,3 +288,19 @@
             self.state.room.free,
             sorted(self.state.sessions.entries),
         )
+
+
+def log_refusals(peer: Peer, record: EntryRecord) -> None:
+    """Write a line for each refusal that is about to be sent.
+
+    :param peer: the entry.
+    :param record: of the entry.
+    """
+    for refusal in record.outbox.refusals:
+        log_decision(
+            decisions,
+            'refuse',
+            peer.name,
+            refusal.reason,
+            refusal.key._asdict(),
+        )
--- a/jackdawridge/execution/messages.capnp
+++ b/jackdawridge/execution/messages.capnp
@@ -58,6 +58,10 @@
   endings @4 :List(Ending);
 }
 
+struct StopBatch {
+  keys @0 :List(TaskKey);
+}
+
 struct CancelBatch {
   tickets @0 :List(Text);
 }
--- a/jackdawridge/execution/messages.py
+++ b/jackdawridge/execution/messages.py
@@ -113,6 +113,12 @@
     tickets: tuple[str, ...]
 
 
+class StopBatch(NamedTuple):
+    """Asks a side to stop single tasks, which then run elsewhere."""
+
+    keys: tuple[TaskKey, ...]
+
+
 class Resolve(NamedTuple):
     """Asks a side what became of starts; sent first on a new link."""
 
@@ -181,5 +187,6 @@
         105: Heartbeat,
         106: HeartbeatReply,
         107: Offer,
+        108: StopBatch,
     }
 )
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -151,6 +151,8 @@
         :param ticket: of the job.
         """
         self.doubtful.pop(ticket, None)
+        self.avoided.pop(ticket, None)
+        self.stalls.stopped.pop(ticket, None)
         return self.queues.cancel(ticket)
 
     def give_up(self, now: float) -> tuple[Impossible, ...]:
--- a/jackdawridge/placement/rounds.py
+++ b/jackdawridge/placement/rounds.py
@@ -162,9 +162,10 @@
 
         :param group: with at least one task.
         """
-        avoided = self.placer.avoided.get(group.requests[0].key)
-        if avoided is None:
+        ticket, task = group.requests[0].key
+        if ticket not in self.placer.avoided:
             return self.sides
+        avoided = self.placer.avoided[ticket].get(task)
         others = [side for side in self.sides if side.side_id != avoided]
         return others or self.sides
 
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.placement.admission import QueueBounds
@@ -9,6 +10,7 @@
 from jackdawridge.placement.learning import Learner, Need, Usage
 from jackdawridge.placement.queues import Queues, Standing
 from jackdawridge.placement.request import Key, Placement, Request
+from jackdawridge.placement.stalls import Stalls
 from jackdawridge.placement.view import Side, total
 
 if TYPE_CHECKING:
@@ -59,8 +61,11 @@
         self.queues = Queues()
         self.learner = Learner()
         self.assignments: dict[Key, Assignment] = {}
-        #: Where tasks that run again ran before.
-        self.avoided: dict[Key, str] = {}
+        #: Where tasks that run again ran before, by ticket and position.
+        self.avoided: dict[str, dict[int, str]] = defaultdict(dict)
+        self.stalls = Stalls()
+        #: Tasks that stand still and have to be stopped.
+        self.stalled: list[Assignment] = []
         self.placed = 0
         #: Starts that came back because the side did not take them.
         self.refusals = 0
@@ -85,7 +90,6 @@
         """
         need, request = assignment.need, assignment.request
         self.placed += 1
-        self.avoided.pop(request.key, None)
         side.reserve(need)
         self.assignments[request.key] = assignment
         team = self.queues.team(request.team)
@@ -162,7 +166,14 @@
         :param assignment: that was released.
         """
         self.queues.put_back(assignment.request, assignment.standing)
-        self.avoided[assignment.request.key] = assignment.side_id
+        ticket, task = assignment.request.key
+        self.avoided[ticket][task] = assignment.side_id
+
+    def take_stalled(self) -> list[Assignment]:
+        """Return the tasks that have to be stopped, once each."""
+        stalled = self.stalled
+        self.stalled = []
+        return stalled
 
     def ended(
         self, key: Key, side_id: str, outcome: str, usage: Usage, now: float
@@ -214,6 +225,8 @@
 
         :param now: the time.
         """
+        again = (one for one in self.assignments.values() if one.request.reruns)
+        self.stalled.extend(self.stalls.find(again, now))
         late: dict[str, int] = {}
         for assignment in self.assignments.values():
             limit = max(assignment.need.late * LATE_FACTOR, MIN_LATE)
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -15,6 +15,7 @@
     Refusal,
     Start,
     StartBatch,
+    StopBatch,
     TaskKey,
 )
 from jackdawridge.logs import get_logger, log_decision
@@ -198,9 +199,25 @@
             by_side[placement.side_id].append(placement)
         for side, placements in by_side.items():
             self.send(side, placements)
+        self.stop_stalled()
         if len(placed) >= TURN_PLACEMENTS:
             self.place_if_due()
 
+    def stop_stalled(self) -> None:
+        """Stop tasks that stand still, so that they run again elsewhere."""
+        by_side: dict[str, list[TaskKey]] = defaultdict(list)
+        for assignment in self.placer.take_stalled():
+            ticket, task = assignment.request.key
+            job = self.jobs.get(ticket)
+            sent = job.sent.get(task) if job else None
+            if sent is not None and sent.side == assignment.side_id:
+                by_side[sent.side].append(sent.key)
+        for side, keys in by_side.items():
+            record = self.sides.get(side)
+            logger.warning('tasks stand still', peer=side, tasks=len(keys))
+            if record is not None and record.peer is not None:
+                record.peer.send(StopBatch(tuple(keys)))
+
     def send_cancellations(self) -> None:
         """Tell each side once about all jobs that have to stop there."""
         by_side: dict[str, set[str]] = defaultdict(set)
@@ -283,14 +300,6 @@
         else:
             self.placer.lost(key[:2])
 
-    def refused_by_resolution(self, record: SideRecord, key: TaskKey) -> None:
-        """Queue a task again whose start had not reached the side.
-
-        :param record: of the side.
-        :param key: of the start.
-        """
-        self.refused(record, Refusal(key, 'start had not arrived'))
-
     def ended(self, record: SideRecord, ending: Ending) -> None:
         """Take the outcome of a task.
 
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -9,6 +9,7 @@
     HeartbeatReply,
     Offer,
     OutcomeBatch,
+    Refusal,
     Resolution,
     Resolve,
 )
@@ -218,7 +219,8 @@
         if record is None:
             return
         for key in resolution.fenced:
-            self.engine.refused_by_resolution(record, key)
+            refusal = Refusal(key, 'start had not arrived')
+            self.engine.refused(record, refusal)
         self.engine.lose(record, record.keys - set(resolution.running))
         record.resolved()
         self.engine.place_soon()
--- /dev/null
+++ b/tests/test_placement/test_stalls.py
@@ -0,0 +1,58 @@
+"""Tests of tasks that stand still, by the troubles they are meant for."""
+
+from __future__ import annotations
+
+from jackdawridge.placement.learning import Need
+from jackdawridge.placement.queues import Standing
+from jackdawridge.placement.request import Request
+from jackdawridge.placement.stalls import Stalls
+from jackdawridge.placement.tracking import Assignment
+
+LATE = 0.4
+
+
+def assignment(ticket: str, side: str, placed_at: float) -> Assignment:
+    request = Request(ticket, 0, 'team', 'kind', 1, 1, 0, 0.2, reruns=True)
+    need = Need(1, 1, 0, 0.2, LATE)
+    return Assignment(side, request, need, 0, placed_at, Standing(0, 0))
+
+
+def sound(count: int, now: float) -> list[Assignment]:
+    """Return tasks of other sides that have just begun."""
+    return [
+        assignment(f'sound {number}', f'side {number}', now)
+        for number in range(count)
+    ]
+
+
+class TestStalls:
+    def test_tasks_of_a_hanging_side_are_stopped_once(self) -> None:
+        stalls = Stalls()
+        hanging = [assignment('a', 's', 0), assignment('b', 's', 0)]
+        running = hanging + sound(10, 0.9)
+        assert stalls.find(running, 0.3) == []
+        assert stalls.find(running, 1) == hanging
+        assert stalls.find(running, 1.2) == []
+
+    def test_long_job_alone_is_left_to_run(self) -> None:
+        stalls = Stalls()
+        running = [assignment('a', 's', 0), *sound(10, 9)]
+        assert stalls.find(running, 9.1) == []
+
+    def test_jobs_that_are_long_at_many_sides_are_left_to_run(self) -> None:
+        stalls = Stalls()
+        running = [
+            assignment(f'job {number}', f'side {number}', 0)
+            for number in range(10)
+        ]
+        assert stalls.find(running, 9) == []
+
+    def test_nothing_is_stopped_if_most_tasks_seem_to_stand_still(
+        self,
+    ) -> None:
+        stalls = Stalls()
+        running = [
+            assignment(f'job {number}', f'side {number % 3}', 0)
+            for number in range(12)
+        ]
+        assert stalls.find([*running, *sound(4, 9)], 9) == []
