--- a/jackdawridge/platform/callers.py
+++ b/jackdawridge/platform/callers.py
@@ -144,12 +144,23 @@
         content = request.content.read()
         read = read_job(content, queue)
         if isinstance(read, Err):
+            logger.info('bad job', job=job_id, reason=read.err_value)
             return refuse(request, _BAD_REQUEST, read.err_value)
         spec = read.ok_value
         if isinstance(spec, Unserved):
+            logger.info('job not served', job=job_id, reason=spec.reason)
             return refuse(request, _UNAVAILABLE, spec.reason)
+        patience = patience_of(request)
+        logger.info(
+            'job arrives',
+            job=job_id,
+            queue=queue.name,
+            version=self.state.version,
+            tasks=len(spec.tasks),
+            patience=patience,
+        )
         ended = self.jobs.submit(
-            job_id.lower(), spec, digest_of(content), patience_of(request)
+            job_id.lower(), spec, digest_of(content), patience
         )
         request.notifyFinish().addErrback(lambda _: ended.cancel())
         return ended.addCallbacks(
@@ -223,6 +234,13 @@
     :param outcome: of the job.
     """
     status = _STATUS[outcome.verdict]
+    logger.info(
+        'job answered',
+        path=request.path.decode('latin-1'),
+        status=status,
+        reason=outcome.reason,
+        retry_after=outcome.retry_after,
+    )
     if outcome.verdict is Verdict.isolated:
         # A new connection may lead to another entry.
         request.setHeader('Connection', 'close')
--- a/jackdawridge/submission/attended.py
+++ b/jackdawridge/submission/attended.py
@@ -210,6 +210,7 @@
         """
         attendance = self.open.get(job_id)
         if attendance is not None:
+            logger.info('job is given up', job=job_id, reason=reason)
             self.engine.fail(attendance.ticket, reason)
 
     def answered(self, answer: KeptAnswer, job_id: str) -> None:
