--- a/jackdawridge/submission/attended.py
+++ b/jackdawridge/submission/attended.py
@@ -28,6 +28,10 @@
 #: Time without any side after which an entry takes itself for cut off, in
 #: seconds; links that were reset are back sooner.
 ISOLATED_AFTER = 0.5
+#: Time after the start of an entry within which sides are expected, in
+#: seconds: when everything starts at once, sides hear of their targets by
+#: heartbeats that come each 1.5 s.
+SIDES_EXPECTED = 2.0
 #: Time after a signal to stop in which jobs are still taken, in seconds: the
 #: callers of open connections have not heard of it yet.
 FAREWELL = 3.0
@@ -96,7 +100,8 @@
         #: Time from which a leaving entry takes no more jobs.
         self.closes_at = float('inf')
         #: Whether no side has been in touch for a while.
-        self.is_isolated = True
+        self.is_isolated = False
+        self.clock.callLater(SIDES_EXPECTED, self.check_isolation)
         application.events.connect('draining', self.drain)
         application.events.connect('side_admitted', self.side_admitted)
         application.events.connect('sides_lost', self.sides_lost)
--- a/tests/test_submission/test_attended.py
+++ b/tests/test_submission/test_attended.py
@@ -7,6 +7,7 @@
 from jackdawridge.submission.attended import (
     FAREWELL,
     ISOLATED_AFTER,
+    SIDES_EXPECTED,
     Outcome,
     Verdict,
 )
@@ -160,3 +161,21 @@
         submit(world, kept)
         world.run(0.2)
         assert running(world) == 2
+
+    def test_entry_that_has_just_started_waits_for_its_sides(self) -> None:
+        world, kept = begin()
+        world.kill(world.entries[0])
+        world.entries[0] = world.make_entry(0)
+        submit(world, kept)
+        world.run(0.5)
+        assert running(world) == 2
+
+    def test_entry_that_finds_no_side_sends_its_callers_elsewhere(self) -> None:
+        world, kept = begin()
+        for side in world.sides:
+            world.kill(side)
+        world.kill(world.entries[0])
+        world.entries[0] = world.make_entry(0)
+        world.run(SIDES_EXPECTED + 0.1)
+        submit(world, kept)
+        assert [outcome.verdict for outcome in kept] == [Verdict.isolated]
