--- a/jackdawridge/submission/attended.py
+++ b/jackdawridge/submission/attended.py
@@ -28,6 +28,9 @@
 #: Time without any side after which an entry takes itself for cut off, in
 #: seconds; links that were reset are back sooner.
 ISOLATED_AFTER = 0.5
+#: Time before the end of its drain at which a leaving entry answers whatever
+#: is open, in seconds.
+LAST_WORD = 0.2
 #: Time after the start of an entry within which sides are expected, in
 #: seconds: when everything starts at once, sides hear of their targets by
 #: heartbeats that come each 1.5 s.
@@ -61,6 +64,8 @@
     retry_after: float = 0
 
 
+#: The outcome of jobs that do not end within the drain of their entry.
+ENTRY_LEFT = Outcome(Verdict.given_up, 'entry has left')
 #: The outcome of jobs at an entry that reaches no side.
 ISOLATED = Outcome(Verdict.isolated, 'no side is in touch', RETRY_AFTER)
 
@@ -109,6 +114,10 @@
     def drain(self) -> None:
         """Take jobs for a last while."""
         self.closes_at = self.clock.seconds() + FAREWELL
+        limit = self.application.settings.number('drain')
+        self.clock.callLater(
+            max(limit - LAST_WORD, 0), self.abandon, ENTRY_LEFT
+        )
 
     def side_admitted(self) -> None:
         """Take jobs again."""
@@ -129,12 +138,19 @@
         logger.warning(
             'no side is in touch', step='isolation', jobs=len(self.open)
         )
+        self.abandon(ISOLATED)
+
+    def abandon(self, outcome: Outcome) -> None:
+        """Answer all callers at once and end their jobs.
+
+        :param outcome: for the callers.
+        """
         for job_id, attendance in tuple(self.open.items()):
             waiters = tuple(attendance.waiters)
             attendance.waiters.clear()
             for waiter in waiters:
-                waiter.callback(ISOLATED)
-            self.give_up(job_id, ISOLATED.reason)
+                waiter.callback(outcome)
+            self.give_up(job_id, outcome.reason)
 
     def submit(
         self, job_id: str, spec: JobSpec, digest: bytes, patience: float
--- a/tests/test_submission/test_attended.py
+++ b/tests/test_submission/test_attended.py
@@ -7,6 +7,7 @@
 from jackdawridge.submission.attended import (
     FAREWELL,
     ISOLATED_AFTER,
+    LAST_WORD,
     SIDES_EXPECTED,
     Outcome,
     Verdict,
@@ -130,6 +131,19 @@
         submit(world, kept)
         assert kept.pop().verdict is Verdict.refused
 
+    def test_leaving_entry_answers_what_does_not_end_in_time(self) -> None:
+        world, kept = begin()
+        submit(world, kept, patience=60)
+        world.run(0.2)
+        world.entries[0].application.events.emit('draining')
+        drain = world.entries[0].application.settings.number('drain')
+        world.run(drain - LAST_WORD - 0.2)
+        assert not kept
+        world.run(0.3)
+        assert [outcome.verdict for outcome in kept] == [Verdict.given_up]
+        world.run(0.3)
+        assert running(world) == 0
+
 
 class TestIsolation:
     def cut_off(self, world: LeasedWorld) -> None:
