Count what callers are told on the platform, and how long it took

The metrics of jobs were wired for the product's own entry only; one function serves both now. New: jackdawridge_attended_job_seconds by verdict, and jackdawridge_queued_tasks.

--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -15,7 +15,7 @@
 from jackdawridge.membership.component import Membership
 from jackdawridge.operations.configuration import ConfigurationResource
 from jackdawridge.operations.listeners import HttpListener
-from jackdawridge.operations.metrics import JobMetrics, add_gauge
+from jackdawridge.operations.metrics import watch_jobs
 from jackdawridge.operations.router import Router
 from jackdawridge.submission.component import EntrySubmission
 from jackdawridge.submission.configured import ConfiguredJobs
@@ -49,7 +49,10 @@
     )
     callers.mount(PREFIX, ServiceResource(application, forwarding, tickets))
     callers.mount_klein('/healthz', daemon.resource.app)
-    watch_jobs(daemon, submission)
+    watch_jobs(application.events, daemon.registry, submission.engine)
+    daemon.resource.sections['jobs'] = lambda: describe_engine(
+        submission.engine
+    )
     # The listeners close last, so that open requests get their answers.
     daemon.add_operator_door()
     application.add(
@@ -105,27 +108,3 @@
         '/v1/configuration', ConfigurationResource(followed).app
     )
     return followed
-
-
-def watch_jobs(daemon: Daemon, submission: EntrySubmission) -> None:
-    """Show the jobs of an entry in its metrics and status.
-
-    :param daemon: the process.
-    :param submission: owns the jobs.
-    """
-    engine = submission.engine
-    metrics = JobMetrics(daemon.registry)
-    daemon.application.events.connect('job_finished', metrics.count)
-    add_gauge(
-        daemon.registry,
-        'open_jobs',
-        'Jobs without an answer',
-        lambda: len(engine.jobs),
-    )
-    add_gauge(
-        daemon.registry,
-        'linked_sides',
-        'Sides in touch',
-        lambda: len(describe_engine(engine).sides),
-    )
-    daemon.resource.sections['jobs'] = lambda: describe_engine(engine)
--- a/jackdawridge/operations/metrics.py
+++ b/jackdawridge/operations/metrics.py
@@ -8,14 +8,20 @@
     CollectorRegistry,
     Counter,
     Gauge,
+    Histogram,
     ProcessCollector,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from jackdawridge.application import Events
+    from jackdawridge.submission.engine import JobEngine
     from jackdawridge.submission.jobs import JobAnswer
 
+#: Upper bounds in seconds: tasks last from 50 ms to several seconds.
+ANSWER_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8, 15)
+
 
 def make_registry() -> CollectorRegistry:
     """Return a registry with the figures of the process itself."""
@@ -47,6 +53,61 @@
         self.jobs.labels(answer.state, answer.started.value).inc()
 
 
+class CallerMetrics:
+    """Counts what callers who wait for their jobs are told, and when.
+
+    :param registry: of the process.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the histogram."""
+        self.seconds = Histogram(
+            'jackdawridge_attended_job_seconds',
+            'Time from the arrival of a job to the answer',
+            ['verdict'],
+            registry=registry,
+            buckets=ANSWER_BUCKETS,
+        )
+
+    def count(self, verdict: str, seconds: float) -> None:
+        """Count an answer.
+
+        :param verdict: what became of the job.
+        :param seconds: from its arrival to the answer.
+        """
+        self.seconds.labels(verdict).observe(seconds)
+
+
+def watch_jobs(
+    events: Events, registry: CollectorRegistry, engine: JobEngine
+) -> None:
+    """Show the jobs of an entry in its metrics.
+
+    :param events: of the process.
+    :param registry: of the process.
+    :param engine: owns the jobs.
+    """
+    events.connect('job_finished', JobMetrics(registry).count)
+    add_gauge(
+        registry,
+        'open_jobs',
+        'Jobs without an answer',
+        lambda: len(engine.jobs),
+    )
+    add_gauge(
+        registry,
+        'queued_tasks',
+        'Tasks that wait for room',
+        lambda: engine.placer.queues.queued,
+    )
+    add_gauge(
+        registry,
+        'linked_sides',
+        'Sides in touch',
+        lambda: sum(record.ready for record in engine.sides.values()),
+    )
+
+
 def add_gauge(
     registry: CollectorRegistry,
     name: str,
--- a/jackdawridge/platform/entry.py
+++ b/jackdawridge/platform/entry.py
@@ -9,6 +9,7 @@
 from jackdawridge.deployment.state import DeploymentState
 from jackdawridge.membership.component import Membership
 from jackdawridge.operations.listeners import HttpListener
+from jackdawridge.operations.metrics import CallerMetrics, watch_jobs
 from jackdawridge.operations.router import Router
 from jackdawridge.platform.callers import CallerResource, ReadinessResource
 from jackdawridge.platform.operators import OperatorRecords
@@ -36,6 +37,10 @@
     state = DeploymentState()
     engine.configuration = EntryDeployment(application, engine, state)
     jobs = AttendedJobs(application, engine, daemon.peers.introduction.address)
+    watch_jobs(application.events, daemon.registry, engine)
+    application.events.connect(
+        'attended_job_ended', CallerMetrics(daemon.registry).count
+    )
     daemon.resource.sections['jobs'] = lambda: describe_engine(engine)
 
     def is_ready() -> bool:  # noqa: WPS430
--- a/jackdawridge/submission/attended.py
+++ b/jackdawridge/submission/attended.py
@@ -78,6 +78,8 @@
     waiters: list[Deferred[Outcome]]
     #: Ends the job when the callers stop waiting.
     timer: DelayedCall
+    #: Local time of its arrival, in seconds.
+    since: float
 
 
 class AttendedJobs:
@@ -146,12 +148,24 @@
         :param outcome: for the callers.
         """
         for job_id, attendance in tuple(self.open.items()):
-            waiters = tuple(attendance.waiters)
-            attendance.waiters.clear()
-            for waiter in waiters:
-                waiter.callback(outcome)
+            self.tell(attendance, outcome)
             self.give_up(job_id, outcome.reason)
 
+    def tell(self, attendance: Attendance, outcome: Outcome) -> None:
+        """Answer all who wait for a job.
+
+        :param attendance: of the job.
+        :param outcome: for the callers.
+        """
+        waiters = tuple(attendance.waiters)
+        attendance.waiters.clear()
+        took = self.clock.seconds() - attendance.since
+        for waiter in waiters:
+            self.application.events.emit(
+                'attended_job_ended', outcome.verdict.value, took
+            )
+            waiter.callback(outcome)
+
     def submit(
         self, job_id: str, spec: JobSpec, digest: bytes, patience: float
     ) -> Deferred[Outcome]:
@@ -202,7 +216,8 @@
         timer = self.clock.callLater(
             patience, self.give_up, job_id, 'caller waits no longer'
         )
-        attendance = Attendance(ticket, spec, [], timer)
+        now = self.clock.seconds()
+        attendance = Attendance(ticket, spec, [], timer, now)
         self.open[job_id] = attendance
         self.engine.wait(ticket).addCallback(self.answered, job_id)
         return attendance
@@ -243,11 +258,7 @@
         attendance = self.open.pop(job_id)
         if attendance.timer.active():
             attendance.timer.cancel()
-        outcome = judge(answer)
-        waiters = tuple(attendance.waiters)
-        attendance.waiters.clear()
-        for waiter in waiters:
-            waiter.callback(outcome)
+        self.tell(attendance, judge(answer))
 
     def is_open(self, job_id: str) -> bool:
         """Return whether a job runs here.
