Close three ways to two runs of a task that reading the code has shown

- Jobs that ended while the link to a side was cut went on there: the order to stop was sent once.
It is repeated when the link is back.
(Connections of a caller and of a side that are reset together; the caller sends again 1.3 s later.)
- A side that was paused ordered a start again as it woke whose answer it had waited for, seconds after its entry had given it up.
Starts are ordered within 0.7 s of their admission.
- The monotonic clock stands still while a VM is suspended, so that leases and send windows seemed valid after it.
The reactor counts by CLOCK_BOOTTIME.

--- a/jackdawridge/cmd/serving.py
+++ b/jackdawridge/cmd/serving.py
@@ -4,6 +4,8 @@
 
 import gc
 import signal
+import time
+from functools import partial
 from typing import TYPE_CHECKING, Any, TextIO
 
 from twisted.internet.defer import ensureDeferred
@@ -36,6 +38,19 @@
     from twisted.internet import reactor  # noqa: WPS433
 
     gc.set_threshold(GC_THRESHOLD)
+    return count_suspension(reactor)
+
+
+def count_suspension(reactor: Any) -> Any:
+    """Let the reactor's clock go on while the VM is suspended.
+
+    The monotonic clock stands still then. A process that does not know how
+    long it was away would take leases and send windows for valid that others
+    have seen lapse.
+
+    :param reactor: Twisted's reactor.
+    """
+    reactor.seconds = partial(time.clock_gettime, time.CLOCK_BOOTTIME)
     return reactor
 
 
--- a/jackdawridge/execution/leased_worker.py
+++ b/jackdawridge/execution/leased_worker.py
@@ -32,6 +32,11 @@
 MAX_STARTING = 6
 #: Orders for one start before it is refused.
 MAX_ORDERS = 3
+#: Time after its admission in which a start is ordered, in seconds; less than
+#: an entry waits for a silent side before it starts the task elsewhere.
+START_VALID = 0.7
+#: Why a start was refused that was not ordered in that time.
+OUTDATED = 'start is outdated'
 #: Why a start was refused that the target has never carried out.
 UNANSWERED = 'start was not answered'
 
@@ -79,25 +84,30 @@
         now = self.clock.seconds()
         run = self.table.begin(name, task.id, now)
         await self.starting.acquire()
+        valid_until = now + START_VALID
         try:
-            return await self.order_until_answered(run, task)
+            return await self.order_until_answered(run, task, valid_until)
         finally:
             self.starting.release()
 
     async def order_until_answered(
-        self, run: Run, task: WorkerTask
+        self, run: Run, task: WorkerTask, valid_until: float
     ) -> StartAnswer:
         """Order a start, and again if that was not carried out.
 
         :param run: that was begun.
         :param task: to start.
+        :param valid_until: time after which it is not ordered, in seconds.
         """
-        for _ in range(MAX_ORDERS - 1):
+        for _ in range(MAX_ORDERS):
+            if self.clock.seconds() > valid_until:
+                # This process was paused; the entry may have given it up.
+                return self.not_started(run, task, OUTDATED)
             answer = await self.order(run, task)
             if answer.reason != UNANSWERED or self.keeper.reason:
                 return answer
             run = self.table.begin(run.name, task.id, self.clock.seconds())
-        return await self.order(run, task)
+        return self.not_started(run, task, UNANSWERED)
 
     async def order(self, run: Run, task: WorkerTask) -> StartAnswer:
         """Order a start and find out whether it was carried out.
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from jackdawridge.execution.messages import (
+    CancelBatch,
     Heartbeat,
     HeartbeatReply,
     Offer,
@@ -19,7 +20,10 @@
 from jackdawridge.util.clock import make_loop
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from jackdawridge.application import Application
+    from jackdawridge.execution.messages import TaskKey
     from jackdawridge.submission.engine import JobEngine
     from jackdawridge.wire.peers import Peer
 
@@ -223,8 +227,24 @@
             self.engine.refused(record, refusal)
         self.engine.lose(record, record.keys - set(resolution.running))
         record.resolved()
+        self.cancel_again(peer, resolution.running)
         self.engine.place_soon()
 
+    def cancel_again(self, peer: Peer, running: Iterable[TaskKey]) -> None:
+        """Stop what runs of jobs that ended while there was no link.
+
+        :param peer: the side.
+        :param running: keys of tasks that run there.
+        """
+        jobs = self.engine.jobs
+        stopping = {
+            key.ticket
+            for key in running
+            if key.ticket in jobs and not jobs[key.ticket].life.is_open()
+        }
+        if stopping:
+            peer.send(CancelBatch(tuple(sorted(stopping))))
+
     def offer_received(self, peer: Peer, offer: Offer) -> None:
         """Use room that a side has reserved.
 
--- a/tests/test_execution/test_leased_worker.py
+++ b/tests/test_execution/test_leased_worker.py
@@ -129,6 +129,15 @@
         assert bed.outcomes() == [(task, 'succeeded')]
         assert not bed.target.running
 
+    def test_start_is_not_ordered_again_after_a_pause(self) -> None:
+        bed = Bed()
+        bed.target.moods.append('vanished')
+        bed.start()
+        bed.clock.advance(2)
+        bed.advance(1)
+        assert [answer.started for answer in bed.answers] == [False]
+        assert not bed.target.history
+
     def test_refusal_after_lost_orders_is_true(self) -> None:
         bed = Bed()
         bed.target.moods.extend(('late', 'vanished', 'late'))
--- a/tests/test_submission/test_attended.py
+++ b/tests/test_submission/test_attended.py
@@ -109,6 +109,21 @@
         assert running(world) == 0
         assert not kept
 
+    def test_job_ends_though_its_links_were_cut_with_its_caller(self) -> None:
+        world, kept = begin()
+        waiting = submit(world, kept)
+        world.run(0.2)
+        for side in world.sides:
+            side.execution.ready = False
+        for link in world.links:
+            link.cut(0)
+        waiting.cancel()
+        world.run(0.1)
+        for side in world.sides:
+            side.execution.ready = True
+        world.run(0.3)
+        assert running(world) == 0
+
     def test_job_ends_when_its_caller_stops_waiting(self) -> None:
         world, kept = begin()
         submit(world, kept, patience=1)
