Let the lease at a minion outlast two renewals that are lost

It is repeated after 0.25 s now, at once. Test: test_two_renewals_that_are_lost_end_no_run, which failed before.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -39,7 +39,7 @@
 RETRY_WAIT = 0.1
 #: Calls without an answer after which the lease is not renewed any more, so
 #: that it is known when everything has ended.
-MAX_SILENT = 2
+MAX_SILENT = 3
 #: Nothing is started before what an earlier side has left is stopped.
 NOT_TAKEN = 'target is being taken over'
 
@@ -119,6 +119,11 @@
                 continue
             try:
                 await self.keep_once()
+            except AnswerLostError as error:
+                self.failed(error)
+                # The lease goes on running out, so the next call comes at once.
+                if self.silent_calls >= MAX_SILENT:
+                    await self.pause(RETRY_WAIT)
             except JackdawridgeError as error:
                 self.failed(error)
                 await self.pause(RETRY_WAIT)
--- a/jackdawridge/platform/minion.py
+++ b/jackdawridge/platform/minion.py
@@ -24,9 +24,9 @@
     from jackdawridge.execution.leases import HoldOrder, StartOrder
     from jackdawridge.util.client import Answer
 
-#: Time for an answer beyond what the minion is asked to wait, in seconds. An
+#: Time for a report beyond what the minion is asked to wait, in seconds. An
 #: answer on the same machine takes some milliseconds.
-ANSWER_TIME = 0.3
+ANSWER_TIME = 0.1
 #: Time for the answer to a start or a stop, in seconds: a start is tried again
 #: after it, and callers wait for the last of a job's tasks.
 ORDER_TIME = 0.06
--- a/jackdawridge/platform/settings.py
+++ b/jackdawridge/platform/settings.py
@@ -28,10 +28,11 @@
 #: at the leases (0.25 s), for stopping, and for delays of the network.
 LEASE_PART = 0.54
 #: Longest time for which a minion may run on without its side, in seconds.
-#: It covers two calls that are lost at the interval of `RENEWAL`.
+#: It outlasts two renewals in a row that are lost: one takes `RENEWAL` and
+#: the 0.1 s after which it is given up.
 WORKER_LEASE = 0.7
 #: Interval at which the lease at the minion is renewed, in seconds.
-RENEWAL = 0.2
+RENEWAL = 0.15
 #: Part by which the clock of a minion may be slow.
 CLOCK_DRIFT = 0.02
 #: Time within the platform's grace that is left for ending, in seconds.
--- a/tests/test_execution/fake_target.py
+++ b/tests/test_execution/fake_target.py
@@ -24,7 +24,7 @@
 #: Longest lease that the target grants, in seconds.
 MOST_LEASE = 1.0
 #: Times after which calls without an answer are given up, in seconds.
-ANSWER_TIME = 0.3
+ANSWER_TIME = 0.25
 ORDER_TIME = 0.06
 #: Time after which a late order is carried out, in seconds.
 LATENESS = 2.5
--- a/tests/test_execution/test_leased_worker.py
+++ b/tests/test_execution/test_leased_worker.py
@@ -22,7 +22,7 @@
         TaskUsage,
     )
 
-TIMING = LeaseTiming(lease=0.7, renewal=0.2, drift=0.02, stop=0.05)
+TIMING = LeaseTiming(lease=0.7, renewal=0.15, drift=0.02, stop=0.05)
 
 
 class Listener:
@@ -204,6 +204,16 @@
         bed.advance(1)
         assert bed.outcomes() == [(task, 'lost')]
 
+    def test_two_renewals_that_are_lost_end_no_run(self) -> None:
+        for moment in (0.03, 0.07, 0.11, 0.15):
+            bed = Bed()
+            bed.start()
+            bed.advance(moment)
+            bed.target.moods.extend(repeat('silent', 2))
+            bed.advance(2)
+            assert len(bed.target.running) == 1
+            assert not bed.listener.ended
+
     def test_target_is_used_again_after_silence(self) -> None:
         bed = Bed()
         bed.target.moods.extend(repeat('silent', 6))
--- a/tests/test_platform/leased_world.py
+++ b/tests/test_platform/leased_world.py
@@ -32,7 +32,7 @@
 
 ADDRESS = '127.0.0.1:1'
 LEASE = 0.702
-TIMING = LeaseTiming(lease=0.7, renewal=0.2, drift=0.02, stop=0.05)
+TIMING = LeaseTiming(lease=0.7, renewal=0.15, drift=0.02, stop=0.05)
 #: As the adapter derives them where callers send again after 1.3 s.
 SIDE = {
     'heartbeat': 0.25,
