--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -117,20 +117,29 @@
             if not self.is_known:
                 await self.pause(RETRY_WAIT)
                 continue
-            try:
-                await self.keep_once()
-            except AnswerLostError as error:
-                self.failed(error)
-                # The lease goes on running out, so the next call comes at once.
-                if self.silent_calls >= MAX_SILENT:
-                    await self.pause(RETRY_WAIT)
-            except JackdawridgeError as error:
-                self.failed(error)
-                await self.pause(RETRY_WAIT)
-            except Exception:
-                # Without the lease everything that runs would end.
-                logger.exception('lease was not renewed', step=_STEP)
-                await self.pause(RETRY_WAIT)
+            wait = await self.keep_safely()
+            if wait:
+                await self.pause(wait)
+
+    async def keep_safely(self) -> float:
+        """Renew the lease once and return the wait before the next time.
+
+        Without the lease everything that runs would end, so that no error
+        ends the loop.
+        """
+        try:
+            await self.keep_once()
+        except AnswerLostError as error:
+            self.failed(error)
+            # The lease goes on running out, so the next call comes at once.
+            return RETRY_WAIT if self.silent_calls >= MAX_SILENT else 0
+        except JackdawridgeError as error:
+            self.failed(error)
+            return RETRY_WAIT
+        except Exception:
+            logger.exception('lease was not renewed', step=_STEP)
+            return RETRY_WAIT
+        return 0
 
     async def keep_once(self) -> None:
         """Renew the lease once, after a take-over if need be."""
