Refuse as not run what has not begun at an entry without sides

Cause: such jobs got 502, so that their callers would send them again. Jobs that have begun get 504 as before. Test: test_job_that_has_not_begun_is_refused_as_not_run.

--- a/jackdawridge/platform/callers.py
+++ b/jackdawridge/platform/callers.py
@@ -42,7 +42,6 @@
 _GONE = 410
 _TOO_MANY = 429
 _INTERNAL = 500
-_BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _NO_ANSWER = 504
 
@@ -52,8 +51,7 @@
     Verdict.failed: _OK,
     Verdict.refused: _TOO_MANY,
     Verdict.given_up: _NO_ANSWER,
-    # The caller sends such a job again, to any entry.
-    Verdict.isolated: _BAD_GATEWAY,
+    Verdict.isolated: _UNAVAILABLE,
 }
 
 
--- a/jackdawridge/submission/attended.py
+++ b/jackdawridge/submission/attended.py
@@ -51,7 +51,7 @@
     refused = 'refused'
     #: Some of the job may have run; it may be sent again.
     given_up = 'given up'
-    #: This entry reaches no side; another may.
+    #: Nothing has run, since this entry reaches no side; another may.
     isolated = 'isolated'
 
 
@@ -65,7 +65,7 @@
 
 
 #: The outcome of jobs that do not end within the drain of their entry.
-ENTRY_LEFT = Outcome(Verdict.given_up, 'entry has left')
+ENTRY_LEFT = Outcome(Verdict.refused, 'entry has left', RETRY_AFTER)
 #: The outcome of jobs at an entry that reaches no side.
 ISOLATED = Outcome(Verdict.isolated, 'no side is in touch', RETRY_AFTER)
 
@@ -132,7 +132,8 @@
     def check_isolation(self) -> None:
         """Send the callers elsewhere if no side is in touch.
 
-        The sides stop this entry's tasks before the callers send again.
+        Where something has run, the sides stop it before the callers send
+        the job again.
         """
         if self.engine.placer.sides or self.is_isolated:
             return
@@ -145,10 +146,13 @@
     def abandon(self, outcome: Outcome) -> None:
         """Answer all callers at once and end their jobs.
 
-        :param outcome: for the callers.
+        :param outcome: for the callers of jobs that have not begun.
         """
         for job_id, attendance in tuple(self.open.items()):
-            self.tell(attendance, outcome)
+            told = outcome
+            if self.has_begun(attendance.ticket):
+                told = Outcome(Verdict.given_up, outcome.reason)
+            self.tell(attendance, told)
             self.give_up(job_id, outcome.reason)
 
     def tell(self, attendance: Attendance, outcome: Outcome) -> None:
--- a/tests/test_submission/test_attended.py
+++ b/tests/test_submission/test_attended.py
@@ -172,13 +172,24 @@
         world.run(0.2)
         self.cut_off(world)
         world.run(0.9 + ISOLATED_AFTER)
-        assert [outcome.verdict for outcome in kept] == [Verdict.isolated]
+        assert [outcome.verdict for outcome in kept] == [Verdict.given_up]
         submit(world, kept)
         assert kept[-1].verdict is Verdict.isolated
         # Nothing of it runs any more once the caller sends the job again.
         world.run(0.3)
         assert running(world) == 0
 
+    def test_job_that_has_not_begun_is_refused_as_not_run(self) -> None:
+        world, kept = begin()
+        self.cut_off(world)
+        world.run(0.8)
+        submit(world, kept)
+        assert not kept
+        world.run(0.3 + ISOLATED_AFTER)
+        assert [outcome.verdict for outcome in kept] == [Verdict.isolated]
+        world.run(3)
+        assert not any(target.history for target in world.targets)
+
     def test_entry_takes_jobs_once_a_side_is_back(self) -> None:
         world, kept = begin()
         self.cut_off(world)
