Let the product decide what follows from a target's heartbeats

The side's wiring in platform/ opened and closed the side, resized its room and told the entries. That is execution/target_watch.py now, with tests; the adapter wires and translates only. The failure of a caller's answer is handled by one function for both interfaces.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -52,22 +52,18 @@
     :param clock: the reactor.
     :param target: runs the tasks.
     :param timing: of the leases.
-    :param announce: called with the reason why nothing can be started, or an
-        empty text, whenever that changes.
     """
 
     def __init__(
-        self,
-        clock: Clock,
-        target: LeasedTarget,
-        timing: LeaseTiming,
-        announce: Callable[[str], None],
+        self, clock: Clock, target: LeasedTarget, timing: LeaseTiming
     ) -> None:
         """Prepare without calling the target."""
         self.clock = clock
         self.target = target
         self.timing = timing
-        self.announce = announce
+        #: Called with the reason why nothing can be started, or an empty
+        #: text, whenever that changes.
+        self.announce: Callable[[str], None] = ignore
         self.table = RunTable(timing)
         self.listener: WorkerListener | None = None
         #: Whether the target is there, as far as its heartbeats tell.
@@ -291,3 +287,10 @@
         waited: Deferred[None] = Deferred()
         self.clock.callLater(wait, waited.callback, None)
         return waited
+
+
+def ignore(reason: str) -> None:
+    """Do nothing.
+
+    :param reason: why nothing can be started, or empty.
+    """
--- a/jackdawridge/execution/leases.py
+++ b/jackdawridge/execution/leases.py
@@ -86,6 +86,9 @@
     may have been carried out or may be carried out later.
     """
 
+    def aim(self, target_id: str) -> None:
+        """Send orders to the target with an id and to no other."""
+
     def name_of(self, task_id: str) -> str:
         """Return the name of a task by the id that the side uses."""
 
--- a/jackdawridge/platform/callers.py
+++ b/jackdawridge/platform/callers.py
@@ -9,12 +9,13 @@
 import msgspec
 from klein import Klein
 from result import Err
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 
 from jackdawridge.logs import get_logger
 from jackdawridge.platform.jobs import Unserved, read_job
 from jackdawridge.submission.attended import RETRY_AFTER, Outcome, Verdict
 from jackdawridge.submission.documents import digest_of
+from jackdawridge.util.web import has_left
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
@@ -172,9 +173,8 @@
         :param request: of a caller.
         :param failure: why.
         """
-        if failure.check(CancelledError):
+        if has_left(logger, failure):
             return b''
-        logger.error(failure.getTraceback(), step='answer')
         return refuse(request, _INTERNAL, 'internal error')
 
 
--- a/jackdawridge/platform/minion.py
+++ b/jackdawridge/platform/minion.py
@@ -75,6 +75,13 @@
         #: Id of the minion that orders are for; any if it is empty.
         self.minion = ''
 
+    def aim(self, target_id: str) -> None:
+        """Send orders to the minion with an id and to no other.
+
+        :param target_id: of the minion.
+        """
+        self.minion = target_id
+
     def name_of(self, task_id: str) -> str:
         """Return the name of a task: ID.K.STEP.INDEX, of the first step.
 
--- a/jackdawridge/submission/resource.py
+++ b/jackdawridge/submission/resource.py
@@ -8,7 +8,7 @@
 import msgspec
 from klein import Klein
 from result import Err, Ok, Result
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 
 from jackdawridge.logs import get_logger
 from jackdawridge.submission.interface import (
@@ -17,6 +17,7 @@
     refuse,
 )
 from jackdawridge.submission.relay import MAX_WAIT, Question
+from jackdawridge.util.web import has_left
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
@@ -119,9 +120,8 @@
         :param request: of a caller.
         :param failure: why.
         """
-        if failure.check(CancelledError):
+        if has_left(logger, failure):
             return b''
-        logger.error(failure.getTraceback(), step='answer')
         body = error_body('internal error')
         return write_reply(request, Reply(_INTERNAL, body, 'unknown'))
 
--- a/tests/test_execution/fake_target.py
+++ b/tests/test_execution/fake_target.py
@@ -17,7 +17,9 @@
     StartVerdict,
     TargetReport,
 )
+from jackdawridge.execution.messages import Room
 from jackdawridge.execution.starter import read_id
+from jackdawridge.execution.target import TargetNews
 from jackdawridge.execution.worker import AnswerLostError, NotSentError
 from jackdawridge.submission.tickets import job_id_of
 
@@ -57,6 +59,7 @@
     def __init__(self, clock: Any = None) -> None:
         self.clock = clock or Clock()
         self.incarnation = 0
+        self.sequence = 0
         self.boot()
         #: How the next orders go: ok, lost, late, vanished or refused.
         self.moods: deque[str] = deque()
@@ -83,6 +86,19 @@
         """Crash and come back at once as another incarnation."""
         self.boot()
 
+    def heartbeat(self, *, draining: bool = False) -> TargetNews:
+        """Return the next heartbeat."""
+        self.sequence += 1
+        return TargetNews(
+            'target',
+            self.incarnation,
+            self.now(),
+            self.sequence,
+            'none',
+            draining,
+            Room(4, 4096, 0, 0),
+        )
+
     def introduce(self) -> tuple[int, float]:
         """Return incarnation and clock, as a heartbeat has them."""
         return (self.incarnation, self.now())
@@ -123,6 +139,9 @@
         until = min(until, self.now() + MOST_LEASE)
         self.lease_until = max(self.lease_until, until)
 
+    def aim(self, target_id: str) -> None:
+        """Do nothing: there is one target only."""
+
     def name_of(self, task_id: str) -> str:
         key = read_id(task_id)
         assert key is not None
--- a/tests/test_execution/test_leased_worker.py
+++ b/tests/test_execution/test_leased_worker.py
@@ -49,9 +49,8 @@
         self.clock = self.target.clock
         self.advance(1)
         self.reasons: list[str] = []
-        self.keeper = LeaseKeeper(
-            self.clock, self.target, TIMING, self.reasons.append
-        )
+        self.keeper = LeaseKeeper(self.clock, self.target, TIMING)
+        self.keeper.announce = self.reasons.append
         self.worker = LeasedWorker(self.keeper)
         self.listener = Listener()
         self.answers: list[StartAnswer] = []
@@ -230,7 +229,7 @@
         bed.advance(0.1)
         bed.worker.close()
         bed.advance(0.3)
-        keeper = LeaseKeeper(bed.clock, bed.target, TIMING, bed.reasons.append)
+        keeper = LeaseKeeper(bed.clock, bed.target, TIMING)
         keeper.target_joined(*bed.target.introduce())
         keeper.follow(Listener())
         bed.advance(0.3)
--- /dev/null
+++ b/tests/test_execution/test_target_watch.py
@@ -0,0 +1,48 @@
+"""Tests of a side that follows its target's heartbeats."""
+
+from __future__ import annotations
+
+from jackdawridge.execution.messages import Room
+from tests.test_platform.leased_world import LeasedWorld
+
+
+class TestTargetWatch:
+    def test_side_opens_once_its_target_is_taken_over(self) -> None:
+        world = LeasedWorld()
+        assert [side.execution.state.closed for side in world.sides] == ['', '']
+
+    def test_draining_target_gets_nothing_from_this_turn_on(self) -> None:
+        world = LeasedWorld()
+        target = world.targets[0]
+        world.sides[0].watch.joined(target.heartbeat(draining=True))
+        world.submit(0, 4)
+        world.run(0.5)
+        assert not target.history
+        assert len(world.targets[1].history) == 4
+
+    def test_late_heartbeat_does_not_open_a_draining_target(self) -> None:
+        world = LeasedWorld()
+        target = world.targets[0]
+        earlier = target.heartbeat()
+        world.sides[0].watch.joined(target.heartbeat(draining=True))
+        world.sides[0].watch.joined(earlier)
+        assert world.sides[0].execution.state.closed == 'target is leaving'
+
+    def test_target_that_has_left_gets_nothing(self) -> None:
+        world = LeasedWorld()
+        world.sides[0].watch.left('target')
+        world.submit(0, 4)
+        world.run(0.5)
+        assert not world.targets[0].history
+
+    def test_new_incarnation_brings_its_own_size(self) -> None:
+        world = LeasedWorld()
+        target = world.targets[0]
+        target.restart()
+        news = target.heartbeat()._replace(room=Room(2, 4096, 0, 0))
+        side = world.sides[0]
+        side.watch.joined(news)
+        world.run(0.5)
+        assert side.execution.state.closed == ''
+        assert side.execution.state.room.free.cores == 2
+        assert side.peers.introduction.cores == 2
--- a/tests/test_platform/leased_world.py
+++ b/tests/test_platform/leased_world.py
@@ -12,6 +12,7 @@
 from jackdawridge.execution.lease_keeper import LeaseKeeper
 from jackdawridge.execution.leased_worker import LeasedWorker
 from jackdawridge.execution.run_table import LeaseTiming
+from jackdawridge.execution.target_watch import TargetWatch
 from jackdawridge.placement.request import Objective
 from jackdawridge.submission.attended import AttendedJobs, Outcome, Verdict
 from jackdawridge.submission.component import EntrySubmission
@@ -163,6 +164,9 @@
         self.target = target
         self.side = side
 
+    def aim(self, target_id: str) -> None:
+        self.target.aim(target_id)
+
     def name_of(self, task_id: str) -> str:
         return self.target.name_of(task_id)
 
@@ -198,16 +202,17 @@
         super().__init__('side', f'side-{number}', incarnation, SIDE)
         self.on_resume: list[Any] = []
         reached = ReachedTarget(target, self)
-        self.keeper = LeaseKeeper(self.clock, reached, TIMING, self.announced)
+        self.keeper = LeaseKeeper(self.clock, reached, TIMING)
         worker: Any = LeasedWorker(self.keeper)
         self.execution = SideExecution.from_application(
             self.application, self.peers, worker
         )
-        self.execution.state.closed = 'target is being taken over'
+        peers: Any = self.peers
+        self.watch = TargetWatch(self.execution, self.keeper, peers)
         self.application.add(self.execution)
         self.application.start()
         self.killed = False
-        self.keeper.target_joined(*target.introduce())
+        self.watch.joined(target.heartbeat())
 
     def when_running(self, action: Any) -> None:
         """Act now, or as soon as the process is resumed."""
@@ -223,10 +228,6 @@
         for action in actions:
             action()
 
-    def announced(self, reason: str) -> None:
-        if hasattr(self, 'execution'):
-            self.execution.state.closed = reason
-
 
 class LeasedWorld:
     """Two entries, two sides with targets, and callers."""
--- a/tests/test_submission/world.py
+++ b/tests/test_submission/world.py
@@ -225,6 +225,10 @@
         self.introduction = introduction
         self.peers: list[FakePeer] = []
 
+    def introduce_again(self, introduction: Introduction) -> None:
+        """Keep the introduction, which the links of tests do not use."""
+        self.introduction = introduction
+
     def of_role(self, role: str) -> list[FakePeer]:
         return [peer for peer in self.peers if peer.introduction.role == role]
 
