Keep orders out that are older than a take-over, and reports of the past

Found by reading: a start that was under way when a side took its target over could be carried out after it, with the same token; each take-over raises the token now. A report that an earlier incarnation had sent made the side take that one for the newer. A target that seemed replaced stayed unused until its next incarnation; its next heartbeat brings it back. Each has a test that failed before.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -172,10 +172,15 @@
         lease = self.table.grant(self.clock.seconds()) if renews else None
         order = HoldOrder(self.table.token, self.table.seen, lease, wait)
         try:
-            return await self.target.hold(order)
+            report = await self.target.hold(order)
         except FencedError as error:
             self.table.raise_token()
             raise AnswerLostError(error.message, step=_STEP) from error
+        if report.incarnation < self.table.incarnation:
+            raise AnswerLostError(
+                'report of an earlier incarnation', step=_STEP
+            )
+        return report
 
     async def take_over(self) -> None:
         """Stop all that runs, then report what was ordered before as over.
@@ -184,6 +189,7 @@
         tell. None is carried out any more after the first call with the new
         fencing token.
         """
+        self.table.token += 1
         left = True
         while left:
             asked = self.clock.seconds()
--- a/jackdawridge/execution/target_watch.py
+++ b/jackdawridge/execution/target_watch.py
@@ -57,7 +57,7 @@
         is_other = before is None or (
             (before.id, before.incarnation) != (news.id, news.incarnation)
         )
-        if is_other:
+        if is_other or not self.keeper.is_known:
             logger.notice(
                 'target has started',
                 target=news.id,
--- a/tests/test_execution/test_leased_worker.py
+++ b/tests/test_execution/test_leased_worker.py
@@ -248,6 +248,29 @@
         assert not bed.target.late
         assert not bed.target.history
 
+    def test_late_report_of_an_earlier_incarnation_is_passed_over(self) -> None:
+        bed = Bed()
+        later = bed.target.incarnation + 5000
+        bed.keeper.target_joined(later, 0)
+        bed.advance(1)
+        assert bed.keeper.table.incarnation == later
+        assert bed.keeper.reason
+        bed.target.incarnation = later
+        bed.advance(1)
+        assert not bed.keeper.reason
+
+    def test_take_over_keeps_orders_of_before_out(self) -> None:
+        bed = Bed()
+        bed.target.moods.append('late')
+        bed.start()
+        bed.advance(0.02)
+        late = bed.target.late.pop()
+        bed.target.late.append(late._replace(at=bed.clock.seconds() + 0.4))
+        bed.keeper.is_taken = False
+        bed.keeper.tell('test')
+        bed.advance(5)
+        assert not bed.target.history
+
     def test_stray_run_is_stopped(self) -> None:
         bed = Bed()
         bed.start()
--- a/tests/test_execution/test_target_watch.py
+++ b/tests/test_execution/test_target_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from jackdawridge.execution.leases import OtherIncarnationError
 from jackdawridge.execution.messages import Room
 from tests.test_platform.leased_world import LeasedWorld
 
@@ -35,6 +36,15 @@
         world.run(0.5)
         assert not world.targets[0].history
 
+    def test_heartbeat_brings_back_a_target_that_seemed_replaced(self) -> None:
+        world = LeasedWorld()
+        side = world.sides[0]
+        side.keeper.failed(OtherIncarnationError('other'))
+        assert side.execution.state.closed
+        side.watch.joined(world.targets[0].heartbeat())
+        world.run(0.5)
+        assert side.execution.state.closed == ''
+
     def test_new_incarnation_brings_its_own_size(self) -> None:
         world = LeasedWorld()
         target = world.targets[0]
