--- a/tests/test_execution/test_leased_worker.py
+++ b/tests/test_execution/test_leased_worker.py
@@ -266,8 +266,7 @@
         bed.advance(0.02)
         late = bed.target.late.pop()
         bed.target.late.append(late._replace(at=bed.clock.seconds() + 0.4))
-        bed.keeper.is_taken = False
-        bed.keeper.tell('test')
+        ensureDeferred(bed.keeper.take_over())
         bed.advance(5)
         assert not bed.target.history
 
