--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -79,6 +80,16 @@
             item.add_marker(pytest.mark.xfail(reason=line))
 
 
+def pytest_runtest_logreport(report: pytest.TestReport) -> None:
+    """Name a failed test at once: a run that is broken off has no summary.
+
+    :param report: of one phase of a test.
+    """
+    if report.failed and sys.__stderr__ is not None:
+        sys.__stderr__.write(f'\nFAILED {report.nodeid} ({report.when})\n')
+        sys.__stderr__.flush()
+
+
 def pytest_terminal_summary(
     terminalreporter: pytest.TerminalReporter,
 ) -> None:
