--- a/jackdawridge/cmd/main.py
+++ b/jackdawridge/cmd/main.py
@@ -6,7 +6,15 @@
 import sys
 from typing import TYPE_CHECKING
 
-from jackdawridge.cmd import config, daemon, demo, domain, jobs, standin
+from jackdawridge.cmd import (
+    config,
+    daemon,
+    demo,
+    domain,
+    explain,
+    jobs,
+    standin,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -33,6 +41,7 @@
     standin.add_parser(subparsers)
     config.add_parser(subparsers)
     domain.add_parser(subparsers)
+    explain.add_parser(subparsers)
     return parser
 
 
