--- a/jackdawridge/cmd/daemon.py
+++ b/jackdawridge/cmd/daemon.py
@@ -8,14 +8,18 @@
 
 from jackdawridge.cmd.exits import Exit
 from jackdawridge.cmd.serving import prepare, serve
-from jackdawridge.config import Settings, find_faults, load_document
+from jackdawridge.config import Fault, Settings, find_faults, load_document
 from jackdawridge.entry import build_entry
 from jackdawridge.errors import SettingsError
+from jackdawridge.platform.settings import load_node_settings
 from jackdawridge.side import build_side
 
 if TYPE_CHECKING:
     import argparse
 
+#: Of the files that the users' platform writes.
+PLATFORM_SUFFIX = '.toml'
+
 _BUILDERS = {'entry': build_entry, 'side': build_side}  # noqa: WPS407
 
 
@@ -48,11 +52,14 @@
     :param arguments: of the command line.
     """
     try:
-        document = load_document(arguments.file)
+        if arguments.file.suffix == PLATFORM_SUFFIX:
+            load_node_settings(arguments.file)
+            faults: list[Fault] = []
+        else:
+            faults = find_faults(load_document(arguments.file))
     except SettingsError as error:
         print(error.message, file=sys.stderr)
         return Exit.invalid
-    faults = find_faults(document)
     for fault in faults:
         print(fault, file=sys.stderr)
     if faults:
--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -156,15 +156,19 @@
     :param document: the parsed settings file.
     """
     role = document.get('role')
-    if role not in _BOTH:
-        return [Fault('role', role, ' or '.join(sorted(_BOTH)))]
-    rows = {row.name: row for row in SETTINGS if role in row.roles}
+    # Without a role it is not known which settings must be there, but what is
+    # there can be checked.
+    has_role = role in _BOTH
+    roles = frozenset((cast('str', role),)) if has_role else _BOTH
+    rows = {row.name: row for row in SETTINGS if row.roles & roles}
     faults = [
         _unknown(key, document[key], rows)
         for key in document
         if key not in rows
     ]
     for name, row in rows.items():
+        if not has_role and name not in document and row.roles != _BOTH:
+            continue
         value = document.get(name, row.default)
         if not _is_valid(row, value):
             faults.append(Fault(name, value, row.allowed))
--- a/jackdawridge/platform/settings.py
+++ b/jackdawridge/platform/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import tomllib
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 
@@ -107,17 +107,38 @@
     """Return what the platform's file says.
 
     :param path: of the file.
-    :raises SettingsError: naming what is wrong.
+    :raises SettingsError: naming all that is wrong.
     """
     try:
         document = tomllib.loads(path.read_text())
     except (OSError, ValueError) as error:
         raise SettingsError(f'{path}: {error}', step='load settings') from error
-    try:
-        boot = msgspec.convert(document, _BootFile, strict=True)
-    except msgspec.ValidationError as error:
-        raise SettingsError(f'{path}: {error}', step='load settings') from error
-    return convert(boot)
+    faults = find_boot_faults(document)
+    if faults:
+        lines = '; '.join(faults)
+        raise SettingsError(f'{path}: {lines}', step='load settings')
+    return convert(msgspec.convert(document, _BootFile))
+
+
+def find_boot_faults(document: dict[str, Any]) -> list[str]:
+    """Return everything that is wrong with a file of the platform.
+
+    Fields that are not known are passed over: new ones may come.
+
+    :param document: the parsed file.
+    """
+    faults: list[str] = []
+    for field in msgspec.structs.fields(_BootFile):
+        name = field.encode_name
+        if name not in document:
+            if field.required:
+                faults.append(f'{name}: is missing')
+            continue
+        try:
+            msgspec.convert(document[name], field.type)
+        except msgspec.ValidationError as error:
+            faults.append(f'{name}: {error}')
+    return faults
 
 
 def convert(boot: _BootFile) -> NodeSettings:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -45,3 +45,24 @@
         assert settings.integer('cores') == 16
         assert settings.number('heartbeat') == pytest.approx(1)
         assert settings.texts('entries') == ('127.0.0.1:7001',)
+
+
+class TestWithoutRole:
+    """A wrong role hides no other fault."""
+
+    def test_all_faults_are_named(self) -> None:
+        document = {
+            'role': 'cook',
+            'node': 'a/b',
+            'heartbeat': -1,
+            'cores': 'many',
+            'colour': 'red',
+        }
+        named = {fault.key for fault in find_faults(document)}
+        assert {'role', 'node', 'heartbeat', 'cores', 'colour'} <= named
+        assert {'deployment', 'shared_key'} <= named
+
+    def test_settings_of_one_role_are_not_asked_for(self) -> None:
+        named = {fault.key for fault in find_faults({})}
+        assert 'worker' not in named
+        assert 'caller_address' not in named
--- a/tests/test_platform/test_codecs.py
+++ b/tests/test_platform/test_codecs.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from jackdawridge.application import Application
+from jackdawridge.cmd.main import main
 from jackdawridge.deployment.state import DeploymentState, Queue
 from jackdawridge.errors import PeerUnavailableError, SettingsError
 from jackdawridge.execution.leases import HoldOrder, Run, StartOrder
@@ -145,6 +146,21 @@
             '_', ''
         )
 
+    def test_every_fault_is_named_in_one_run(
+        self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        text = ENTRY_FILE.replace('[7720, 7735]', '"7720"').replace(
+            'zone = "soweto"', ''
+        )
+        path = self.write(tmp_path, text)
+        assert main(['check-settings', str(path)]) == 2
+        printed = capsys.readouterr().err
+        assert 'internalPorts' in printed
+        assert 'zone: is missing' in printed
+        assert (
+            main(['check-settings', str(self.write(tmp_path, SIDE_FILE))]) == 0
+        )
+
     def test_missing_file(self, tmp_path: Path) -> None:
         with pytest.raises(SettingsError):
             load_node_settings(tmp_path / 'none')
