Stay until callers of open connections have been answered

A front that got SIGTERM at 9.9 s had nothing to do for a moment, took that for the end of its drain, and closed a connection 0.2 s after it had read a whole request from it. An entry now goes on taking jobs for its whole farewell (3 s, or 0.6 of a short drain), refuses them as not run after it, and closes its connections once their answers are written. Ruled out: the request was not passed on to a minion, and no other fault was near. Tests: test_entry_with_nothing_to_do_does_not_leave_at_once, and with real processes test_open_connection_gets_answers_until_the_entry_has_left; both failed before. The latter also showed jobs that were taken too late for a drain of 2.25 s to end.

--- a/jackdawridge/operations/listeners.py
+++ b/jackdawridge/operations/listeners.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from twisted.internet.defer import Deferred
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
@@ -24,6 +25,8 @@
 REQUEST_TIMEOUT = 15.0
 #: Time without a request after which a connection is closed, in seconds.
 IDLE_TIMEOUT = 60
+#: Time for the last answers to leave the process, in seconds.
+CLOSING_TIME = 0.05
 #: Connections that a listener accepts at a time.
 MAX_CONNECTIONS = 1024
 #: Bytes of all bodies that a listener holds unless its settings say otherwise.
@@ -133,6 +136,11 @@
         self.stop_timer()
         super().allContentReceived()
 
+    def connectionMade(self) -> None:
+        """Count the connection in."""
+        self.factory.channels.add(self)
+        super().connectionMade()
+
     def connectionLost(self, reason: Failure = CONNECTION_DONE) -> None:
         """Stop the timer and count the connection out.
 
@@ -140,6 +148,7 @@
         """
         self.stop_timer()
         self.factory.connections -= 1
+        self.factory.channels.discard(self)
         super().connectionLost(reason)
 
     def stop_timer(self) -> None:
@@ -193,6 +202,8 @@
         self.door_reactor = reactor
         self.address = address
         self.connections = 0
+        #: The open connections.
+        self.channels: set[BoundedChannel] = set()
         self.bodies = BodyMemory(body_memory)
         self.port: Any = None
 
@@ -221,6 +232,12 @@
         host, _, port = self.address.rpartition(':')
         self.port = self.door_reactor.listenTCP(int(port), self, interface=host)
 
-    def stop(self) -> Any:
-        """Stop listening."""
-        return self.port.stopListening()
+    def stop(self) -> Deferred[None]:
+        """Stop listening, and close the connections once all is written."""
+        self.port.stopListening()
+        for channel in tuple(self.channels):
+            channel.loseConnection()
+        closed: Deferred[None] = Deferred()
+        wait = CLOSING_TIME if self.channels else 0
+        self.door_reactor.callLater(wait, closed.callback, None)
+        return closed
--- a/jackdawridge/platform/entry.py
+++ b/jackdawridge/platform/entry.py
@@ -66,6 +66,8 @@
             OperatorRecords(application, state).changed,
         )
     )
+    # Stopped first: the others drain once no more jobs are taken.
+    application.add(jobs)
     return application
 
 
--- a/jackdawridge/submission/attended.py
+++ b/jackdawridge/submission/attended.py
@@ -28,6 +28,8 @@
 #: Time without any side after which an entry takes itself for cut off, in
 #: seconds; links that were reset are back sooner.
 ISOLATED_AFTER = 0.5
+#: Part of the drain that this takes at most, so that what is taken can end.
+FAREWELL_PART = 0.6
 #: Time before the end of its drain at which a leaving entry answers whatever
 #: is open, in seconds.
 LAST_WORD = 0.2
@@ -83,7 +85,7 @@
 
 
 class AttendedJobs:
-    """Runs jobs for callers that choose their ids and wait.
+    """Runs jobs for callers that choose their ids and wait; a component.
 
     A job belongs to the entry that its caller has reached. The caller may
     send it again, here or elsewhere, once it has given up on the answer; by
@@ -113,10 +115,25 @@
         application.events.connect('side_admitted', self.side_admitted)
         application.events.connect('sides_lost', self.sides_lost)
 
+    def start(self) -> None:
+        """Do nothing: jobs are taken from the beginning."""
+
+    def stop(self) -> Deferred[None]:
+        """Return a `Deferred` that fires when no more jobs are taken.
+
+        Callers go on using open connections, so that an entry that ended as
+        soon as it had nothing to do would cut off what comes next.
+        """
+        rest = max(self.closes_at - self.clock.seconds(), 0)
+        closed: Deferred[None] = Deferred()
+        self.clock.callLater(rest, closed.callback, None)
+        return closed
+
     def drain(self) -> None:
         """Take jobs for a last while."""
-        self.closes_at = self.clock.seconds() + FAREWELL
         limit = self.application.settings.number('drain')
+        last = min(FAREWELL, FAREWELL_PART * limit)
+        self.closes_at = self.clock.seconds() + last
         self.clock.callLater(
             max(limit - LAST_WORD, 0), self.abandon, ENTRY_LEFT
         )
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -301,6 +301,43 @@
         assert [reply.status for reply in replies] == [200]
         assert not overlaps(site.history())
 
+    def test_open_connection_gets_answers_until_the_entry_has_left(
+        self, site: Site
+    ) -> None:
+        address = f'{ENTRIES[0]}:{site.ports["front"]}'
+        connection = http.client.HTTPConnection(address, timeout=5)
+        headers = {'Host': 'a.example'}
+        job = {
+            'spec': '0.05',
+            'bestEffort': True,
+            'steps': [{'count': 1, 'cpu': 1000, 'memMb': 10}],
+        }
+        statuses: list[int] = []
+        site.nodes[ENTRIES[0]].terminate()
+        until = time.monotonic() + 10
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            path = f'/fills/{number:016x}'
+            try:
+                connection.request('POST', path, json.dumps(job), headers)
+            except OSError:
+                break
+            # Whoever has sent a whole request gets an answer, or finds the
+            # connection closed before the entry has read it.
+            try:
+                response = connection.getresponse()
+            except (ConnectionError, http.client.HTTPException):
+                break
+            statuses.append(response.status)
+            response.read()
+            if response.getheader('Connection') == 'close':
+                connection.close()
+            time.sleep(0.02)
+        assert site.nodes[ENTRIES[0]].wait(5) == 0
+        assert statuses.count(200) > 5
+        assert set(statuses) <= {200, 429}
+
     def test_entry_that_leaves_answers_what_it_has_taken(
         self, site: Site
     ) -> None:
--- a/tests/test_submission/test_attended.py
+++ b/tests/test_submission/test_attended.py
@@ -146,6 +146,19 @@
         submit(world, kept)
         assert kept.pop().verdict is Verdict.refused
 
+    def test_entry_with_nothing_to_do_does_not_leave_at_once(self) -> None:
+        world, kept = begin()
+        entry = world.entries[0]
+        entry.application.events.emit('draining')
+        stopped: list[None] = []
+        entry.jobs.stop().addCallback(stopped.append)
+        world.run(FAREWELL - 0.1)
+        assert not stopped
+        world.run(0.2)
+        assert stopped
+        submit(world, kept)
+        assert [outcome.verdict for outcome in kept] == [Verdict.refused]
+
     def test_leaving_entry_answers_what_does_not_end_in_time(self) -> None:
         world, kept = begin()
         submit(world, kept, patience=60)
