Call no start refused that had run, and find ports that nobody else is given

The end of such a run is always reported now, and a fresh report is asked for before the stop, so that what runs is kept. test_run_that_was_stopped_is_never_called_refused fails without it. Traced: entry-2 could not listen at 127.0.0.1:40873, a port out of the range that systems give to outgoing connections, found by a second copy of the search for free ports. Both copies are replaced by the one that looks below that range.

--- a/jackdawridge/execution/leased_worker.py
+++ b/jackdawridge/execution/leased_worker.py
@@ -28,6 +28,8 @@
 
 #: Wait before a report is asked for again after a failure, in seconds.
 LOOK_WAIT = 0.03
+#: Wait between a stop and the question for a report, in seconds.
+AFTER_STOP = 0.001
 #: Starts that are under way at a time, each on a connection of its own.
 MAX_STARTING = 6
 #: Orders for one start before it is refused.
@@ -159,20 +161,23 @@
         :param run: that was ordered.
         :param task: that it belongs to.
         """
+        await self.look()
         if run in self.table.reported:
             self.table.confirm(run, self.clock.seconds())
             return StartAnswer(task.id, True, '')
-        self.table.withdraw(run)
         await self.keeper.stop_run(run)
         stopped = self.clock.seconds()
         while run in self.table.runs and not self.table.was_absent(
             run, stopped
         ):
+            # Only a report that was asked for after the stop tells.
+            await self.keeper.pause(AFTER_STOP)
             await self.look()
-        if self.table.settled(run):
-            # It ended by itself, or with its target, before it was stopped.
+        if run not in self.table.runs:
+            # It had started, and its end was reported: to call it refused
+            # would say that nothing of it had run.
             return StartAnswer(task.id, True, '')
-        return StartAnswer(task.id, False, UNANSWERED)
+        return self.not_started(run, task, UNANSWERED)
 
     async def look(self) -> None:
         """Ask for a report at once instead of waiting for the next."""
--- a/jackdawridge/execution/run_table.py
+++ b/jackdawridge/execution/run_table.py
@@ -93,10 +93,6 @@
         #: Local time at which all that runs is over unless it is renewed.
         self.over_at = float('-inf')
         self.reported: frozenset[Run] = frozenset()
-        #: Runs whose start was not answered and that are being stopped.
-        self.withdrawn: set[Run] = set()
-        #: Those of them that had started and were stopped.
-        self.cancelled: set[Run] = set()
         #: When the newest report was asked for.
         self.asked = float('-inf')
 
@@ -130,24 +126,6 @@
         if live is not None and not live.is_confirmed:
             self.runs[run] = LiveRun(live.task_id, now, is_confirmed=True)
 
-    def withdraw(self, run: Run) -> None:
-        """Note that a run is stopped whose start was not answered.
-
-        :param run: that was ordered.
-        """
-        self.withdrawn.add(run)
-
-    def settled(self, run: Run) -> bool:
-        """Forget a withdrawn run; return whether its end was reported.
-
-        :param run: that is over.
-        """
-        was_reported = run not in self.runs and run not in self.cancelled
-        self.runs.pop(run, None)
-        self.withdrawn.discard(run)
-        self.cancelled.discard(run)
-        return was_reported
-
     def drop(self, run: Run) -> None:
         """Forget a run that never started or is over.
 
@@ -222,9 +200,7 @@
                 continue
             self.seen = end.position
             live = self.runs.pop(end.run, None)
-            if end.run in self.withdrawn and end.outcome == 'stopped':
-                self.cancelled.add(end.run)
-            elif live is not None:
+            if live is not None:
                 ended.append(EndedRun(end.run, live, end.outcome, end.reason))
         return ended
 
@@ -250,4 +226,4 @@
         :param run: that was ordered.
         :param since: local time in seconds.
         """
-        return self.asked >= since and run not in self.reported
+        return self.asked > since and run not in self.reported
--- a/tests/test_execution/fake_target.py
+++ b/tests/test_execution/fake_target.py
@@ -65,6 +65,8 @@
         self.moods: deque[str] = deque()
         self.is_up = True
         self.late: list[LateOrder] = []
+        #: Orders that are carried out right before their stop.
+        self.unseen: dict[Run, StartOrder] = {}
         #: All runs that were ever started, for checks.
         self.history: list[Started] = []
         self.ended_at: dict[Run, float] = {}
@@ -167,7 +169,7 @@
         mood = self.moods.popleft() if self.moods else 'ok'
         if not self.is_up or mood == 'refused':
             raise NotSentError('refused')
-        if mood in {'lost', 'late', 'vanished'}:
+        if mood in {'lost', 'late', 'vanished', 'unseen'}:
             await self.go_astray(order, mood)
         self.fence(order.fencing_token)
         return self.carry_out(order)
@@ -179,6 +181,8 @@
         if mood == 'late':
             at = self.clock.seconds() + LATENESS
             self.late.append(LateOrder(at, self.incarnation, order))
+        if mood == 'unseen':
+            self.unseen[order.run] = order
         await self.pause(ORDER_TIME)
         raise AnswerLostError(mood)
 
@@ -200,6 +204,9 @@
     async def stop(self, run: Run, fencing_token: int) -> None:
         await self.pass_mood()
         self.fence(fencing_token)
+        unseen = self.unseen.pop(run, None)
+        if unseen is not None:
+            self.carry_out(unseen)
         self.block(run)
         self.end(run, 'stopped', 'stopped')
 
--- a/tests/test_execution/test_leased_worker.py
+++ b/tests/test_execution/test_leased_worker.py
@@ -108,14 +108,15 @@
         bed.advance(5)
         assert len(bed.target.history) == 1
 
-    def test_run_that_is_stopped_for_another_is_not_reported(self) -> None:
+    def test_run_that_was_stopped_is_never_called_refused(self) -> None:
         bed = Bed()
-        bed.target.moods.append('lost')
-        bed.start()
+        bed.target.moods.append('unseen')
+        task = bed.start()
         bed.advance(1)
+        assert len(bed.target.history) == 1
         assert [answer.started for answer in bed.answers] == [True]
-        assert len(bed.target.running) == 1
-        assert not bed.listener.ended
+        assert bed.outcomes() == [(task, 'stopped')]
+        assert not bed.target.running
 
     def test_run_that_ends_before_it_is_stopped_is_reported(self) -> None:
         bed = Bed()
--- a/tests/test_membership/site.py
+++ b/tests/test_membership/site.py
@@ -11,8 +11,8 @@
 
 from jackdawridge.standins.record import find_double_starts
 from tests.processes.http import Reply, request
+from tests.processes.ports import find_free_addresses
 from tests.processes.process import Process
-from tests.test_membership.ports import find_addresses
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -66,7 +66,7 @@
             worker = self.start_stand_in(f'worker-{name}', 'worker', *domain)
             self.workers[name] = worker
         document = {'role': 'side', 'worker': self.workers[name]}
-        self.start(name, document, find_addresses(1)[0], seeds)
+        self.start(name, document, find_free_addresses(1)[0], seeds)
 
     def start(
         self,
--- a/tests/test_membership/test_processes.py
+++ b/tests/test_membership/test_processes.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.processes.background import Background
-from tests.test_membership.ports import find_addresses
+from tests.processes.ports import find_free_addresses
 from tests.test_membership.site import Site, wait_until
 
 if TYPE_CHECKING:
@@ -32,7 +32,7 @@
 
     def __init__(self, directory: Path) -> None:
         self.site = Site(directory)
-        self.addresses = {name: find_addresses(3) for name in ENTRIES}
+        self.addresses = {name: find_free_addresses(3) for name in ENTRIES}
         self.seeds = [self.addresses['entry-0'][1]]
         for name in ENTRIES:
             self.site.start_entry(name, self.addresses[name], self.seeds)
--- a/tests/test_platform/test_ownership.py
+++ b/tests/test_platform/test_ownership.py
@@ -67,7 +67,9 @@
 
     @rule(
         worker=PAIRS,
-        mood=st.sampled_from(['refused', 'lost', 'late', 'vanished', 'silent']),
+        mood=st.sampled_from(
+            ['refused', 'lost', 'late', 'vanished', 'unseen', 'silent']
+        ),
     )
     def disturb(self, worker: int, mood: str) -> None:
         self.world.targets[worker].moods.append(mood)
--- a/tests/test_submission/test_http.py
+++ b/tests/test_submission/test_http.py
@@ -17,6 +17,7 @@
 from hypothesis import strategies as st
 
 from jackdawridge.operations.listeners import MAX_BODY_BYTES
+from tests.processes.ports import find_free_addresses
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -34,13 +35,6 @@
     text: str
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def ask(port: int, method: str, path: str, body: bytes = b'') -> Refusal:
     connection = HTTPConnection(HOST, port, timeout=30)
     connection.request(method, path, body)
@@ -54,8 +48,8 @@
 @pytest.fixture(scope='module')
 def port(tmp_path_factory: pytest.TempPathFactory) -> Iterator[int]:
     """An entry without sides and without a log service."""
-    ports = [free_port() for _ in range(4)]
-    addresses = [f'{HOST}:{number}' for number in ports]
+    addresses = find_free_addresses(4)
+    ports = [int(address.rpartition(':')[2]) for address in addresses]
     path: Path = tmp_path_factory.mktemp('entry') / 'entry.json'
     document = {
         'role': 'entry',
