Call what the project has instead of writing it again, and scan no whole queue

Read over the whole change; behaviour stays as it is. - A Deferred that fires after a while was written out at six places; they call util.clock.pause now, over Twisted's deferLater. - The adapter's errors go through the writer of replies that the product has. - Late jobs were looked for among all that wait, in each turn of the loop, also where no job has an objective. They are at the end of the order, which is bisected now. What sorts them out keeps no state and is a function. - Dropped: a logger that nobody used, parameters that were passed and not read, the choice of a type of which there was one.

--- a/jackdawridge/deployment/entry.py
+++ b/jackdawridge/deployment/entry.py
@@ -4,15 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from jackdawridge.logs import get_logger
-
 if TYPE_CHECKING:
     from jackdawridge.application import Application
     from jackdawridge.deployment.state import DeploymentState
     from jackdawridge.submission.engine import JobEngine
 
-logger = get_logger('deployment')
-
 
 class EntryDeployment:
     """Tells an entry's placement which failure domains are in service.
--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -25,6 +25,7 @@
     TaskStatus,
 )
 from jackdawridge.logs import get_logger
+from jackdawridge.util.clock import pause
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -111,11 +112,11 @@
         """Renew the lease until the end of the process."""
         while not self.closed:
             if not self.is_known:
-                await self.pause(RETRY_WAIT)
+                await pause(self.clock, RETRY_WAIT)
                 continue
             wait = await self.keep_safely()
             if wait:
-                await self.pause(wait)
+                await pause(self.clock, wait)
 
     async def keep_safely(self) -> float:
         """Renew the lease once and return the wait before the next time.
@@ -211,8 +212,8 @@
 
         :param news: of the target.
         """
-        for run, live, outcome, reason in news.ended:
-            self.report(live, outcome, reason, run)
+        for ended in news.ended:
+            self.report(*ended)
 
     def failed(self, error: JackdawridgeError) -> None:
         """Act on a call that was not answered.
@@ -247,18 +248,15 @@
 
         :param reason: for the entries.
         """
-        for run, live in self.table.clear():
-            self.report(live, 'lost', reason, run)
+        for live in self.table.clear():
+            self.report(live, 'lost', reason)
 
-    def report(
-        self, live: LiveRun, outcome: str, reason: str, run: Run
-    ) -> None:
+    def report(self, live: LiveRun, outcome: str, reason: str) -> None:
         """Tell the listener that a run is over.
 
         :param live: what was known of the run.
         :param outcome: as in `TaskStatus`, or `lost`.
         :param reason: of a failure.
-        :param run: that is over.
         """
         if self.listener is None:
             return
@@ -276,7 +274,7 @@
             try:
                 await self.target.stop(run, self.table.token)
             except AnswerLostError:
-                await self.pause(RETRY_WAIT)
+                await pause(self.clock, RETRY_WAIT)
             except FencedError:
                 self.table.raise_token()
             except JackdawridgeError as error:
@@ -285,15 +283,6 @@
             else:
                 return
 
-    def pause(self, wait: float) -> Deferred[None]:
-        """Return a `Deferred` that fires after a while.
-
-        :param wait: in seconds.
-        """
-        waited: Deferred[None] = Deferred()
-        self.clock.callLater(wait, waited.callback, None)
-        return waited
-
 
 def ignore(reason: str) -> None:
     """Do nothing.
--- a/jackdawridge/execution/leased_worker.py
+++ b/jackdawridge/execution/leased_worker.py
@@ -19,6 +19,7 @@
     TaskList,
 )
 from jackdawridge.logs import get_logger
+from jackdawridge.util.clock import pause
 
 if TYPE_CHECKING:
     from jackdawridge.execution.lease_keeper import LeaseKeeper
@@ -171,7 +172,7 @@
             run, stopped
         ):
             # Only a report that was asked for after the stop tells.
-            await self.keeper.pause(AFTER_STOP)
+            await pause(self.clock, AFTER_STOP)
             await self.look()
         if run not in self.table.runs:
             # It had started, and its end was reported: to call it refused
@@ -185,7 +186,7 @@
             await self.keeper.look(0)
         except JackdawridgeError as error:
             logger.info(error.message, step='settle')
-            await self.keeper.pause(LOOK_WAIT)
+            await pause(self.clock, LOOK_WAIT)
 
     async def stop(self, ids: tuple[str, ...]) -> None:
         """Stop tasks.
--- a/jackdawridge/execution/run_table.py
+++ b/jackdawridge/execution/run_table.py
@@ -44,7 +44,6 @@
 class EndedRun(NamedTuple):
     """A run that is over."""
 
-    run: Run
     live: LiveRun
     outcome: str
     reason: str
@@ -133,9 +132,9 @@
         """
         self.runs.pop(run, None)
 
-    def clear(self) -> tuple[tuple[Run, LiveRun], ...]:
+    def clear(self) -> tuple[LiveRun, ...]:
         """Forget all runs and return them."""
-        runs = tuple(self.runs.items())
+        runs = tuple(self.runs.values())
         self.runs.clear()
         return runs
 
@@ -201,7 +200,7 @@
             self.seen = end.position
             live = self.runs.pop(end.run, None)
             if live is not None:
-                ended.append(EndedRun(end.run, live, end.outcome, end.reason))
+                ended.append(EndedRun(live, end.outcome, end.reason))
         return ended
 
     def vanished(self, asked: float, running: frozenset[Run]) -> list[EndedRun]:
@@ -216,9 +215,7 @@
             if live.is_confirmed and live.began < asked and run not in running
         ]
         reason = 'target does not know the run'
-        return [
-            EndedRun(lost, self.runs.pop(lost), 'lost', reason) for lost in gone
-        ]
+        return [EndedRun(self.runs.pop(lost), 'lost', reason) for lost in gone]
 
     def was_absent(self, run: Run, since: float) -> bool:
         """Return whether a report asked for since a time lacks a run.
--- a/jackdawridge/execution/starter.py
+++ b/jackdawridge/execution/starter.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import ensureDeferred
 
 from jackdawridge.errors import JackdawridgeError
 from jackdawridge.execution.messages import TaskKey
@@ -14,10 +14,13 @@
     WorkerTask,
 )
 from jackdawridge.logs import get_logger
+from jackdawridge.util.clock import pause
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.defer import Deferred
+
     from jackdawridge.execution.messages import Start
     from jackdawridge.execution.worker import StartAnswer, TaskList, Worker
     from jackdawridge.util.clock import Clock
@@ -216,9 +219,7 @@
 
     def pause(self) -> Deferred[None]:
         """Return a `Deferred` that fires after the interval of questions."""
-        pause: Deferred[None] = Deferred()
-        self.clock.callLater(QUESTION_INTERVAL, pause.callback, None)
-        return pause
+        return pause(self.clock, QUESTION_INTERVAL)
 
 
 def _known(listed: TaskList | None) -> set[TaskKey]:
--- a/jackdawridge/operations/listeners.py
+++ b/jackdawridge/operations/listeners.py
@@ -4,15 +4,16 @@
 
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import Deferred
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
 from jackdawridge.logs import get_logger
 from jackdawridge.operations.bodies import BodyMemory, BodyShare
+from jackdawridge.util.clock import pause
 from jackdawridge.wire.link import CONNECTION_DONE
 
 if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
     from twisted.internet.interfaces import IAddress, IProtocol
     from twisted.python.failure import Failure
     from twisted.web.resource import Resource
@@ -237,7 +238,4 @@
         self.port.stopListening()
         for channel in tuple(self.channels):
             channel.loseConnection()
-        closed: Deferred[None] = Deferred()
-        wait = CLOSING_TIME if self.channels else 0
-        self.door_reactor.callLater(wait, closed.callback, None)
-        return closed
+        return pause(self.door_reactor, CLOSING_TIME if self.channels else 0)
--- a/jackdawridge/placement/lateness.py
+++ b/jackdawridge/placement/lateness.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import bisect
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -29,37 +30,54 @@
     reason: str
 
 
-class Lateness:
-    """Sorts out the jobs that were not placed in time."""
-
-    def sort_out(  # noqa: WPS231
-        self, queues: Queues, now: float, part: float
-    ) -> tuple[Useless, ...]:
-        """Move late jobs behind the others and return the useless ones.
-
-        :param queues: everything that is queued.
-        :param now: the time.
-        :param part: of the room that is this entry's.
-        """
-        useless: list[Useless] = []
-        for team in tuple(queues.active.values()):
-            late = [job for _, job in team.jobs if job.is_late]
-            missed = overdue(team, now)
-            useless.extend(
-                Useless(job, 'an answer would be too late')
-                for job in missed + late
-                if now >= job.standing.useless_from
-            )
-            room = LATE_WORK * part - sum(map(work_of, late))
-            for job in missed:
-                if job.has_begun or now >= job.standing.useless_from:
-                    continue
-                room -= work_of(job)
-                if room >= 0:
-                    put_behind(queues, job)
-                else:
-                    useless.append(Useless(job, 'too much work waits'))
-        return tuple(useless)
+def sort_out(  # noqa: WPS231
+    queues: Queues, now: float, part: float
+) -> tuple[Useless, ...]:
+    """Move late jobs behind the others and return the useless ones.
+
+    :param queues: everything that is queued.
+    :param now: the time.
+    :param part: of the room that is this entry's.
+    """
+    useless: list[Useless] = []
+    for team in tuple(queues.active.values()):
+        late = waiting_late(team)
+        missed = overdue(team, now)
+        useless.extend(
+            Useless(job, 'an answer would be too late')
+            for job in missed + late
+            if now >= job.standing.useless_from
+        )
+        room = LATE_WORK * part - sum(map(work_of, late))
+        for job in missed:
+            if job.has_begun or now >= job.standing.useless_from:
+                continue
+            room -= work_of(job)
+            if room >= 0:
+                put_behind(queues, job)
+            else:
+                useless.append(Useless(job, 'too much work waits'))
+    return tuple(useless)
+
+
+def waiting_late(team: Team) -> list[Job]:
+    """Return the jobs of a team that were put behind the others.
+
+    They are at the end of the order, so that the others are not looked at:
+    this is called in each turn in which something is placed.
+
+    :param team: whose jobs wait.
+    """
+    first = bisect.bisect_left(team.jobs, (LATE_TIER, 0), key=order_of)
+    return [job for _, job in team.jobs[first:] if job.is_late]
+
+
+def order_of(entry: tuple[tuple[float, int], Job]) -> tuple[float, int]:
+    """Return the place of a job in the order of its team.
+
+    :param entry: of the order.
+    """
+    return entry[0]
 
 
 def overdue(team: Team, now: float) -> list[Job]:
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -8,7 +8,7 @@
 
 from jackdawridge.placement.admission import QueueBounds
 from jackdawridge.placement.headroom import BULK
-from jackdawridge.placement.lateness import USEFUL_OBJECTIVES, Lateness
+from jackdawridge.placement.lateness import USEFUL_OBJECTIVES, sort_out
 from jackdawridge.placement.policies import POLICIES, Policy
 from jackdawridge.placement.queues import Job, Standing, TeamLimits
 from jackdawridge.placement.request import (
@@ -57,7 +57,6 @@
         #: Sides that offered room, with the task that waits for it.
         self.offers: list[tuple[str, Key]] = []
         self.asking = Asking()
-        self.lateness = Lateness()
 
     @classmethod
     def from_config(cls, settings: Settings, seed: str = '') -> Placer:
@@ -166,7 +165,7 @@
 
         :param now: the time.
         """
-        found = self.lateness.sort_out(self.queues, now, self.queues.part)
+        found = sort_out(self.queues, now, self.queues.part)
         return tuple(
             Impossible(useless.job.first(), useless.reason) for useless in found
         )
--- a/jackdawridge/platform/callers.py
+++ b/jackdawridge/platform/callers.py
@@ -15,6 +15,8 @@
 from jackdawridge.platform.jobs import Unserved, read_job
 from jackdawridge.submission.attended import RETRY_AFTER, Outcome, Verdict
 from jackdawridge.submission.documents import digest_of
+from jackdawridge.submission.interface import Reply, error_body
+from jackdawridge.submission.resource import write_reply
 from jackdawridge.util.web import has_left
 
 if TYPE_CHECKING:
@@ -257,10 +259,8 @@
     :param reason: for the caller.
     :param retry_after: time after which to ask again in seconds, 0 for none.
     """
-    request.setResponseCode(status)
-    if retry_after:
-        request.setHeader('Retry-After', str(max(1, math.ceil(retry_after))))
-    return write(request, {'error': reason})
+    reply = Reply(status, error_body(reason), retry_after=retry_after)
+    return write_reply(request, reply)
 
 
 def write(request: WebRequest, document: dict[str, object]) -> bytes:
--- a/jackdawridge/platform/store.py
+++ b/jackdawridge/platform/store.py
@@ -7,11 +7,12 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import ensureDeferred
 
 from jackdawridge.errors import JackdawridgeError, PeerUnavailableError
 from jackdawridge.logs import get_logger
 from jackdawridge.util.client import Answer, JsonClient
+from jackdawridge.util.clock import pause
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -96,7 +97,7 @@
             answer = await self.ask(
                 f'log-newest?topic={topic}&part=0{after}', ANSWER_TIME
             )
-            page = decode(answer, _Newest, self.address)
+            page = read_newest(answer, self.address)
             end = page.end_offset if end is None else end
             for one in page.items:
                 content = base64.b64decode(one.value)
@@ -183,7 +184,7 @@
                 await self.advance()
             except JackdawridgeError as error:
                 self.note(error)
-                await self.pause()
+                await pause(self.clock, RETRY_WAIT)
             else:
                 self.note(None)
 
@@ -218,12 +219,6 @@
             logger.warning(error.message, step=error.step, peer=error.peer)
         self.is_reachable = error is None
 
-    def pause(self) -> Deferred[None]:
-        """Return a `Deferred` that fires when it is time to ask again."""
-        waited: Deferred[None] = Deferred()
-        self.clock.callLater(RETRY_WAIT, waited.callback, None)
-        return waited
-
 
 def fold(records: dict[str, Record], record: Record) -> None:
     """Put a record in its place unless a newer one is there.
@@ -240,16 +235,15 @@
         records.pop(record.key, None)
 
 
-def decode(answer: Answer, kind: type[_Newest], peer: str) -> _Newest:
-    """Return the body of an answer.
+def read_newest(answer: Answer, peer: str) -> _Newest:
+    """Return a page of the newest records.
 
     :param answer: of the store.
-    :param kind: of the body.
     :param peer: for the error.
-    :raises PeerUnavailableError: if the body is not of that kind.
+    :raises PeerUnavailableError: if the body is none.
     """
     try:
-        return msgspec.json.decode(answer.body, type=kind)
+        return msgspec.json.decode(answer.body, type=_Newest)
     except msgspec.MsgspecError as error:
         raise PeerUnavailableError(
             str(error), step='log-newest', peer=peer
--- a/jackdawridge/submission/attended.py
+++ b/jackdawridge/submission/attended.py
@@ -12,6 +12,7 @@
 from jackdawridge.placement.request import Overload
 from jackdawridge.submission.jobs import Started
 from jackdawridge.submission.tickets import write_caller_ticket
+from jackdawridge.util.clock import pause
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
@@ -125,9 +126,7 @@
         soon as it had nothing to do would cut off what comes next.
         """
         rest = max(self.closes_at - self.clock.seconds(), 0)
-        closed: Deferred[None] = Deferred()
-        self.clock.callLater(rest, closed.callback, None)
-        return closed
+        return pause(self.clock, rest)
 
     def drain(self) -> None:
         """Take jobs for a last while."""
--- a/jackdawridge/util/clock.py
+++ b/jackdawridge/util/clock.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING, Any, Protocol
 
-from twisted.internet.task import LoopingCall
+from twisted.internet.task import LoopingCall, deferLater
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.defer import Deferred
+
 
 class DelayedCall(Protocol):
     """A call that waits for its time."""
@@ -46,3 +48,13 @@
     any_clock: Any = clock
     loop.clock = any_clock
     return loop
+
+
+def pause(clock: Clock, seconds: float) -> Deferred[None]:
+    """Return a `Deferred` that fires after a while.
+
+    :param clock: the reactor, or that of a test.
+    :param seconds: to wait.
+    """
+    any_clock: Any = clock
+    return deferLater(any_clock, seconds)
