Refuse at once what others leave no room in time, by priority

Change: after each pass that left something waiting, a forecast of the room that comes free goes through the queue in its order. Where a job would start too late, the newest of the least important jobs up to there is refused. The forecast is by service, and nothing is refused while sides still link.

Also: a task of a late job that runs again keeps its place behind the others.

--- a/jackdawridge/placement/fleet.py
+++ b/jackdawridge/placement/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.placement.health import FleetHealth
 from jackdawridge.placement.view import (
@@ -24,6 +24,16 @@
 REFUSAL_WAIT = 0.2
 
 
+class ServiceRoom(NamedTuple):
+    """Cores of the workers of a service."""
+
+    cores: float
+    #: By the tasks of all entries, as far as it is known.
+    used: float
+    #: By the tasks of this entry.
+    own: float
+
+
 class Fleet:
     """Keeps the view of each side current."""
 
@@ -34,6 +44,8 @@
         self.ramp_time = RAMP_TIME
         self.sides: dict[str, Side] = {}
         self.open_sides: list[Side] = []
+        #: When a side joined last.
+        self.grown_at = float('-inf')
         self.out_of_service: set[str] = set()
         self.health = FleetHealth()
         #: What the open sides have together.
@@ -50,6 +62,7 @@
         """
         side = Side(side_id, info, self.ramp_time)
         side.ramp_from = now
+        self.grown_at = now
         self.sides[side_id] = side
         if all(info[1:] != shape[1:] for shape in self.shapes):
             self.shapes.append(info)
@@ -149,6 +162,21 @@
             need.accelerators / max(accelerators, 1),
         )
 
+    def room_of(self, service: str) -> ServiceRoom:
+        """Return the room of the open sides of a service.
+
+        :param service: any side counts if it is empty.
+        """
+        cores: float = 0
+        used: float = 0
+        own: float = 0
+        for side in self.open_sides:
+            if not service or service == side.info.service:
+                cores += side.info.cores
+                used += side.info.cores - max(side.free.cores, 0)
+                own += side.own_cores
+        return ServiceRoom(cores, used, own)
+
     def judge(self, side_id: str) -> None:
         """Apply the health of a side to its part of the work.
 
--- a/jackdawridge/placement/lateness.py
+++ b/jackdawridge/placement/lateness.py
@@ -69,7 +69,7 @@
     :param team: whose jobs wait.
     """
     first = bisect.bisect_left(team.jobs, (LATE_TIER, 0), key=order_of)
-    return [job for _, job in team.jobs[first:] if job.is_late]
+    return [job for _, job in team.jobs[first:] if job.standing.is_late]
 
 
 def order_of(entry: tuple[tuple[float, int], Job]) -> tuple[float, int]:
@@ -103,10 +103,9 @@
     :param queues: where it waits.
     :param job: that is late.
     """
-    job.is_late = True
     standing = job.standing
     place = LATE_TIER + standing.useless_from
-    queues.move(job, standing._replace(deadline=place))
+    queues.move(job, standing._replace(deadline=place, is_late=True))
 
 
 def work_of(job: Job) -> float:
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -19,6 +19,12 @@
     Overload,
 )
 from jackdawridge.placement.rounds import NO_LIMIT, Asking, Round
+from jackdawridge.placement.shedding import (
+    SETTLING,
+    Release,
+    find_excess,
+    spread_out,
+)
 from jackdawridge.placement.tracking import Tracking
 
 if TYPE_CHECKING:
@@ -57,6 +63,8 @@
         #: Sides that offered room, with the task that waits for it.
         self.offers: list[tuple[str, Key]] = []
         self.asking = Asking()
+        #: Whether any job has named an objective.
+        self.has_objectives = False
 
     @classmethod
     def from_config(cls, settings: Settings, seed: str = '') -> Placer:
@@ -128,16 +136,19 @@
         """
         longest: float = 0
         work: float = 0
+        room: float = 0
         for group in job.groups.values():
             need = self.need(group.sample)
             longest = max(longest, need.run_time)
-            share = self.dominant_share(need)
-            work += share * need.run_time * len(group.requests)
+            share = self.dominant_share(need) * len(group.requests)
+            room += share
+            work += share * need.run_time
         ideal = max(longest, work)
         bulk = work if job.size >= BULK else 0
         if objective == NO_OBJECTIVE:
             return Standing(now + TARGET_SLOWDOWN * ideal, now, bulk)
         aimed = objective.stretch * ideal + objective.allowance
+        self.has_objectives = True
         # The order is that of the latest starts that are still in time.
         return Standing(
             now + aimed - longest * START_MARGIN,
@@ -145,6 +156,8 @@
             bulk,
             now + USEFUL_OBJECTIVES * aimed - longest,
             work,
+            room,
+            objective.priority,
         )
 
     def cancel(self, ticket: str) -> int:
@@ -170,6 +183,51 @@
             Impossible(useless.job.first(), useless.reason) for useless in found
         )
 
+    def refuse_excess(self, now: float) -> tuple[Impossible, ...]:
+        """Return tasks whose jobs others leave no room; the caller cancels.
+
+        To be called when all that there is room for was placed.
+
+        :param now: the time.
+        """
+        is_settled = now - self.grown_at >= SETTLING and self.open_sides
+        if not (self.has_objectives and self.queues.queued and is_settled):
+            return ()
+        return tuple(
+            Impossible(job.first(), 'no room in time')
+            for service, jobs in self.queues.by_service().items()
+            for job in find_excess(jobs, now, self.releases(service, jobs, now))
+        )
+
+    def releases(
+        self, service: str, jobs: Sequence[Job], now: float
+    ) -> list[Release]:
+        """Return the room that comes free for what waits here.
+
+        Room that a task of this entry leaves goes to this entry again, since
+        it comes free for all entries as they use it. An entry that uses less
+        than its even part gets some of what the others leave.
+
+        :param service: whose workers run the tasks; any worker if it is empty.
+        :param jobs: that wait for them.
+        :param now: the time.
+        """
+        sides = {side.side_id for side in self.open_sides}
+        found = [
+            Release(
+                max(one.placed_at + one.need.run_time, now),
+                self.dominant_share(one.need),
+            )
+            for one in self.assignments.values()
+            if one.request.service == service and one.side_id in sides
+        ]
+        room = self.room_of(service)
+        lacking = self.queues.part * room.used - room.own
+        if lacking > 0:
+            share = lacking / max(self.capacity.cores, 1)
+            found.extend(spread_out(jobs, now, share))
+        return found
+
     def place(
         self, now: float, limit: float = NO_LIMIT
     ) -> tuple[Placement, ...]:
--- a/jackdawridge/placement/queues.py
+++ b/jackdawridge/placement/queues.py
@@ -41,6 +41,12 @@
     useless_from: float = float('inf')
     #: Its work, in seconds of the whole room, whatever its size.
     whole_work: float = 0
+    #: Part of the whole room that its tasks take when all run.
+    room: float = 0
+    #: Jobs with the lowest number are refused last when room is short.
+    priority: int = 0
+    #: Whether the job can no longer be answered in time.
+    is_late: bool = False
 
 
 class Group(NamedTuple):
@@ -60,6 +66,7 @@
     def __init__(self, requests: Sequence[Request], sequence: int) -> None:
         """Group tasks that are declared alike."""
         self.team = requests[0].team
+        self.service = requests[0].service
         self.ticket = requests[0].ticket
         self.sequence = sequence
         self.standing = Standing(0, 0)
@@ -72,8 +79,6 @@
         self.size = self.queued
         #: Whether a task of the job was placed.
         self.has_begun = False
-        #: Whether the job can no longer be answered in time.
-        self.is_late = False
 
     def order(self) -> tuple[float, int]:
         """Return where the job stands among those of its team."""
@@ -336,6 +341,14 @@
             self.forget(job)
         return job, request
 
+    def by_service(self) -> dict[str, list[Job]]:
+        """Return the jobs by the service of their tasks, in their order."""
+        found: dict[str, list[Job]] = {}
+        for team in self.active.values():
+            for _, job in team.jobs:
+                found.setdefault(job.service, []).append(job)
+        return found
+
     def demand(self) -> dict[str, float]:
         """Return for each team with work the tasks that wait or run."""
         return {
--- a/jackdawridge/placement/request.py
+++ b/jackdawridge/placement/request.py
@@ -15,6 +15,8 @@
     stretch: float
     #: Time besides, in seconds.
     allowance: float
+    #: Jobs with the lowest number are refused last when room is short.
+    priority: int = 0
 
 
 #: Of jobs that name no objective.
--- /dev/null
+++ b/jackdawridge/placement/shedding.py
@@ -0,0 +1,193 @@
+"""Which waiting jobs are refused because others leave them no room in time.
+
+Under a load beyond the room, waiting until a job is late tells its caller
+late what was known when it came, and lets chance decide who is served.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from jackdawridge.placement.queues import Job
+
+#: Factor on predicted waits of the most important jobs: room comes free in
+#: pieces that wait for others of their job.
+CAUTION = 1.2
+#: Added for each step of priority. Less important jobs are refused sooner, so
+#: that room is left for important ones to come.
+CAUTION_STEP = 0.8
+#: Steps of priority that are told apart here.
+MAX_STEPS = 4
+#: Parts of the whole room that are taken for nothing.
+ROUNDING = 1e-9
+#: Time after a side has joined in which nothing is refused for lack of room,
+#: in seconds: the room grows while sides link one after the other.
+SETTLING = 1.0
+
+
+#: Releases by which the even part of an entry is modelled that uses less.
+PIECES = 8
+
+
+class Release(NamedTuple):
+    """Room that comes free."""
+
+    at: float
+    #: Part of the whole room.
+    room: float
+    #: Of the job that waits now and will have used it, or empty.
+    ticket: str = ''
+
+
+class _Candidate(NamedTuple):
+    """A job that may be refused; the least is refused first."""
+
+    #: Negative, so that the least important job comes first.
+    priority: int
+    #: Negative, so that the newest of them comes first.
+    queued_at: float
+    sequence: int
+    job: Job
+
+    @classmethod
+    def of(cls, job: Job) -> _Candidate:
+        """Return the candidate for a job.
+
+        :param job: that waits.
+        """
+        standing = job.standing
+        order = (-standing.priority, -standing.queued_at, -job.sequence)
+        return cls(*order, job)
+
+
+class Forecast:
+    """When jobs start that are placed one after the other.
+
+    :param releases: of what runs.
+    :param now: the time.
+    """
+
+    def __init__(self, releases: Iterable[Release], now: float) -> None:
+        """Begin without free room."""
+        self.releases = list(releases)
+        heapq.heapify(self.releases)
+        self.now = now
+        self.free: float = 0
+        #: Room that jobs hold by then, by ticket.
+        self.held: dict[str, float] = {}
+
+    def place(self, job: Job) -> float:
+        """Return when the last task of a job starts, and let it run.
+
+        :param job: that comes next.
+        """
+        standing = job.standing
+        self.held[job.ticket] = 0
+        if not standing.room:
+            return self.now
+        missing = standing.room * job.queued / job.size
+        run_time = standing.whole_work / standing.room
+        while missing > ROUNDING:
+            taken = min(self.free, missing)
+            if taken > ROUNDING:
+                self.free -= taken
+                missing -= taken
+                self.held[job.ticket] += taken
+                end = Release(self.now + run_time, taken, job.ticket)
+                heapq.heappush(self.releases, end)
+            elif not self.advance():
+                # Nothing tells when room comes free.
+                break
+        return self.now
+
+    def advance(self) -> bool:
+        """Go to the next release and return whether there is one."""
+        if not self.releases:
+            return False
+        release = heapq.heappop(self.releases)
+        if release.ticket:
+            if release.ticket not in self.held:
+                return True
+            self.held[release.ticket] -= release.room
+        self.now = max(self.now, release.at)
+        self.free += release.room
+        return True
+
+    def take_back(self, job: Job) -> None:
+        """Give the room of a job to those that follow.
+
+        :param job: that was placed and is refused.
+        """
+        self.free += self.held.pop(job.ticket)
+
+
+def find_excess(
+    jobs: Iterable[Job], now: float, releases: Iterable[Release]
+) -> list[Job]:
+    """Return the jobs to refuse so that the others can start in time.
+
+    To be called when there is no room for what waits. Goes through the jobs
+    in the order in which they will be placed; where one would start too late,
+    the newest of the least important jobs up to there makes way. A job of
+    which something has run is kept.
+
+    :param jobs: that wait, the first one first.
+    :param now: the time.
+    :param releases: of the room that these jobs get.
+    """
+    excess: list[Job] = []
+    candidates: list[_Candidate] = []
+    forecast = Forecast(releases, now)
+    # Late jobs come last, and take nothing from those that can be in time.
+    for job in itertools.takewhile(can_be_in_time, jobs):
+        wait = forecast.place(job) - now
+        if math.isinf(job.standing.useless_from):
+            continue
+        if not job.has_begun:
+            heapq.heappush(candidates, _Candidate.of(job))
+        limit = job.standing.deadline - now
+        if candidates and wait * caution(job.standing.priority) > limit:
+            refused = heapq.heappop(candidates).job
+            forecast.take_back(refused)
+            excess.append(refused)
+    return excess
+
+
+def can_be_in_time(job: Job) -> bool:
+    """Return whether a job was not put behind all others for being late.
+
+    :param job: that waits.
+    """
+    return not job.standing.is_late
+
+
+def caution(priority: int) -> float:
+    """Return the factor on the predicted wait of a job.
+
+    :param priority: of its queue.
+    """
+    return CAUTION + CAUTION_STEP * min(max(priority, 0), MAX_STEPS)
+
+
+def spread_out(
+    jobs: Iterable[Job], now: float, room: float
+) -> Iterator[Release]:
+    """Yield releases of room that others use, over the run time of jobs.
+
+    :param jobs: that wait.
+    :param now: the time.
+    :param room: part of the whole room.
+    """
+    waiting = [job.standing for job in jobs]
+    work = sum(standing.whole_work for standing in waiting)
+    taken = sum(standing.room for standing in waiting)
+    run_time = work / taken if taken else 0
+    for piece in range(PIECES):
+        at = now + run_time * (piece + 1) / PIECES
+        yield Release(at, room / PIECES)
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -123,7 +123,7 @@
             team.running = 0
         side = self.sides.get(assignment.side_id)
         if side is not None:
-            side.outstanding -= 1
+            side.release(assignment.need)
         return assignment
 
     def sent(
--- a/jackdawridge/placement/view.py
+++ b/jackdawridge/placement/view.py
@@ -108,6 +108,8 @@
         self.is_limited = False
         #: Tasks of this entry at the side.
         self.outstanding = 0
+        #: Cores that they reserve.
+        self.own_cores: float = 0
         #: Run time of tasks here over that of tasks elsewhere.
         self.slowness = 1.0
 
@@ -155,6 +157,15 @@
             self.free.accelerators - need.accelerators,
         )
         self.outstanding += 1
+        self.own_cores += need.cores
+
+    def release(self, need: Need) -> None:
+        """Count a placement no more; its room is free once it is reported.
+
+        :param need: the estimate for the task.
+        """
+        self.outstanding -= 1
+        self.own_cores = max(self.own_cores - need.cores, 0)
 
     def sent(self, number: int, amount: Amount) -> None:
         """Note that placements left in a batch.
--- a/jackdawridge/platform/jobs.py
+++ b/jackdawridge/platform/jobs.py
@@ -107,7 +107,7 @@
             (task,) * step.count,
             queue.attempts,
             reruns=True,
-            objective=Objective(queue.stretch, queue.allowance),
+            objective=Objective(queue.stretch, queue.allowance, queue.priority),
             service=queue.service,
         )
     )
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -202,6 +202,9 @@
         self.stop_stalled()
         if len(placed) >= TURN_PLACEMENTS:
             self.place_if_due()
+            return
+        for excess in self.placer.refuse_excess(self.clock.seconds()):
+            self.fail(excess.request.ticket, excess.reason)
 
     def stop_stalled(self) -> None:
         """Stop tasks that stand still, so that they run again elsewhere."""
--- /dev/null
+++ b/tests/test_placement/overload.py
@@ -0,0 +1,223 @@
+"""A load beyond the room, as it was seen on the users' days, in memory."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import defaultdict
+from typing import NamedTuple
+
+from jackdawridge.execution.messages import Room
+from jackdawridge.placement.admission import QueueBounds
+from jackdawridge.placement.learning import Usage
+from jackdawridge.placement.placer import Placer
+from jackdawridge.placement.policies import RoomPolicy
+from jackdawridge.placement.request import (
+    Impossible,
+    Objective,
+    Placement,
+    Request,
+)
+from jackdawridge.placement.view import SideInfo
+
+CORES = 16
+MEMORY = 32000
+STRETCH = 1.6
+ALLOWANCE = 0.06
+#: Spread of run times and numbers of tasks, and of cores.
+SPREAD = 0.4
+CORE_SPREAD = 0.2
+#: What callers declare over what tasks take.
+DECLARED = (0.6, 1.4)
+#: Run times of the tasks of a job over their mean.
+UNEVEN = (0.85, 1.15)
+#: Time between two looks at the load, in seconds.
+STEP = 0.01
+#: Time after the last arrival until everything has ended, in seconds.
+REST = 12.0
+
+
+class Kind(NamedTuple):
+    """Jobs that are alike."""
+
+    priority: int
+    #: Jobs a second.
+    rate: float
+    tasks: float
+    run_time: float
+
+
+#: The calculation service of the fleet operators, with a third of the room
+#: away it gets 1.13 times what is left.
+KINDS = {  # noqa: WPS407
+    'quote': Kind(0, 17.2, 8, 0.12),
+    'check': Kind(1, 50, 2, 0.4),
+    'close': Kind(2, 3.12, 4, 1.8),
+}
+
+
+class Job(NamedTuple):
+    """A job of the load."""
+
+    at: float
+    kind: str
+    cores: float
+    declared: float
+    run_times: tuple[float, ...]
+
+    @property
+    def aimed(self) -> float:
+        """Return the time within which it has to be answered."""
+        return STRETCH * max(self.run_times) + ALLOWANCE
+
+
+class Outcome(NamedTuple):
+    """What became of a job, and how long that took."""
+
+    is_served: bool
+    took: float
+
+
+def make_jobs(seed: int, load: float, seconds: float) -> list[Job]:
+    """Return the jobs in the order of their arrival.
+
+    :param seed: of all that is random.
+    :param load: factor on the rates of the kinds.
+    :param seconds: for which jobs arrive.
+    """
+    source = random.Random(seed)
+    jobs: list[Job] = []
+    for name, kind in KINDS.items():
+        now = source.expovariate(kind.rate * load)
+        while now < seconds:
+            tasks = max(round(scatter(source, kind.tasks, SPREAD)), 1)
+            run_time = scatter(source, kind.run_time, SPREAD)
+            jobs.append(
+                Job(
+                    now,
+                    name,
+                    scatter(source, 0.1 * CORES, CORE_SPREAD),
+                    run_time * source.uniform(*DECLARED),
+                    tuple(
+                        run_time * source.uniform(*UNEVEN) for _ in range(tasks)
+                    ),
+                )
+            )
+            now += source.expovariate(kind.rate * load)
+    return sorted(jobs)
+
+
+def scatter(source: random.Random, mean: float, spread: float) -> float:
+    """Return a value of a log-normal distribution.
+
+    :param source: of what is random.
+    :param mean: of the distribution.
+    :param spread: standard deviation over mean.
+    """
+    sigma = math.sqrt(math.log(1 + spread**2))
+    return source.lognormvariate(math.log(mean) - sigma**2 / 2, sigma)
+
+
+class Replay:
+    """One entry with workers that run what they are given.
+
+    :param jobs: in the order of their arrival.
+    :param sides: number of workers.
+    :param has_priorities: whether the kinds differ in importance.
+    """
+
+    def __init__(
+        self, jobs: list[Job], sides: int, *, has_priorities: bool = True
+    ) -> None:
+        """Let the sides join long before the first job."""
+        self.jobs = jobs
+        self.has_priorities = has_priorities
+        self.placer = Placer(RoomPolicy(), QueueBounds(10000))
+        self.free = {f's{number}': float(CORES) for number in range(sides)}
+        self.batches: dict[str, int] = defaultdict(int)
+        self.ends: list[tuple[float, str, int, int]] = []
+        self.rest: dict[int, int] = {}
+        self.outcomes: dict[int, Outcome] = {}
+        for side_id in self.free:
+            self.placer.side_joined(
+                side_id, SideInfo('d', CORES, MEMORY, 0), -10
+            )
+            self.report(side_id, -10)
+
+    def run(self) -> list[Outcome]:
+        """Return what became of each job."""
+        arrived = 0
+        now: float = 0
+        while now < self.jobs[-1].at + REST:
+            while arrived < len(self.jobs) and self.jobs[arrived].at <= now:
+                self.arrive(arrived)
+                arrived += 1
+            while self.ends and self.ends[0][0] <= now:
+                self.end(*heapq.heappop(self.ends))
+            self.refuse(self.placer.give_up(now), now)
+            self.place(now)
+            self.refuse(self.placer.refuse_excess(now), now)
+            now += STEP
+        return [self.outcomes[number] for number in range(len(self.jobs))]
+
+    def arrive(self, number: int) -> None:
+        """Queue a job."""
+        job = self.jobs[number]
+        priority = KINDS[job.kind].priority if self.has_priorities else 0
+        objective = Objective(STRETCH, ALLOWANCE, priority)
+        requests = [
+            Request(
+                str(number),
+                task,
+                'team',
+                job.kind,
+                job.cores,
+                1,
+                0,
+                job.declared,
+            )
+            for task in range(len(job.run_times))
+        ]
+        assert self.placer.enqueue(requests, job.at, objective).is_ok()
+        self.rest[number] = len(requests)
+
+    def report(self, side_id: str, now: float) -> None:
+        """Report the room of a side."""
+        room = Room(self.free[side_id], MEMORY, 0, 0)
+        self.placer.side_reported(side_id, room, self.batches[side_id], now)
+
+    def end(self, now: float, side_id: str, number: int, task: int) -> None:
+        """End a task."""
+        job = self.jobs[number]
+        self.free[side_id] += job.cores
+        self.report(side_id, now)
+        usage = Usage(job.cores, 1, job.run_times[task])
+        self.placer.ended((str(number), task), side_id, 'succeeded', usage, now)
+        self.rest[number] -= 1
+        if not self.rest[number]:
+            self.outcomes[number] = Outcome(True, now - job.at)
+
+    def refuse(self, useless: tuple[Impossible, ...], now: float) -> None:
+        """Cancel the jobs that the placer has given up."""
+        for one in useless:
+            ticket = one.request.ticket
+            self.placer.cancel(ticket)
+            number = int(ticket)
+            self.outcomes[number] = Outcome(False, now - self.jobs[number].at)
+
+    def place(self, now: float) -> None:
+        """Start what the placer places."""
+        by_side: dict[str, list[Placement]] = defaultdict(list)
+        for placement in self.placer.place(now):
+            by_side[placement.side_id].append(placement)
+        for side_id, placements in by_side.items():
+            self.batches[side_id] += 1
+            self.placer.sent(side_id, self.batches[side_id], placements)
+            for placement in placements:
+                number, task = placement.request.key
+                job = self.jobs[int(number)]
+                self.free[side_id] -= job.cores
+                until = now + job.run_times[task]
+                heapq.heappush(self.ends, (until, side_id, int(number), task))
+            self.report(side_id, now)
--- a/tests/test_placement/test_lateness.py
+++ b/tests/test_placement/test_lateness.py
@@ -90,6 +90,17 @@
         bed.report(1, 0.5)
         assert bed.place(0.5) == [begun]
 
+    def test_task_of_a_late_job_that_runs_again_stays_late(self) -> None:
+        bed = Bed()
+        late = bed.arrive(0)
+        assert not bed.give_up(IN_TIME + 0.1)
+        bed.report(1, IN_TIME + 0.1)
+        assert bed.place(IN_TIME + 0.1) == [late]
+        assignment = bed.placer.lost((late, 0))
+        assert assignment is not None
+        bed.placer.queue_again(assignment)
+        assert bed.give_up(OF_USE + 0.1) == [late]
+
     def test_burst_leaves_most_jobs_in_time(self) -> None:
         """A load of 1.5 times the room for 4 s, one task a job."""
         bed = Bed()
