Say in a refusal what the forecast rests on

Cause: a refusal said 'no room in time' and left out the figures that decided, so that it could not be judged from the logs. Change: used room, waiting tasks, expected wait and time left are in the reason.

--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -21,6 +21,7 @@
 from jackdawridge.placement.rounds import NO_LIMIT, Asking, Round
 from jackdawridge.placement.shedding import (
     SETTLING,
+    Excess,
     Release,
     find_excess,
     spread_out,
@@ -194,9 +195,24 @@
         if not (self.has_objectives and self.queues.queued and is_settled):
             return ()
         return tuple(
-            Impossible(job.first(), 'no room in time')
+            Impossible(excess.job.first(), self.why_excess(excess, service))
             for service, jobs in self.queues.by_service().items()
-            for job in find_excess(jobs, now, self.releases(service, jobs, now))
+            for excess in find_excess(
+                jobs, now, self.releases(service, jobs, now)
+            )
+        )
+
+    def why_excess(self, excess: Excess, service: str) -> str:
+        """Return what a refusal rests on.
+
+        :param excess: the refused job.
+        :param service: of its tasks.
+        """
+        room = self.room_of(service)
+        return (
+            f'no room in time: {room.used:.1f} of {room.cores:g} cores are used,'
+            f' {self.queues.queued} tasks wait, expected wait'
+            f' {excess.wait:.3f} s, time left {excess.limit:.3f} s'
         )
 
     def releases(
--- a/jackdawridge/placement/shedding.py
+++ b/jackdawridge/placement/shedding.py
@@ -45,6 +45,17 @@
     ticket: str = ''
 
 
+class Excess(NamedTuple):
+    """A job that is refused so that others can start in time."""
+
+    job: Job
+    #: The job that would have started too late, this one or another.
+    late: Job
+    #: Expected wait of that job and the time left for it, in seconds.
+    wait: float
+    limit: float
+
+
 class _Candidate(NamedTuple):
     """A job that may be refused; the least is refused first."""
 
@@ -129,7 +140,7 @@
 
 def find_excess(
     jobs: Iterable[Job], now: float, releases: Iterable[Release]
-) -> list[Job]:
+) -> list[Excess]:
     """Return the jobs to refuse so that the others can start in time.
 
     To be called when there is no room for what waits. Goes through the jobs
@@ -141,7 +152,7 @@
     :param now: the time.
     :param releases: of the room that these jobs get.
     """
-    excess: list[Job] = []
+    excess: list[Excess] = []
     candidates: list[_Candidate] = []
     forecast = Forecast(releases, now)
     # Late jobs come last, and take nothing from those that can be in time.
@@ -155,7 +166,7 @@
         if candidates and wait * caution(job.standing.priority) > limit:
             refused = heapq.heappop(candidates).job
             forecast.take_back(refused)
-            excess.append(refused)
+            excess.append(Excess(refused, job, wait, limit))
     return excess
 
 
--- a/tests/test_placement/test_shedding.py
+++ b/tests/test_placement/test_shedding.py
@@ -73,7 +73,7 @@
     :param pieces: a tenth of the room that come free, one each 0.1 s.
     """
     releases = [Release(0.1 * (1 + piece), 0.1) for piece in range(pieces)]
-    return [job.ticket for job in find_excess(jobs, 0, releases)]
+    return [one.job.ticket for one in find_excess(jobs, 0, releases)]
 
 
 class TestFindExcess:
