Give up late jobs at once, and reckon places by the room there is now

Change: a late job takes room that is left in the same turn or is given up; one that has begun goes on first; places are reckoned again when the room changes; 0.3 s of settling. The forecast counts longer waits for less important jobs.

Placement: triage.py holds these decisions, queued_jobs.py what waits; rounds and team_cursor know tracking and no longer the placer, which opens the circle.

--- a/jackdawridge/placement/headroom.py
+++ b/jackdawridge/placement/headroom.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from jackdawridge.placement.queues import Standing
+    from jackdawridge.placement.queued_jobs import Standing
 
 #: Tasks of a job from which it has to leave headroom.
 BULK = 20
--- a/jackdawridge/placement/lateness.py
+++ b/jackdawridge/placement/lateness.py
@@ -1,7 +1,8 @@
-"""Jobs that were not placed in time: which wait on, and which are given up.
+"""Jobs that can no longer be in time.
 
-Under a burst, jobs that can no longer be answered in time would otherwise go
-first, since their turn came first, and make all that follow late as well.
+Under a burst they would otherwise go first, since their turn came first, and
+make all that follow late as well. They take what room no other job uses, and
+are given up where there is none.
 """
 
 from __future__ import annotations
@@ -10,17 +11,15 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from jackdawridge.placement.queued_jobs import LATE_TIER
+
 if TYPE_CHECKING:
-    from jackdawridge.placement.queues import Job, Queues, Team
+    from jackdawridge.placement.queued_jobs import Job
+    from jackdawridge.placement.queues import Queues, Team
 
 #: Objectives up to which an answer is of some use to its caller, by the rules
 #: of the users.
 USEFUL_OBJECTIVES = 3.0
-#: Work of late jobs that may wait, in seconds of this entry's part of the
-#: room. What waits beyond it would hardly be served before it is useless.
-LATE_WORK = 0.4
-#: Added to the places of late jobs, which come after all others.
-LATE_TIER = 1e9
 
 
 class Useless(NamedTuple):
@@ -30,34 +29,49 @@
     reason: str
 
 
-def sort_out(  # noqa: WPS231
-    queues: Queues, now: float, part: float
-) -> tuple[Useless, ...]:
+def sort_out(queues: Queues, now: float) -> tuple[Useless, ...]:
     """Move late jobs behind the others and return the useless ones.
 
     :param queues: everything that is queued.
     :param now: the time.
-    :param part: of the room that is this entry's.
     """
-    useless: list[Useless] = []
-    for team in tuple(queues.active.values()):
-        late = waiting_late(team)
-        missed = overdue(team, now)
-        useless.extend(
-            Useless(job, 'an answer would be too late')
-            for job in missed + late
-            if now >= job.standing.useless_from
-        )
-        room = LATE_WORK * part - sum(map(work_of, late))
-        for job in missed:
-            if job.has_begun or now >= job.standing.useless_from:
-                continue
-            room -= work_of(job)
-            if room >= 0:
-                put_behind(queues, job)
-            else:
-                useless.append(Useless(job, 'too much work waits'))
-    return tuple(useless)
+    waiting = [
+        job
+        for team in queues.active.values()
+        for job in overdue(team, now) + waiting_late(team)
+    ]
+    for late in waiting:
+        if not late.has_begun and not late.standing.is_late:
+            move_behind(queues, late)
+    return tuple(
+        Useless(useless, 'an answer would be too late')
+        for useless in waiting
+        if now >= useless.standing.useless_from
+    )
+
+
+def find_late(queues: Queues) -> tuple[Useless, ...]:
+    """Return the jobs that are late and found no room.
+
+    To be called when all that there is room for was placed.
+
+    :param queues: everything that is queued.
+    """
+    return tuple(
+        Useless(job, 'no room in time')
+        for team in queues.active.values()
+        for job in waiting_late(team)
+        if not job.has_begun
+    )
+
+
+def importance(job: Job) -> tuple[float, ...]:
+    """Return the place of a job when the least important goes first.
+
+    :param job: that waits.
+    """
+    standing = job.standing
+    return (-standing.priority, -standing.queued_at, -job.sequence)
 
 
 def waiting_late(team: Team) -> list[Job]:
@@ -97,20 +111,10 @@
     return found
 
 
-def put_behind(queues: Queues, job: Job) -> None:
-    """Let a job wait for room that no other job can use in time.
+def move_behind(queues: Queues, job: Job) -> None:
+    """Give a job a place behind all that can be in time.
 
     :param queues: where it waits.
-    :param job: that is late.
-    """
-    standing = job.standing
-    place = LATE_TIER + standing.useless_from
-    queues.move(job, standing._replace(deadline=place, is_late=True))
-
-
-def work_of(job: Job) -> float:
-    """Return the work of a job, in seconds of the whole room.
-
-    :param job: that waits.
+    :param job: that is late, or will be.
     """
-    return job.standing.whole_work
+    queues.move(job, job.standing._replace(is_late=True))
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -7,10 +7,8 @@
 from result import Err, Ok, Result
 
 from jackdawridge.placement.admission import QueueBounds
-from jackdawridge.placement.headroom import BULK
-from jackdawridge.placement.lateness import USEFUL_OBJECTIVES, sort_out
 from jackdawridge.placement.policies import POLICIES, Policy
-from jackdawridge.placement.queues import Job, Standing, TeamLimits
+from jackdawridge.placement.queues import TeamLimits
 from jackdawridge.placement.request import (
     NO_OBJECTIVE,
     Impossible,
@@ -19,28 +17,17 @@
     Overload,
 )
 from jackdawridge.placement.rounds import NO_LIMIT, Asking, Round
-from jackdawridge.placement.shedding import (
-    SETTLING,
-    Excess,
-    Release,
-    find_excess,
-    spread_out,
-)
 from jackdawridge.placement.tracking import Tracking
+from jackdawridge.placement.triage import Triage
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from jackdawridge.config import Settings
     from jackdawridge.execution.messages import Offer
+    from jackdawridge.placement.queued_jobs import Job
     from jackdawridge.placement.request import Placement, Request
 
-#: Response time over the ideal that the order of jobs aims at.
-TARGET_SLOWDOWN = 8.0
-
-#: Factor on the expected run time of a job that has to be left when it starts:
-#: its tasks differ by some 15%, and slower workers take up to 25% longer.
-START_MARGIN = 1.2
 #: Wait after which a task that fits no worker fails, in seconds.
 IMPOSSIBLE_AFTER = 3.0
 
@@ -64,8 +51,7 @@
         #: Sides that offered room, with the task that waits for it.
         self.offers: list[tuple[str, Key]] = []
         self.asking = Asking()
-        #: Whether any job has named an objective.
-        self.has_objectives = False
+        self.triage = Triage(self)
 
     @classmethod
     def from_config(cls, settings: Settings, seed: str = '') -> Placer:
@@ -113,6 +99,9 @@
         if overload is not None:
             return Err(overload)
         job = self.queues.make_job(requests)
+        job.objective = objective
+        if objective != NO_OBJECTIVE:
+            self.triage.is_needed = True
         if any(self.why_never(group.sample) for group in job.groups.values()):
             self.doubtful[first.ticket] = now
         self.queues.insert(job, self.standing(job, now, objective))
@@ -125,42 +114,6 @@
         """
         return Overload(self.bounds.retry_after(self.queues.queued), reason)
 
-    def standing(self, job: Job, now: float, objective: Objective) -> Standing:
-        """Return where a new job stands in the order.
-
-        The ideal time of a job is its longest task, or its work over the
-        whole room if that is more.
-
-        :param job: none of whose tasks has been placed.
-        :param now: the time.
-        :param objective: for the response time of the job.
-        """
-        longest: float = 0
-        work: float = 0
-        room: float = 0
-        for group in job.groups.values():
-            need = self.need(group.sample)
-            longest = max(longest, need.run_time)
-            share = self.dominant_share(need) * len(group.requests)
-            room += share
-            work += share * need.run_time
-        ideal = max(longest, work)
-        bulk = work if job.size >= BULK else 0
-        if objective == NO_OBJECTIVE:
-            return Standing(now + TARGET_SLOWDOWN * ideal, now, bulk)
-        aimed = objective.stretch * ideal + objective.allowance
-        self.has_objectives = True
-        # The order is that of the latest starts that are still in time.
-        return Standing(
-            now + aimed - longest * START_MARGIN,
-            now,
-            bulk,
-            now + USEFUL_OBJECTIVES * aimed - longest,
-            work,
-            room,
-            objective.priority,
-        )
-
     def cancel(self, ticket: str) -> int:
         """Drop the queued tasks of a job and return how many there were.
 
@@ -171,79 +124,6 @@
         self.stalls.stopped.pop(ticket, None)
         return self.queues.cancel(ticket)
 
-    def give_up(self, now: float) -> tuple[Impossible, ...]:
-        """Return tasks whose jobs are of no use any more; the caller cancels.
-
-        Jobs that cannot be answered in time any more make way for those that
-        can, as long as they have not begun.
-
-        :param now: the time.
-        """
-        found = sort_out(self.queues, now, self.queues.part)
-        return tuple(
-            Impossible(useless.job.first(), useless.reason) for useless in found
-        )
-
-    def refuse_excess(self, now: float) -> tuple[Impossible, ...]:
-        """Return tasks whose jobs others leave no room; the caller cancels.
-
-        To be called when all that there is room for was placed.
-
-        :param now: the time.
-        """
-        is_settled = now - self.grown_at >= SETTLING and self.open_sides
-        if not (self.has_objectives and self.queues.queued and is_settled):
-            return ()
-        return tuple(
-            Impossible(excess.job.first(), self.why_excess(excess, service))
-            for service, jobs in self.queues.by_service().items()
-            for excess in find_excess(
-                jobs, now, self.releases(service, jobs, now)
-            )
-        )
-
-    def why_excess(self, excess: Excess, service: str) -> str:
-        """Return what a refusal rests on.
-
-        :param excess: the refused job.
-        :param service: of its tasks.
-        """
-        room = self.room_of(service)
-        return (
-            f'no room in time: {room.used:.1f} of {room.cores:g} cores are used,'
-            f' {self.queues.queued} tasks wait, expected wait'
-            f' {excess.wait:.3f} s, time left {excess.limit:.3f} s'
-        )
-
-    def releases(
-        self, service: str, jobs: Sequence[Job], now: float
-    ) -> list[Release]:
-        """Return the room that comes free for what waits here.
-
-        Room that a task of this entry leaves goes to this entry again, since
-        it comes free for all entries as they use it. An entry that uses less
-        than its even part gets some of what the others leave.
-
-        :param service: whose workers run the tasks; any worker if it is empty.
-        :param jobs: that wait for them.
-        :param now: the time.
-        """
-        sides = {side.side_id for side in self.open_sides}
-        found = [
-            Release(
-                max(one.placed_at + one.need.run_time, now),
-                self.dominant_share(one.need),
-            )
-            for one in self.assignments.values()
-            if one.request.service == service and one.side_id in sides
-        ]
-        room = self.room_of(service)
-        lacking = self.queues.part * room.used - room.own
-        if lacking > 0:
-            share = lacking / max(self.capacity.cores, 1)
-            found.extend(spread_out(jobs, now, share))
-        return found
-
     def place(
         self, now: float, limit: float = NO_LIMIT
     ) -> tuple[Placement, ...]:
--- a/jackdawridge/placement/rounds.py
+++ b/jackdawridge/placement/rounds.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from jackdawridge.placement.headroom import headroom
-from jackdawridge.placement.queues import Job
+from jackdawridge.placement.queued_jobs import Job
 from jackdawridge.placement.team_cursor import TeamCursor
 from jackdawridge.placement.tracking import Assignment
 
@@ -14,9 +14,9 @@
     from collections.abc import Sequence
 
     from jackdawridge.placement.learning import Need
-    from jackdawridge.placement.placer import Placer
-    from jackdawridge.placement.queues import Group
+    from jackdawridge.placement.queued_jobs import Group
     from jackdawridge.placement.request import Key, Placement, Request
+    from jackdawridge.placement.tracking import Tracking
     from jackdawridge.placement.view import Side
 
 #: Wait of a task before room is asked for at a silent side, in seconds.
@@ -62,7 +62,7 @@
     """
 
     def __init__(
-        self, placer: Placer, now: float, limit: float = NO_LIMIT
+        self, placer: Tracking, now: float, limit: float = NO_LIMIT
     ) -> None:
         """Begin with all teams that have queued tasks."""
         self.placer = placer
@@ -337,7 +337,7 @@
     return side.reported_at
 
 
-def most_urgent(placer: Placer) -> Job | None:
+def most_urgent(placer: Tracking) -> Job | None:
     """Return the job that has waited most for its place in the order.
 
     :param placer: whose queues are looked at.
--- a/jackdawridge/placement/shedding.py
+++ b/jackdawridge/placement/shedding.py
@@ -1,4 +1,4 @@
-"""Which waiting jobs are refused because others leave them no room in time.
+"""Which waiting jobs make way because not all can start in time.
 
 Under a load beyond the room, waiting until a job is late tells its caller
 late what was known when it came, and lets chance decide who is served.
@@ -11,24 +11,24 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from jackdawridge.placement.lateness import importance
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from jackdawridge.placement.queues import Job
+    from jackdawridge.placement.queued_jobs import Job
 
-#: Factor on predicted waits of the most important jobs: room comes free in
-#: pieces that wait for others of their job.
-CAUTION = 1.2
-#: Added for each step of priority. Less important jobs are refused sooner, so
-#: that room is left for important ones to come.
-CAUTION_STEP = 0.8
+#: Part by which a predicted wait counts as longer for each step of priority.
+#: Less important jobs make way sooner, so that room is left for important ones
+#: to come; `test_shedding` replays the load that this is for.
+MARGIN_STEP = 0.5
 #: Steps of priority that are told apart here.
 MAX_STEPS = 4
 #: Parts of the whole room that are taken for nothing.
 ROUNDING = 1e-9
-#: Time after a side has joined in which nothing is refused for lack of room,
-#: in seconds: the room grows while sides link one after the other.
-SETTLING = 1.0
+#: Time after a side has joined in which nothing makes way, in seconds: sides
+#: link one after the other, some 0.1 s apart.
+SETTLING = 0.3
 
 
 #: Releases by which the even part of an entry is modelled that uses less.
@@ -46,35 +46,20 @@
 
 
 class Excess(NamedTuple):
-    """A job that is refused so that others can start in time."""
+    """A job that makes way so that others can start in time."""
 
     job: Job
-    #: The job that would have started too late, this one or another.
-    late: Job
-    #: Expected wait of that job and the time left for it, in seconds.
+    #: Expected wait of the job that would have been late, this one or another,
+    #: and the time left for it, in seconds.
     wait: float
     limit: float
 
-
-class _Candidate(NamedTuple):
-    """A job that may be refused; the least is refused first."""
-
-    #: Negative, so that the least important job comes first.
-    priority: int
-    #: Negative, so that the newest of them comes first.
-    queued_at: float
-    sequence: int
-    job: Job
-
-    @classmethod
-    def of(cls, job: Job) -> _Candidate:
-        """Return the candidate for a job.
-
-        :param job: that waits.
-        """
-        standing = job.standing
-        order = (-standing.priority, -standing.queued_at, -job.sequence)
-        return cls(*order, job)
+    def why(self) -> str:
+        """Return what the decision rests on."""
+        return (
+            f'no room in time, expected wait {self.wait:.3f} s with'
+            f' {self.limit:.3f} s left'
+        )
 
 
 class Forecast:
@@ -133,7 +118,7 @@
     def take_back(self, job: Job) -> None:
         """Give the room of a job to those that follow.
 
-        :param job: that was placed and is refused.
+        :param job: that was placed and makes way.
         """
         self.free += self.held.pop(job.ticket)
 
@@ -141,7 +126,7 @@
 def find_excess(
     jobs: Iterable[Job], now: float, releases: Iterable[Release]
 ) -> list[Excess]:
-    """Return the jobs to refuse so that the others can start in time.
+    """Return the jobs that make way so that the others can start in time.
 
     To be called when there is no room for what waits. Goes through the jobs
     in the order in which they will be placed; where one would start too late,
@@ -153,7 +138,7 @@
     :param releases: of the room that these jobs get.
     """
     excess: list[Excess] = []
-    candidates: list[_Candidate] = []
+    candidates: list[tuple[tuple[float, ...], Job]] = []
     forecast = Forecast(releases, now)
     # Late jobs come last, and take nothing from those that can be in time.
     for job in itertools.takewhile(can_be_in_time, jobs):
@@ -161,12 +146,12 @@
         if math.isinf(job.standing.useless_from):
             continue
         if not job.has_begun:
-            heapq.heappush(candidates, _Candidate.of(job))
+            heapq.heappush(candidates, (importance(job), job))
         limit = job.standing.deadline - now
         if candidates and wait * caution(job.standing.priority) > limit:
-            refused = heapq.heappop(candidates).job
-            forecast.take_back(refused)
-            excess.append(Excess(refused, job, wait, limit))
+            excess_job = heapq.heappop(candidates)[1]
+            forecast.take_back(excess_job)
+            excess.append(Excess(excess_job, wait, limit))
     return excess
 
 
@@ -183,7 +168,7 @@
 
     :param priority: of its queue.
     """
-    return CAUTION + CAUTION_STEP * min(max(priority, 0), MAX_STEPS)
+    return 1 + MARGIN_STEP * min(max(priority, 0), MAX_STEPS)
 
 
 def spread_out(
--- a/jackdawridge/placement/team_cursor.py
+++ b/jackdawridge/placement/team_cursor.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from jackdawridge.placement.queues import Group, Job
+from jackdawridge.placement.queued_jobs import Group, Job
 
 if TYPE_CHECKING:
     from jackdawridge.placement.learning import Need
-    from jackdawridge.placement.placer import Placer
     from jackdawridge.placement.queues import Team
+    from jackdawridge.placement.tracking import Tracking
     from jackdawridge.placement.view import Side
 
 #: Jobs of a team that are looked at in one pass if some do not fit.
@@ -40,7 +40,7 @@
     :param placer: estimates what they need.
     """
 
-    def __init__(self, team: Team, placer: Placer) -> None:
+    def __init__(self, team: Team, placer: Tracking) -> None:
         """Begin at the most urgent group."""
         self.team = team
         self.placer = placer
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -7,9 +7,18 @@
 
 from jackdawridge.placement.admission import QueueBounds
 from jackdawridge.placement.fleet import REFUSAL_WAIT, Fleet
+from jackdawridge.placement.headroom import BULK
+from jackdawridge.placement.lateness import USEFUL_OBJECTIVES
 from jackdawridge.placement.learning import Learner, Need, Usage
-from jackdawridge.placement.queues import Queues, Standing
-from jackdawridge.placement.request import Key, Placement, Request
+from jackdawridge.placement.queued_jobs import Standing
+from jackdawridge.placement.queues import Queues
+from jackdawridge.placement.request import (
+    NO_OBJECTIVE,
+    Key,
+    Objective,
+    Placement,
+    Request,
+)
 from jackdawridge.placement.stalls import Stalls
 from jackdawridge.placement.view import Side, total
 
@@ -17,6 +26,14 @@
     from collections.abc import Sequence
 
     from jackdawridge.placement.policies import Policy
+    from jackdawridge.placement.queued_jobs import Job
+
+#: Response time over the ideal that the order of jobs aims at.
+TARGET_SLOWDOWN = 8.0
+
+#: Factor on the expected run time of a job that has to be left when it starts:
+#: its tasks differ by some 15%, and slower workers take up to 25% longer.
+START_MARGIN = 1.2
 
 #: Run time over the late estimate from which a running task counts as late.
 LATE_FACTOR = 2.0
@@ -79,6 +96,41 @@
         """
         return self.cap(self.learner.need(request), request)
 
+    def standing(self, job: Job, now: float, objective: Objective) -> Standing:
+        """Return where a new job stands in the order.
+
+        The ideal time of a job is its longest task, or its work over the
+        whole room if that is more.
+
+        :param job: none of whose tasks has been placed.
+        :param now: the time.
+        :param objective: for the response time of the job.
+        """
+        longest: float = 0
+        work: float = 0
+        room: float = 0
+        for group in job.groups.values():
+            need = self.need(group.sample)
+            longest = max(longest, need.run_time)
+            share = self.dominant_share(need) * len(group.requests)
+            room += share
+            work += share * need.run_time
+        ideal = max(longest, work)
+        bulk = work if job.size >= BULK else 0
+        if objective == NO_OBJECTIVE:
+            return Standing(now + TARGET_SLOWDOWN * ideal, now, bulk)
+        aimed = objective.stretch * ideal + objective.allowance
+        # The order is that of the latest starts that are still in time.
+        return Standing(
+            now + aimed - longest * START_MARGIN,
+            now,
+            bulk,
+            now + USEFUL_OBJECTIVES * aimed - longest,
+            work,
+            room,
+            objective.priority,
+        )
+
     def assign(
         self, assignment: Assignment, side: Side, reason: str
     ) -> Placement:
--- a/tests/test_placement/test_headroom.py
+++ b/tests/test_placement/test_headroom.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from jackdawridge.placement.headroom import FADE, LEVELS, headroom
-from jackdawridge.placement.queues import Standing
+from jackdawridge.placement.queued_jobs import Standing
 
 TIMES = st.floats(0, 1000)
 WORKS = st.floats(0, 100)
--- a/tests/test_placement/test_stalls.py
+++ b/tests/test_placement/test_stalls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from jackdawridge.placement.learning import Need
-from jackdawridge.placement.queues import Standing
+from jackdawridge.placement.queued_jobs import Standing
 from jackdawridge.placement.request import Request
 from jackdawridge.placement.stalls import Stalls
 from jackdawridge.placement.tracking import Assignment
