Ask an issuer again over a link that replaces the one before

Cause (of what KNOWN-RED listed, as far as it can be known): an entry answered 503 to whoever waited for the issuer of a ticket when the link to it ended, also when a second link had replaced it, which happens when two entries dial each other at the same moment. The job ran on, so that the other caller got 409.

One class, wire/open_calls.py, replaces the two copies in submission/relay.py and forwarding/ticketed.py.

--- a/jackdawridge/forwarding/ticketed.py
+++ b/jackdawridge/forwarding/ticketed.py
@@ -11,6 +11,7 @@
 from jackdawridge.forwarding.kept import Collector, Final, KeptAnswers, refuse
 from jackdawridge.forwarding.messages import TicketedAnswer, TicketedRequest
 from jackdawridge.util.retained import RetentionBounds
+from jackdawridge.wire.open_calls import OpenCalls
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -71,13 +72,6 @@
     replies: list[Callable[[Final], object]]
 
 
-class Passed(NamedTuple):
-    """A request that the issuer has to answer."""
-
-    peer: Peer
-    reply: Callable[[Final], object]
-
-
 class TicketedRequests:
     """Runs requests under tickets here or has the issuer run them.
 
@@ -109,11 +103,9 @@
                 settings.memory_bytes('request_answer_memory'),
             )
         )
-        self.passed: dict[int, Passed] = {}
-        self.last_number = 0
+        self.passed = OpenCalls(application, MAX_PASSED)
         application.on_message(TicketedRequest, self.receive_request)
         application.on_message(TicketedAnswer, self.receive_answer)
-        application.events.connect('peer_left', self.peer_left)
 
     def ask(
         self, text: str, call: Call, reply: Callable[[Final], object]
@@ -220,11 +212,9 @@
         :param call: what the caller asks for.
         :param reply: called once with the answer.
         """
-        self.last_number += 1
-        number = self.last_number
         remaining = call.deadline - self.clock.seconds()
         message = TicketedRequest(
-            number,
+            0,
             ticket,
             call.request_id,
             call.service,
@@ -235,13 +225,13 @@
             call.body,
             remaining,
         )
-        if len(self.passed) >= MAX_PASSED or not peer.send(message):
+
+        def finish(answer: Final | None) -> None:  # noqa: WPS430
+            reply(answer or unreachable())
+
+        patience = remaining + ANSWER_ALLOWANCE
+        if self.passed.ask(peer, message, patience, finish) is None:
             reply(unreachable())
-            return
-        self.passed[number] = Passed(peer, reply)
-        self.clock.callLater(
-            remaining + ANSWER_ALLOWANCE, self.settle, number, unreachable()
-        )
 
     def receive_request(self, peer: Peer, message: TicketedRequest) -> None:
         """Answer a request that another entry has passed on.
@@ -280,28 +270,7 @@
         :param peer: the issuer.
         :param message: the answer.
         """
-        passed = self.passed.get(message.number)
-        if passed is not None and passed.peer is peer:
-            self.settle(message.number, Final(*message[1:]))
-
-    def peer_left(self, peer: Peer) -> None:
-        """Answer for an issuer whose link has ended.
-
-        :param peer: any peer.
-        """
-        for number, passed in tuple(self.passed.items()):
-            if passed.peer is peer:
-                self.settle(number, unreachable())
-
-    def settle(self, number: int, final: Final) -> None:
-        """Answer a request that was passed on, once.
-
-        :param number: of the request.
-        :param final: the answer.
-        """
-        passed = self.passed.pop(number, None)
-        if passed is not None:
-            passed.reply(final)
+        self.passed.answered(peer, message.number, Final(*message[1:]))
 
 
 def unreachable() -> Final:
--- a/jackdawridge/submission/relay.py
+++ b/jackdawridge/submission/relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from itertools import count
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from result import Err
@@ -17,6 +16,7 @@
     running,
 )
 from jackdawridge.submission.messages import JobCall, JobReply
+from jackdawridge.wire.open_calls import OpenCalls
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
@@ -52,14 +52,6 @@
     body: bytes
 
 
-class OpenCall(NamedTuple):
-    """A question that another entry has to answer."""
-
-    peer: Peer
-    ticket: str
-    reply: Deferred[Reply]
-
-
 class TicketRelay:
     """Answers questions here or has the issuer answer them.
 
@@ -78,11 +70,9 @@
         self.peers = peers
         #: Set by the component that knows the entries.
         self.entries: EntryView | None = None
-        self.numbers = count(1)
-        self.calls: dict[int, OpenCall] = {}
+        self.calls = OpenCalls(application, MAX_CALLS)
         application.on_message(JobCall, self.call_received)
         application.on_message(JobReply, self.reply_received)
-        application.events.connect('peer_left', self.peer_left)
 
     def ask(self, question: Question) -> Deferred[Reply]:
         """Return a `Deferred` that fires with the reply to a caller.
@@ -140,17 +130,18 @@
         peer = self.find(ticket)
         if peer is None:
             return succeed(self.without_issuer(ticket))
-        number = next(self.numbers)
+        number: int | None = None
         reply: Deferred[Reply] = Deferred(lambda _: self.forget(number))
-        call = JobCall(number, *question)
-        if len(self.calls) >= MAX_CALLS or not peer.send(call):
+
+        def finish(answer: Reply | None) -> None:  # noqa: WPS430
+            if not reply.called:
+                reply.callback(answer or issuer_unreachable(ticket.text))
+
+        patience = min(question.wait, MAX_WAIT) + REPLY_ALLOWANCE
+        call = JobCall(0, *question)
+        number = self.calls.ask(peer, call, patience, finish)
+        if number is None:
             return succeed(issuer_unreachable(ticket.text))
-        self.calls[number] = OpenCall(peer, ticket.text, reply)
-        self.clock.callLater(
-            min(question.wait, MAX_WAIT) + REPLY_ALLOWANCE,
-            self.give_up,
-            number,
-        )
         log_decision(
             decisions,
             'pass on',
@@ -225,45 +216,15 @@
         :param peer: the issuer.
         :param reply: from it.
         """
-        call = self.calls.get(reply.number)
-        if call is None or call.peer is not peer:
-            return
-        self.finish(
-            reply.number,
-            Reply(reply.status, reply.body, reply.outcome, reply.retry_after),
+        answer = Reply(
+            reply.status, reply.body, reply.outcome, reply.retry_after
         )
+        self.calls.answered(peer, reply.number, answer)
 
-    def peer_left(self, peer: Peer) -> None:
-        """Answer for an issuer whose link has ended.
-
-        :param peer: any peer.
-        """
-        for number, call in tuple(self.calls.items()):
-            if call.peer is peer:
-                self.give_up(number)
-
-    def give_up(self, number: int) -> None:
-        """Answer a question that the issuer has not answered.
-
-        :param number: of the call.
-        """
-        call = self.calls.get(number)
-        if call is not None:
-            self.finish(number, issuer_unreachable(call.ticket))
-
-    def finish(self, number: int, reply: Reply) -> None:
-        """Answer a question.
-
-        :param number: of the call.
-        :param reply: for the caller.
-        """
-        call = self.calls.pop(number)
-        if not call.reply.called:
-            call.reply.callback(reply)
-
-    def forget(self, number: int) -> None:
+    def forget(self, number: int | None) -> None:
         """Drop a question whose caller has gone.
 
-        :param number: of the call.
+        :param number: of the question, None if it was not asked.
         """
-        self.calls.pop(number, None)
+        if number is not None:
+            self.calls.forget(number)
--- a/tests/test_processes/test_tickets.py
+++ b/tests/test_processes/test_tickets.py
@@ -86,7 +86,7 @@
         answers = callers.answers()
         deployment.check()
         statuses = sorted(one.reply.status for one in answers)
-        assert statuses == [200, 409]
+        assert statuses == [200, 409], [one.reply for one in answers]
 
     def test_link_between_entries_is_cut(self, shared: Deployment) -> None:
         deployment = shared
--- a/tests/test_submission/test_relay.py
+++ b/tests/test_submission/test_relay.py
@@ -8,8 +8,10 @@
 
 from jackdawridge.submission.interface import Reply
 from jackdawridge.submission.relay import Question
-from tests.test_submission.world import World
+from jackdawridge.wire.open_calls import RELINK_TIME
+from tests.test_submission.world import FakeLink, World
 
+OK = 200
 GONE = 410
 UNAVAILABLE = 503
 
@@ -51,3 +53,47 @@
         reply = ask(World(), address, incarnation)
         assert (reply.status, reply.outcome) == (status, 'unknown')
         assert bool(reply.retry_after) is (status == UNAVAILABLE)
+
+
+class TestLinkToTheIssuer:
+    """A question whose answer is lost with a link, as in a race of dials."""
+
+    def link(self, world: World) -> FakeLink:
+        link = FakeLink(*world.entries)
+        world.links.append(link)
+        return link
+
+    def ask(self, world: World) -> list[Reply]:
+        issuer, other = world.entries
+        ticket = world.register(0).issue()
+        body = b'{"team": "payroll", "tasks": [{"payload": "{}"}]}'
+        relay: Any = other.application.components[0]
+        replies: list[Reply] = []
+        asked = relay.relay.ask(Question('PUT', ticket, 30, body))
+        asked.addCallback(replies.append)
+        return replies
+
+    def test_link_that_is_replaced_loses_no_answer(self) -> None:
+        world = World()
+        first = self.link(world)
+        replies = self.ask(world)
+        world.settle()
+        assert not replies
+        first.cut(0)
+        self.link(world)
+        world.settle()
+        for worker in world.workers:
+            for identifier in tuple(worker.tasks):
+                worker.end(identifier, 'succeeded')
+        world.settle()
+        assert [reply.status for reply in replies] == [OK]
+
+    def test_issuer_that_does_not_link_again_is_told_of(self) -> None:
+        world = World()
+        first = self.link(world)
+        replies = self.ask(world)
+        first.cut(0)
+        world.settle()
+        assert not replies
+        world.advance(RELINK_TIME)
+        assert [reply.status for reply in replies] == [UNAVAILABLE]
