--- a/benchmarks/entry_cost.py
+++ b/benchmarks/entry_cost.py
@@ -272,7 +272,7 @@
     arguments = parser.parse_args()
     level = 'info' if arguments.lines else 'warning'
     with Path('/dev/null').open('w') as stream:
-        install(level, 1, 'entry-1', stream)
+        install(level, 1, 'entry-1', stream.fileno())
         bench = Bench()
         bench.run(20, 100)
         if arguments.profile:
--- a/jackdawridge/cmd/daemon.py
+++ b/jackdawridge/cmd/daemon.py
@@ -76,7 +76,7 @@
     if run_check_quietly(arguments) != Exit.ok:
         return Exit.invalid
     settings = Settings.from_file(arguments.settings)
-    reactor = prepare(settings, sys.stderr)
+    reactor = prepare(settings)
     return serve(_BUILDERS[settings.role](settings, reactor), reactor)
 
 
--- a/jackdawridge/cmd/demo.py
+++ b/jackdawridge/cmd/demo.py
@@ -130,7 +130,7 @@
     """
     from twisted.internet import reactor  # noqa: WPS433
 
-    install(arguments.log_level, 1, 'demo')
+    install(arguments.log_level, 1, 'demo', sys.stderr.fileno())
     demo = Demo(arguments, reactor)
     loop: Any = reactor
     loop.callWhenRunning(demo.begin)
--- a/jackdawridge/cmd/serving.py
+++ b/jackdawridge/cmd/serving.py
@@ -4,9 +4,10 @@
 
 import gc
 import signal
+import sys
 import time
 from functools import partial
-from typing import TYPE_CHECKING, Any, TextIO
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import ensureDeferred
 
@@ -23,22 +24,24 @@
 GC_THRESHOLD = 50000
 
 
-def prepare(settings: Settings, stream: TextIO) -> Any:
+def prepare(settings: Settings) -> Any:
     """Set up the logs and return the reactor.
 
     :param settings: of the process.
-    :param stream: that the log lines go to.
     """
-    install(
+    handler = install(
         settings.text('log_level'),
         settings.integer('decision_sampling'),
         settings.text('node'),
-        stream,
+        sys.stdout.fileno(),
     )
     from twisted.internet import reactor  # noqa: WPS433
 
     gc.set_threshold(GC_THRESHOLD)
-    return count_suspension(reactor)
+    clock = count_suspension(reactor)
+    clock.callWhenRunning(handler.writer.follow, clock)
+    clock.addSystemEventTrigger('after', 'shutdown', handler.writer.finish)
+    return clock
 
 
 def count_suspension(reactor: Any) -> Any:
--- a/jackdawridge/logs.py
+++ b/jackdawridge/logs.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
-import sys
-from typing import TYPE_CHECKING, TextIO
+from datetime import UTC, datetime
+from typing import TYPE_CHECKING
 
 import logbook
 import msgspec
 
+from jackdawridge.util.line_writer import LineWriter
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from jackdawridge.util.line_writer import LeftOut
+
 #: Channels of decision lines.
 DECISION_CHANNELS = ('placement', 'routing')
 
@@ -24,21 +28,17 @@
 class JsonLinesHandler(logbook.Handler):  # type: ignore[misc]
     """Writes each record as one JSON object on one line.
 
-    :param stream: where the lines go.
+    :param descriptor: file descriptor of the stream for the lines.
     :param level: the lowest level that is written.
     :param node: the name of this process, written on each line.
     """
 
     def __init__(
-        self,
-        stream: TextIO,
-        *,
-        level: str = 'info',
-        node: str = '',
+        self, descriptor: int, *, level: str = 'info', node: str = ''
     ) -> None:
         """Prepare the handler; logbook's `push_application` activates it."""
         super().__init__(level=logbook.lookup_level(level.upper()))
-        self.stream = stream
+        self.writer = LineWriter(descriptor, self.summarize)
         self.node = node
 
     def emit(self, record: logbook.LogRecord) -> None:
@@ -56,8 +56,34 @@
         line.update(record.kwargs)
         if record.exc_info:
             line['exception'] = record.formatted_exception
-        encoded = msgspec.json.encode(line, enc_hook=str)
-        self.stream.write('{0}\n'.format(encoded.decode()))
+        self.writer.write(
+            encode_line(line), is_important=record.level >= logbook.NOTICE
+        )
+
+    def summarize(self, left_out: LeftOut) -> bytes:
+        """Return the line that says what was left out.
+
+        :param left_out: how many lines.
+        """
+        now = datetime.now(UTC).replace(tzinfo=None)
+        return encode_line(
+            {
+                'time': now.isoformat(timespec='milliseconds'),
+                'level': 'warning',
+                'node': self.node,
+                'logger': 'logs',
+                'message': 'lines were left out',
+                **left_out._asdict(),
+            }
+        )
+
+
+def encode_line(line: dict[str, object]) -> bytes:
+    """Return a line as JSON.
+
+    :param line: its fields.
+    """
+    return b'%s\n' % msgspec.json.encode(line, enc_hook=str)
 
 
 class Sampling:
@@ -95,20 +121,16 @@
     level: str,
     decision_sampling: int,
     node: str,
-    stream: TextIO | None = None,
+    descriptor: int,
 ) -> JsonLinesHandler:
     """Send all log records of this process to a stream as JSON lines.
 
     :param level: one of debug, info, notice, warning and error.
     :param decision_sampling: one in so many decision lines is written.
     :param node: the name of this process.
-    :param stream: the target, standard error if it is not given.
+    :param descriptor: file descriptor of the stream.
     """
-    handler = JsonLinesHandler(
-        stream or sys.stderr,
-        level=level,
-        node=node,
-    )
+    handler = JsonLinesHandler(descriptor, level=level, node=node)
     _loggers.level = handler.level
     _sampling.interval = decision_sampling
     handler.push_application()
--- a/jackdawridge/platform/__main__.py
+++ b/jackdawridge/platform/__main__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import io
 import os
 import sys
 from importlib import import_module
@@ -22,10 +21,7 @@
     except SettingsError as error:
         sys.stderr.write(f'{error.message}\n')
         return Exit.invalid
-    if isinstance(sys.stdout, io.TextIOWrapper):
-        # Each line is there for the reader at once.
-        sys.stdout.reconfigure(line_buffering=True)
-    reactor = prepare(node.settings, sys.stdout)
+    reactor = prepare(node.settings)
     # Imports delay the start, so that only those of the role are made.
     wiring = import_module(f'jackdawridge.platform.{node.settings.role}')
     return serve(wiring.build(node, reactor), reactor)
--- a/jackdawridge/platform/callers.py
+++ b/jackdawridge/platform/callers.py
@@ -234,7 +234,10 @@
     :param outcome: of the job.
     """
     status = _STATUS[outcome.verdict]
-    logger.info(
+    # Lines of failed requests are the last to be left out.
+    is_good = outcome.verdict is Verdict.completed
+    log = logger.info if is_good else logger.notice
+    log(
         'job answered',
         path=request.path.decode('latin-1'),
         status=status,
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -136,7 +136,8 @@
         self.payloads.release(answer.ticket)
         self.placer.cancel(answer.ticket)
         kept = self.answers.keep(answer, job.digest, self.clock.seconds())
-        logger.info(
+        log = logger.info if answer.state == 'complete' else logger.notice
+        log(
             f'job {answer.state}',
             ticket=answer.ticket,
             team=job.spec.team,
--- /dev/null
+++ b/tests/test_util/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the helpers."""
