--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -30,15 +30,16 @@
     """A process with its addresses.
 
     :param arguments: of `python -m jackdawridge`.
-    :param log: takes its error stream.
+    :param log: takes its error stream, and the lines of an entry or a side.
     """
 
     def __init__(self, arguments: list[str], log: Path) -> None:
         """Start the process."""
+        is_standin = '--settings' not in arguments
         with log.open('ab') as stream:
             self.popen = subprocess.Popen(  # noqa: S603
                 [sys.executable, '-m', 'jackdawridge', *arguments],
-                stdout=subprocess.PIPE,
+                stdout=subprocess.PIPE if is_standin else stream,
                 stderr=stream,
             )
 
--- a/benchmarks/control/nodes.py
+++ b/benchmarks/control/nodes.py
@@ -45,10 +45,11 @@
     def __init__(self, arguments: list[str], directory: Path) -> None:
         """Start the process."""
         self.log = directory / f'{arguments[0]}-{len(os.listdir(directory))}'
+        is_standin = '--settings' not in arguments
         with self.log.open('ab') as stream:
             self.process = subprocess.Popen(  # noqa: S603
                 [sys.executable, '-m', *arguments],
-                stdout=subprocess.PIPE,
+                stdout=subprocess.PIPE if is_standin else stream,
                 stderr=stream,
             )
         # The coroutine that owns the process is dropped at a signal.
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import signal
 import threading
 import time
 from itertools import combinations
@@ -201,6 +202,13 @@
         expected = [f'0123456789abcdef.0.0.{task}' for task in range(6)]
         assert names == expected
 
+    def test_hangup_ends_no_process(self, site: Site) -> None:
+        for node in site.nodes.values():
+            node.popen.send_signal(signal.SIGHUP)
+        reply = site.submit(ENTRIES[0], '0123456789abcdef', tasks=6)
+        assert (reply.status, reply.body) == (200, {'state': 'completed'})
+        assert all(node.popen.poll() is None for node in site.nodes.values())
+
     def test_answers_that_need_no_run(self, site: Site) -> None:
         entry = ENTRIES[0]
         assert site.ask(entry, 'GET', '/fills/').body == {'pending': 0}
--- a/tests/test_submission/test_http.py
+++ b/tests/test_submission/test_http.py
@@ -68,16 +68,16 @@
     path.write_text(json.dumps(document))
     process = subprocess.Popen(
         [sys.executable, '-m', 'jackdawridge', 'entry', '--settings', path],
-        stderr=subprocess.PIPE,
+        stdout=subprocess.PIPE,
         text=True,
     )
-    errors = process.stderr
-    assert errors is not None
-    while '"ready"' not in errors.readline():
+    lines = process.stdout
+    assert lines is not None
+    while '"ready"' not in lines.readline():
         assert process.poll() is None
     yield ports[0]
     process.terminate()
-    errors.read()
+    lines.read()
     process.wait(30)
 
 
