--- a/jackdawridge/placement/shedding.py
+++ b/jackdawridge/placement/shedding.py
@@ -29,8 +29,6 @@
 #: Time after a side has joined in which nothing makes way, in seconds: sides
 #: link one after the other, some 0.1 s apart.
 SETTLING = 0.3
-
-
 #: Releases by which the even part of an entry is modelled that uses less.
 PIECES = 8
 
--- a/jackdawridge/util/line_writer.py
+++ b/jackdawridge/util/line_writer.py
@@ -126,8 +126,9 @@
             self.lines.append(line)
             self.size += len(line)
             self.left_out = LeftOut(0, 0)
-        while self.lines and self.write_some():
-            """Go on until the reader takes no more."""
+        while self.lines:
+            if not self.write_some():
+                break
         if self.lines:
             self.plan(RETRY_TIME)
 
