Take ports in blocks that two test runs at a time never share

Both runs looked for free ports at random in one range, and a port is free until the process it was found for listens on it.

Ruled out: the code under test; the side never started.

Change: a run locks blocks of 100 ports for as long as it lasts.

--- a/tests/processes/ports.py
+++ b/tests/processes/ports.py
@@ -2,18 +2,26 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import random
 import socket
+import tempfile
+from pathlib import Path
+from typing import IO
 
 #: Below the ports that systems give to outgoing connections.
 FIRST_PORT = 15000
 LAST_PORT = 32000
+#: Ports that a test run takes at a time, so that runs at the same time on one
+#: machine never find the same port before a process listens on it.
+BLOCK = 100
 
-# Test runs at the same time must not look for ports in the same order.
 _random = random.Random(os.getpid())  # noqa: S311
-# A port is free until the process that it was found for listens on it.
-_found: set[int] = set()
+#: Ports of the blocks of this run that were not given out yet.
+_ports: list[int] = []
+#: Held as long as this run lasts.
+_locks: list[IO[bytes]] = []
 
 
 def find_free_addresses(count: int) -> list[str]:
@@ -21,15 +29,38 @@
 
     :param count: of addresses.
     """
-    ports: set[int] = set()
+    ports: list[int] = []
     while len(ports) < count:
-        port = _random.randint(FIRST_PORT, LAST_PORT)
-        if port not in _found and is_free(port):
-            ports.add(port)
-            _found.add(port)
+        if not _ports:
+            _ports.extend(take_block())
+        port = _ports.pop()
+        if is_free(port):
+            ports.append(port)
     return [f'127.0.0.1:{port}' for port in ports]
 
 
+def take_block() -> list[int]:
+    """Return ports that no other run takes, in random order.
+
+    :raises RuntimeError: if all blocks are taken.
+    """
+    firsts = list(range(FIRST_PORT, LAST_PORT, BLOCK))
+    _random.shuffle(firsts)
+    for first in firsts:
+        path = Path(tempfile.gettempdir()) / f'jackdawridge-ports-{first}'
+        lock = path.open('ab')
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            lock.close()
+            continue
+        _locks.append(lock)
+        ports = list(range(first, first + BLOCK))
+        _random.shuffle(ports)
+        return ports
+    raise RuntimeError('other test runs have taken all ports')
+
+
 def is_free(port: int) -> bool:
     """Return whether nothing listens on a port.
 
