Let explain name the cause of a refusal for want of room

Cause: found in reading the change again. Refusals say 'no room in time' since, and explain did not know the words: it said that the entry wrote nothing after the answer, which is false. Change: the cause is named. Test first: two cases of test_cause_is_named failed. Ruled out: that other reasons are new; but the one of a quota that is too small (Placer.why_never) was never known to explain, and is left.

--- a/jackdawridge/operations/story.py
+++ b/jackdawridge/operations/story.py
@@ -12,11 +12,18 @@
 #: Why a job ended as it did, by a part of the reason in its last lines, and
 #: where to look next.
 CAUSES = (
+    (
+        'no room in time',
+        'not all that waited could start in time, and it had to make room;'
+        ' look for what took the room: evacuations, targets that left or were'
+        ' away, a burst',
+    ),
     (
         'an answer would be too late',
         'it waited for room until an answer was of no use; look for what took'
         ' the room: evacuations, targets that left or were away, a burst',
     ),
+    # Written by versions before 2026-12-04.
     (
         'too much work waits',
         'it missed its objective while other late work waited already; look'
--- a/tests/test_cmd/test_explain.py
+++ b/tests/test_cmd/test_explain.py
@@ -46,6 +46,8 @@
             ('job failed', 'task 0: failed', 'as often as the queue allows'),
             ('job failed', 'caller has gone', 'closed the connection'),
             ('job refused', 'too much work waits', 'missed its objective'),
+            ('job failed', 'no room in time: 9 of 9 cores', 'make room'),
+            ('job failed', 'no room in time, expected wait', 'make room'),
         ],
     )
     def test_cause_is_named(self, message: str, reason: str, part: str) -> None:
