Call one piece where two said the same, found in reading the change again

Cause: the change wrote again what stood elsewhere. Waiting for an answer and cancelling it when the caller goes stood in platform/callers.py and submission/resource.py; JSON bodies in callers, heartbeats and operations; following the operators in both roles' wiring; the most tasks of a job beside the setting job_tasks; two types for a job that is given up; two keys for one order.

Change: util/web.write_later and write_json, operators.follow_operators, the setting, Useless, itemgetter. Placement without objectives no longer goes through its overdue jobs each turn, in which it could find nothing. Tests wait with an executor; their assertions stand.

Ruled out: the event deployment_changed, which nobody listens to but a test asserts; the open questions of configuration/exchange.py, which end with a link.

--- a/jackdawridge/operations/configuration.py
+++ b/jackdawridge/operations/configuration.py
@@ -19,6 +19,7 @@
     Key,
 )
 from jackdawridge.configuration.state import SETTLED, settlement_key
+from jackdawridge.util.web import write_json
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -325,8 +326,7 @@
     :param document: encoded as JSON.
     """
     request.setResponseCode(code)
-    request.setHeader('Content-Type', 'application/json')
-    return msgspec.json.encode(document)
+    return write_json(request, document)
 
 
 def reply_outcome(request: WebRequest, outcome: Outcome) -> bytes:
--- a/jackdawridge/placement/lateness.py
+++ b/jackdawridge/placement/lateness.py
@@ -9,6 +9,7 @@
 
 import bisect
 import math
+from operator import itemgetter
 from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.placement.queued_jobs import LATE_TIER
@@ -82,18 +83,10 @@
 
     :param team: whose jobs wait.
     """
-    first = bisect.bisect_left(team.jobs, (LATE_TIER, 0), key=order_of)
+    first = bisect.bisect_left(team.jobs, (LATE_TIER, 0), key=itemgetter(0))
     return [job for _, job in team.jobs[first:] if job.standing.is_late]
 
 
-def order_of(entry: tuple[tuple[float, int], Job]) -> tuple[float, int]:
-    """Return the place of a job in the order of its team.
-
-    :param entry: of the order.
-    """
-    return entry[0]
-
-
 def overdue(team: Team, now: float) -> list[Job]:
     """Return the jobs of a team that cannot be answered in time any more.
 
--- a/jackdawridge/placement/queues.py
+++ b/jackdawridge/placement/queues.py
@@ -4,6 +4,7 @@
 
 import bisect
 import itertools
+from operator import itemgetter
 from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.placement.queued_jobs import Job
@@ -89,16 +90,14 @@
 
         :param job: with tasks that wait.
         """
-        bisect.insort(self.jobs, (job.order(), job), key=lambda entry: entry[0])
+        bisect.insort(self.jobs, (job.order(), job), key=itemgetter(0))
 
     def remove(self, job: Job) -> None:
         """Take a job out of the order.
 
         :param job: one of this team.
         """
-        place = bisect.bisect_left(
-            self.jobs, job.order(), key=lambda entry: entry[0]
-        )
+        place = bisect.bisect_left(self.jobs, job.order(), key=itemgetter(0))
         if place < len(self.jobs) and self.jobs[place][1] is job:
             self.jobs.pop(place)
 
--- a/jackdawridge/placement/shedding.py
+++ b/jackdawridge/placement/shedding.py
@@ -11,7 +11,7 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
-from jackdawridge.placement.lateness import importance
+from jackdawridge.placement.lateness import Useless, importance
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -43,23 +43,6 @@
     ticket: str = ''
 
 
-class Excess(NamedTuple):
-    """A job that makes way so that others can start in time."""
-
-    job: Job
-    #: Expected wait of the job that would have been late, this one or another,
-    #: and the time left for it, in seconds.
-    wait: float
-    limit: float
-
-    def why(self) -> str:
-        """Return what the decision rests on."""
-        return (
-            f'no room in time, expected wait {self.wait:.3f} s with'
-            f' {self.limit:.3f} s left'
-        )
-
-
 class Forecast:
     """When jobs start that are placed one after the other.
 
@@ -123,7 +106,7 @@
 
 def find_excess(
     jobs: Iterable[Job], now: float, releases: Iterable[Release]
-) -> list[Excess]:
+) -> list[Useless]:
     """Return the jobs that make way so that the others can start in time.
 
     To be called when there is no room for what waits. Goes through the jobs
@@ -135,7 +118,7 @@
     :param now: the time.
     :param releases: of the room that these jobs get.
     """
-    excess: list[Excess] = []
+    excess: list[Useless] = []
     candidates: list[tuple[tuple[float, ...], Job]] = []
     forecast = Forecast(releases, now)
     # Late jobs come last, and take nothing from those that can be in time.
@@ -147,9 +130,14 @@
             heapq.heappush(candidates, (importance(job), job))
         limit = job.standing.deadline - now
         if candidates and wait * caution(job.standing.priority) > limit:
-            excess_job = heapq.heappop(candidates)[1]
-            forecast.take_back(excess_job)
-            excess.append(Excess(excess_job, wait, limit))
+            useless = heapq.heappop(candidates)[1]
+            forecast.take_back(useless)
+            # The figures are those of the job that would have been late.
+            reason = (
+                f'no room in time, expected wait {wait:.3f} s with'
+                f' {limit:.3f} s left'
+            )
+            excess.append(Useless(useless, reason))
     return excess
 
 
--- a/jackdawridge/placement/triage.py
+++ b/jackdawridge/placement/triage.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from jackdawridge.placement.lateness import (
-    Useless,
     find_late,
     move_behind,
     sort_out,
@@ -21,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from jackdawridge.placement.lateness import Useless
     from jackdawridge.placement.queued_jobs import Job
     from jackdawridge.placement.tracking import Tracking
 
@@ -49,7 +49,9 @@
 
         :param now: the time.
         """
-        if self.is_needed and self.placer.capacity != self.measured:
+        if not self.is_needed:
+            return ()
+        if self.placer.capacity != self.measured:
             self.measure_again()
         found = sort_out(self.placer.queues, now)
         return tuple(
@@ -84,14 +86,17 @@
         )
         if not (self.is_needed and self.placer.queues.queued and is_settled):
             return ()
-        excess = (
-            Useless(one.job, one.why())
+        found = [
+            useless
             for service, jobs in self.placer.queues.by_service().items()
-            for one in find_excess(jobs, now, self.releases(service, jobs, now))
-        )
+            for useless in find_excess(
+                jobs, now, self.releases(service, jobs, now)
+            )
+        ]
+        found.extend(find_late(self.placer.queues))
         return tuple(
             Impossible(useless.job.first(), self.why(useless))
-            for useless in (*excess, *find_late(self.placer.queues))
+            for useless in found
         )
 
     def why(self, useless: Useless) -> str:
--- a/jackdawridge/platform/callers.py
+++ b/jackdawridge/platform/callers.py
@@ -6,7 +6,6 @@
 import re
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 from klein import Klein
 from result import Err
 from twisted.internet.defer import Deferred
@@ -17,11 +16,9 @@
 from jackdawridge.submission.documents import digest_of
 from jackdawridge.submission.interface import Reply, error_body
 from jackdawridge.submission.resource import write_reply
-from jackdawridge.util.web import has_left
+from jackdawridge.util.web import write_json, write_later
 
 if TYPE_CHECKING:
-    from twisted.python.failure import Failure
-
     from jackdawridge.application import Application
     from jackdawridge.deployment.state import DeploymentState, Queue
     from jackdawridge.submission.attended import AttendedJobs
@@ -78,6 +75,7 @@
         self.application = application
         self.state = state
         self.jobs = jobs
+        self.most_tasks = application.settings.integer('job_tasks')
 
     @app.route('/', branch=True)
     def serve(self, request: WebRequest) -> Deferred[bytes] | bytes:
@@ -119,9 +117,9 @@
         if not self.jobs.is_open(job_id):
             return refuse(request, _GONE, 'no such job')
         if request.method == b'GET':
-            return write(request, {'state': 'running'})
+            return write_json(request, {'state': 'running'})
         self.jobs.give_up(job_id, 'cancelled')
-        return write(request, {'state': 'cancelled'})
+        return write_json(request, {'state': 'cancelled'})
 
     def count(self, request: WebRequest, queue: Queue) -> bytes:
         """Return how many jobs of a queue have begun nothing.
@@ -131,7 +129,7 @@
         """
         if request.method != b'GET':
             return refuse(request, _NOT_ALLOWED, 'allowed: GET')
-        return write(request, {'pending': self.jobs.waiting(queue.name)})
+        return write_json(request, {'pending': self.jobs.waiting(queue.name)})
 
     def submit(
         self, request: WebRequest, queue: Queue, job_id: str
@@ -143,7 +141,7 @@
         :param job_id: chosen by the caller.
         """
         content = request.content.read()
-        read = read_job(content, queue)
+        read = read_job(content, queue, self.most_tasks)
         if isinstance(read, Err):
             logger.info('bad job', job=job_id, reason=read.err_value)
             return refuse(request, _BAD_REQUEST, read.err_value)
@@ -163,22 +161,14 @@
         ended = self.jobs.submit(
             job_id.lower(), spec, digest_of(content), patience
         )
-        request.notifyFinish().addErrback(lambda _: ended.cancel())
-        return ended.addCallbacks(
+        return write_later(
+            logger,
+            request,
+            ended,
             lambda outcome: answer(request, outcome),
-            lambda failure: self.failed(request, failure),
+            lambda: refuse(request, _INTERNAL, 'internal error'),
         )
 
-    def failed(self, request: WebRequest, failure: Failure) -> bytes:
-        """Answer when an error kept a job from its answer.
-
-        :param request: of a caller.
-        :param failure: why.
-        """
-        if has_left(logger, failure):
-            return b''
-        return refuse(request, _INTERNAL, 'internal error')
-
 
 class ReadinessResource:
     """Tells the platform whether to send new connections here.
@@ -201,7 +191,7 @@
         ready = self.is_ready()
         if not ready:
             request.setResponseCode(_UNAVAILABLE)
-        return write(request, {'ready': ready})
+        return write_json(request, {'ready': ready})
 
 
 def host_of(request: Any) -> str:
@@ -249,7 +239,7 @@
         request.setHeader('Connection', 'close')
     if status != _OK:
         return refuse(request, status, outcome.reason, outcome.retry_after)
-    return write(request, {'state': outcome.verdict.value})
+    return write_json(request, {'state': outcome.verdict.value})
 
 
 def refuse(
@@ -264,13 +254,3 @@
     """
     reply = Reply(status, error_body(reason), retry_after=retry_after)
     return write_reply(request, reply)
-
-
-def write(request: WebRequest, document: dict[str, object]) -> bytes:
-    """Return a document as the body of a response.
-
-    :param request: of the caller.
-    :param document: to be written.
-    """
-    request.setHeader('Content-Type', 'application/json')
-    return msgspec.json.encode(document)
--- a/jackdawridge/platform/entry.py
+++ b/jackdawridge/platform/entry.py
@@ -12,8 +12,7 @@
 from jackdawridge.operations.metrics import CallerMetrics, watch_jobs
 from jackdawridge.operations.router import Router
 from jackdawridge.platform.callers import CallerResource, ReadinessResource
-from jackdawridge.platform.operators import OperatorRecords
-from jackdawridge.platform.store import RecordFollower, StoreClient
+from jackdawridge.platform.operators import follow_operators
 from jackdawridge.submission.attended import AttendedJobs
 from jackdawridge.submission.component import EntrySubmission
 from jackdawridge.submission.status import describe_engine
@@ -60,11 +59,7 @@
     application.add(membership)
     application.add(submission)
     application.add(
-        RecordFollower(
-            reactor,
-            StoreClient(reactor, node.store_address),
-            OperatorRecords(application, state).changed,
-        )
+        follow_operators(reactor, node.store_address, application, state)
     )
     # Stopped first: the others drain once no more jobs are taken.
     application.add(jobs)
--- a/jackdawridge/platform/heartbeats.py
+++ b/jackdawridge/platform/heartbeats.py
@@ -10,6 +10,7 @@
 from jackdawridge.execution.messages import Room
 from jackdawridge.execution.target import TargetNews
 from jackdawridge.logs import get_logger
+from jackdawridge.util.web import write_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -71,15 +72,14 @@
         :param request: of the minion.
         :param minion: its id.
         """
-        request.setHeader('Content-Type', 'application/json')
         try:
             news = read_heartbeat(minion, request.content.read())
         except msgspec.MsgspecError as error:
             logger.warning(str(error), step='heartbeat', peer=minion)
             request.setResponseCode(_BAD_REQUEST)
-            return msgspec.json.encode({'error': str(error)})
+            return write_json(request, {'error': str(error)})
         self.joined(news)
-        return b'{}'
+        return write_json(request, {})
 
     @app.route('/v1/Instances.Deregister/<minion>', methods=['POST'])
     def deregister(self, request: WebRequest, minion: str) -> bytes:
@@ -88,9 +88,8 @@
         :param request: of the minion.
         :param minion: its id.
         """
-        request.setHeader('Content-Type', 'application/json')
         self.left(minion)
-        return b'{}'
+        return write_json(request, {})
 
 
 def read_heartbeat(minion: str, content: bytes) -> TargetNews:
--- a/jackdawridge/platform/jobs.py
+++ b/jackdawridge/platform/jobs.py
@@ -17,8 +17,6 @@
 TEAM = 'callers'
 #: Longest text that a task is started with, in bytes.
 MAX_PAYLOAD_BYTES = 4000
-#: Most tasks of a job.
-MAX_TASKS = 710
 
 _THOUSANDTHS = 1000
 _MILLISECONDS = 1000
@@ -73,17 +71,20 @@
     reason: str
 
 
-def read_job(content: bytes, queue: Queue) -> Result[JobSpec | Unserved, str]:
+def read_job(
+    content: bytes, queue: Queue, most_tasks: int
+) -> Result[JobSpec | Unserved, str]:
     """Return the job in a caller's body, or what is wrong with it.
 
     :param content: JSON.
     :param queue: that the job was sent to.
+    :param most_tasks: that a job may have.
     """
     try:
         document = msgspec.json.decode(content, type=_Job)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return Err(str(error))
-    fault = find_fault(document)
+    fault = find_fault(document, most_tasks)
     if fault:
         return Err(fault)
     unserved = find_unserved(document, queue)
@@ -113,18 +114,19 @@
     )
 
 
-def find_fault(document: _Job) -> str:
+def find_fault(document: _Job, most_tasks: int) -> str:
     """Return what is wrong with a job, or an empty text.
 
     :param document: of a caller.
+    :param most_tasks: that a job may have.
     """
     if not document.steps:
         return 'steps: a job has at least one'
     if len(document.spec.encode()) > MAX_PAYLOAD_BYTES:
         return f'spec: allowed are up to {MAX_PAYLOAD_BYTES} bytes'
     tasks = sum(step.count for step in document.steps)
-    if tasks > MAX_TASKS:
-        return f'steps: {tasks} tasks; allowed: up to {MAX_TASKS}'
+    if tasks > most_tasks:
+        return f'steps: {tasks} tasks; allowed: up to {most_tasks}'
     for number, step in enumerate(document.steps):
         if step.count < 1:
             return f'steps[{number}].count: {step.count}; allowed: from 1'
--- a/jackdawridge/platform/operators.py
+++ b/jackdawridge/platform/operators.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from jackdawridge.deployment.state import CallerLimits, Deployment, Queue
 from jackdawridge.logs import get_logger
+from jackdawridge.platform.store import RecordFollower, StoreClient
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
@@ -140,6 +141,24 @@
             )
 
 
+def follow_operators(
+    reactor: Any,
+    address: str,
+    application: Application,
+    state: DeploymentState,
+) -> RecordFollower:
+    """Return the component that keeps a process up to the operators' word.
+
+    :param reactor: Twisted's reactor.
+    :param address: `ip:port` of the store.
+    :param application: the process.
+    :param state: what is in force.
+    """
+    records = OperatorRecords(application, state)
+    client = StoreClient(reactor, address)
+    return RecordFollower(reactor, client, records.changed)
+
+
 def _queue(route: _Route) -> Queue:
     """Return the queue of a route."""
     return Queue(
--- a/jackdawridge/platform/side.py
+++ b/jackdawridge/platform/side.py
@@ -17,9 +17,8 @@
 from jackdawridge.operations.router import Router
 from jackdawridge.platform.heartbeats import HeartbeatResource
 from jackdawridge.platform.minion import MinionClient
-from jackdawridge.platform.operators import OperatorRecords
+from jackdawridge.platform.operators import follow_operators
 from jackdawridge.platform.settings import CLOCK_DRIFT, RENEWAL
-from jackdawridge.platform.store import RecordFollower, StoreClient
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
@@ -71,10 +70,6 @@
     application.add(membership)
     application.add(watch.execution)
     application.add(
-        RecordFollower(
-            reactor,
-            StoreClient(reactor, node.store_address),
-            OperatorRecords(application, state).changed,
-        )
+        follow_operators(reactor, node.store_address, application, state)
     )
     return application
--- a/jackdawridge/submission/resource.py
+++ b/jackdawridge/submission/resource.py
@@ -17,11 +17,9 @@
     refuse,
 )
 from jackdawridge.submission.relay import MAX_WAIT, Question
-from jackdawridge.util.web import has_left
+from jackdawridge.util.web import write_later
 
 if TYPE_CHECKING:
-    from twisted.python.failure import Failure
-
     from jackdawridge.application import Application
     from jackdawridge.submission.interface import JobInterface
     from jackdawridge.submission.relay import TicketRelay
@@ -108,23 +106,15 @@
             method, ticket, wait.ok_value, request.content.read()
         )
         replied = self.relay.ask(question)
-        request.notifyFinish().addErrback(lambda _: replied.cancel())
-        return replied.addCallbacks(
+        body = error_body('internal error')
+        return write_later(
+            logger,
+            request,
+            replied,
             lambda reply: write_reply(request, reply),
-            lambda failure: self.failed(request, failure),
+            lambda: write_reply(request, Reply(_INTERNAL, body, 'unknown')),
         )
 
-    def failed(self, request: WebRequest, failure: Failure) -> bytes:
-        """Answer when a question could not be answered.
-
-        :param request: of a caller.
-        :param failure: why.
-        """
-        if has_left(logger, failure):
-            return b''
-        body = error_body('internal error')
-        return write_reply(request, Reply(_INTERNAL, body, 'unknown'))
-
 
 def read_wait(request: WebRequest, default: float) -> Result[float, str]:
     """Return the time for which a caller waits for an answer, in seconds.
--- a/jackdawridge/util/web.py
+++ b/jackdawridge/util/web.py
@@ -2,26 +2,58 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol, TypeVar
 
+import msgspec
 from twisted.internet.defer import CancelledError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from logbook import Logger
     from twisted.internet.defer import Deferred
     from twisted.python.failure import Failure
 
+AnswerT = TypeVar('AnswerT')
+
+
+def write_json(request: WebRequest, document: object) -> bytes:
+    """Return a document as the body of a response.
+
+    :param request: of the caller.
+    :param document: to be written.
+    """
+    request.setHeader('Content-Type', 'application/json')
+    return msgspec.json.encode(document)
 
-def has_left(logger: Logger, failure: Failure) -> bool:
-    """Return whether a caller has gone; other failures get a line in the log.
+
+def write_later(
+    logger: Logger,
+    request: WebRequest,
+    answered: Deferred[AnswerT],
+    write: Callable[[AnswerT], bytes],
+    fail: Callable[[], bytes],
+) -> Deferred[bytes]:
+    """Return the body of a response once there is an answer.
+
+    The answer is cancelled when the caller goes; other errors get a line in
+    the log.
 
     :param logger: of the resource.
-    :param failure: that kept the caller from its answer.
+    :param request: of the caller.
+    :param answered: fires with the answer.
+    :param write: writes the answer.
+    :param fail: writes that an error kept the caller from it.
     """
-    if failure.check(CancelledError):
-        return True
-    logger.error(failure.getTraceback(), step='answer')
-    return False
+
+    def failed(failure: Failure) -> bytes:  # noqa: WPS430
+        if failure.check(CancelledError):
+            return b''
+        logger.error(failure.getTraceback(), step='answer')
+        return fail()
+
+    request.notifyFinish().addErrback(lambda _: answered.cancel())
+    return answered.addCallbacks(write, failed)
 
 
 class WebRequest(Protocol):
--- a/tests/test_platform/test_codecs.py
+++ b/tests/test_platform/test_codecs.py
@@ -86,6 +86,10 @@
     return json.dumps(document | changes).encode()
 
 
+#: As the settings have it.
+MOST_TASKS = 710
+
+
 class TestSettings:
     def write(self, tmp_path: Path, text: str) -> Path:
         path = tmp_path / 'boot.toml'
@@ -255,7 +259,7 @@
 
 class TestJobs:
     def test_job_that_is_served(self) -> None:
-        spec = read_job(job(), QUEUE).unwrap()
+        spec = read_job(job(), QUEUE, MOST_TASKS).unwrap()
         assert isinstance(spec, JobSpec)
         assert len(spec.tasks) == 2
         assert spec.tasks[0].cores == pytest.approx(0.5)
@@ -277,7 +281,7 @@
         ],
     )
     def test_bad_input_is_refused(self, content: bytes) -> None:
-        read = read_job(content, QUEUE)
+        read = read_job(content, QUEUE, MOST_TASKS)
         assert isinstance(read, Err)
         assert read.err_value
 
@@ -296,12 +300,14 @@
     def test_other_kinds_are_refused_with_a_reason(
         self, content: bytes
     ) -> None:
-        spec = read_job(content, QUEUE).unwrap()
+        spec = read_job(content, QUEUE, MOST_TASKS).unwrap()
         assert isinstance(spec, Unserved)
         assert spec.reason
 
     def test_advised_queue_is_not_served(self) -> None:
-        spec = read_job(job(), QUEUE._replace(is_advised=True)).unwrap()
+        spec = read_job(
+            job(), QUEUE._replace(is_advised=True), MOST_TASKS
+        ).unwrap()
         assert isinstance(spec, Unserved)
 
 
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -8,6 +8,7 @@
 import signal
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from itertools import combinations
 from typing import TYPE_CHECKING, Any
 
@@ -294,19 +295,12 @@
         assert not overlaps(history)
 
     def test_side_that_dies_costs_no_job(self, site: Site) -> None:
-        replies: list[Reply] = []
-
-        def submit() -> None:  # noqa: WPS430
-            replies.append(
-                site.submit(ENTRIES[0], '0123456789abcdef', 6, seconds=1.5)
-            )
-
-        caller = threading.Thread(target=submit)
-        caller.start()
-        time.sleep(0.8)
-        site.nodes['127.0.2.1'].kill()
-        caller.join()
-        assert [reply.status for reply in replies] == [200]
+        with ThreadPoolExecutor(1) as caller:
+            job = (ENTRIES[0], '0123456789abcdef', 6, 1.5)
+            reply = caller.submit(site.submit, *job)
+            time.sleep(0.8)
+            site.nodes['127.0.2.1'].kill()
+        assert reply.result().status == 200
         assert not overlaps(site.history())
 
     def test_open_connection_gets_answers_until_the_entry_has_left(
@@ -349,17 +343,10 @@
     def test_entry_that_leaves_answers_what_it_has_taken(
         self, site: Site
     ) -> None:
-        replies: list[Reply] = []
-
-        def submit() -> None:  # noqa: WPS430
-            replies.append(
-                site.submit(ENTRIES[0], '0123456789abcdef', 2, seconds=1)
-            )
-
-        caller = threading.Thread(target=submit)
-        caller.start()
-        time.sleep(0.3)
-        site.nodes[ENTRIES[0]].terminate()
-        caller.join()
-        assert [reply.status for reply in replies] == [200]
+        with ThreadPoolExecutor(1) as caller:
+            job = (ENTRIES[0], '0123456789abcdef', 2, 1)
+            reply = caller.submit(site.submit, *job)
+            time.sleep(0.3)
+            site.nodes[ENTRIES[0]].terminate()
+        assert reply.result().status == 200
         assert site.nodes[ENTRIES[0]].wait(5) == 0
