Write at the end of a turn, and ask the platform over a lean HTTP client

Change: util/reactor.py tries each write before the loop waits; util/client.py keeps its interface and reads answers with httptools.

--- a/jackdawridge/cmd/serving.py
+++ b/jackdawridge/cmd/serving.py
@@ -13,6 +13,7 @@
 
 from jackdawridge.cmd.exits import Exit
 from jackdawridge.logs import get_logger, install
+from jackdawridge.util.reactor import install_unless_any
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
@@ -35,6 +36,7 @@
         settings.text('node'),
         sys.stdout.fileno(),
     )
+    install_unless_any()
     from twisted.internet import reactor  # noqa: WPS433
 
     gc.set_threshold(GC_THRESHOLD)
--- a/jackdawridge/demo/scenario.py
+++ b/jackdawridge/demo/scenario.py
@@ -98,7 +98,7 @@
         await DeferredList(traffic, fireOnOneErrback=True)
         await DeferredList(self.open, fireOnOneErrback=True)
         self.say('all answers are in')
-        await self.client.close()
+        self.client.close()
         return make_report(
             self.outcomes,
             RequestCounts(self.answered, self.failed, self.crossed),
--- a/jackdawridge/platform/minion.py
+++ b/jackdawridge/platform/minion.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from jackdawridge.execution.leases import HoldOrder, StartOrder
-    from jackdawridge.util.client import Answer
+    from jackdawridge.util.http_connection import Answer
 
 #: Time for a report beyond what the minion is asked to wait, in seconds. An
 #: answer on the same machine takes some milliseconds.
--- a/jackdawridge/platform/store.py
+++ b/jackdawridge/platform/store.py
@@ -11,12 +11,14 @@
 
 from jackdawridge.errors import JackdawridgeError, PeerUnavailableError
 from jackdawridge.logs import get_logger
-from jackdawridge.util.client import Answer, JsonClient
+from jackdawridge.util.client import JsonClient
 from jackdawridge.util.clock import pause
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from jackdawridge.util.http_connection import Answer
+
 logger = get_logger('store')
 
 #: Topic of what operators write, in its only partition.
--- a/tests/test_platform/test_codecs.py
+++ b/tests/test_platform/test_codecs.py
@@ -26,7 +26,7 @@
 from jackdawridge.platform.settings import load_node_settings
 from jackdawridge.platform.store import Record, fold, parse_records
 from jackdawridge.submission.jobs import JobSpec
-from jackdawridge.util.client import Answer
+from jackdawridge.util.http_connection import Answer
 
 if TYPE_CHECKING:
     from pathlib import Path
