Start a process on the platform without Klein, treq and TLS

Change: operations/routes.py serves what every process serves (health, metrics, status, heartbeats, callers, readiness); deploy/requirements.txt lists what is installed there, and a test compares it with what is loaded.

Ruled out: the cost of compiling our own modules (their __pycache__ is there).

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 venv: $(STAMP)
 
-$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+$(STAMP): deploy/requirements.txt requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
--- a/jackdawridge/daemon.py
+++ b/jackdawridge/daemon.py
@@ -78,7 +78,7 @@
         )
         operators = Router()
         for prefix in ('/healthz', '/metrics', '/v1/status'):
-            operators.mount_klein(prefix, resource.app)
+            operators.mount(prefix, resource.routes)
         return cls(
             reactor,
             application,
--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -48,7 +48,7 @@
         application, forwarding, submission.interface.register, submission.relay
     )
     callers.mount(PREFIX, ServiceResource(application, forwarding, tickets))
-    callers.mount_klein('/healthz', daemon.resource.app)
+    callers.mount('/healthz', daemon.resource.routes)
     watch_jobs(application.events, daemon.registry, submission.engine)
     daemon.resource.sections['jobs'] = lambda: describe_engine(
         submission.engine
--- a/jackdawridge/operations/resource.py
+++ b/jackdawridge/operations/resource.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from klein import Klein
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from jackdawridge.operations.routes import GET, Route, Routes
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -26,8 +27,6 @@
     :param registry: of the process's metrics.
     """
 
-    app = Klein()
-
     def __init__(
         self, application: Application, registry: CollectorRegistry
     ) -> None:
@@ -38,9 +37,13 @@
         self.sections: dict[str, Callable[[], Any]] = {}
         #: Returns whether the process can take work at all.
         self.is_ready: Callable[[], bool] = lambda: True
+        self.routes = Routes(
+            Route('/healthz', GET, self.health),
+            Route('/metrics', GET, self.metrics),
+            Route('/v1/status', GET, self.status),
+        )
 
-    @app.route('/healthz', methods=['GET', 'HEAD'])
-    def health(self, request: WebRequest) -> bytes:
+    def health(self, request: WebRequest, _: str) -> bytes:
         """Tell the balancer whether to send callers here.
 
         :param request: of the balancer.
@@ -53,8 +56,7 @@
             request.setResponseCode(_UNAVAILABLE)
         return msgspec.json.encode({'status': status})
 
-    @app.route('/metrics', methods=['GET'])
-    def metrics(self, request: WebRequest) -> bytes:
+    def metrics(self, request: WebRequest, _: str) -> bytes:
         """Return the metrics in the text format of Prometheus.
 
         :param request: of the collector.
@@ -62,8 +64,7 @@
         request.setHeader('Content-Type', CONTENT_TYPE_LATEST)
         return generate_latest(self.registry)
 
-    @app.route('/v1/status', methods=['GET'])
-    def status(self, request: WebRequest) -> bytes:
+    def status(self, request: WebRequest, _: str) -> bytes:
         """Return what the process is doing.
 
         :param request: of an operator.
--- a/jackdawridge/platform/callers.py
+++ b/jackdawridge/platform/callers.py
@@ -6,16 +6,16 @@
 import re
 from typing import TYPE_CHECKING, Any
 
-from klein import Klein
 from result import Err
 from twisted.internet.defer import Deferred
 
 from jackdawridge.logs import get_logger
+from jackdawridge.operations.routes import ANY, GET, Route, Routes
 from jackdawridge.platform.jobs import Unserved, read_job
 from jackdawridge.submission.attended import RETRY_AFTER, Outcome, Verdict
 from jackdawridge.submission.documents import digest_of
 from jackdawridge.submission.interface import Reply, error_body
-from jackdawridge.submission.resource import write_reply
+from jackdawridge.submission.replies import write_reply
 from jackdawridge.util.web import write_json, write_later
 
 if TYPE_CHECKING:
@@ -63,8 +63,6 @@
     :param jobs: runs the jobs.
     """
 
-    app = Klein()
-
     def __init__(
         self,
         application: Application,
@@ -76,9 +74,9 @@
         self.state = state
         self.jobs = jobs
         self.most_tasks = application.settings.integer('job_tasks')
+        self.routes = Routes(Route('/', ANY, self.serve))
 
-    @app.route('/', branch=True)
-    def serve(self, request: WebRequest) -> Deferred[bytes] | bytes:
+    def serve(self, request: WebRequest, _: str) -> Deferred[bytes] | bytes:
         """Find the queue of a request and serve it.
 
         :param request: of a caller.
@@ -176,14 +174,12 @@
     :param is_ready: says so.
     """
 
-    app = Klein()
-
     def __init__(self, is_ready: Any) -> None:
         """Keep the question."""
         self.is_ready = is_ready
+        self.routes = Routes(Route('/v1/ready', GET, self.ready))
 
-    @app.route('/v1/ready', methods=['GET', 'HEAD'])
-    def ready(self, request: WebRequest) -> bytes:
+    def ready(self, request: WebRequest, _: str) -> bytes:
         """Answer the platform.
 
         :param request: of the platform.
--- a/jackdawridge/platform/entry.py
+++ b/jackdawridge/platform/entry.py
@@ -10,7 +10,6 @@
 from jackdawridge.membership.component import Membership
 from jackdawridge.operations.listeners import HttpListener
 from jackdawridge.operations.metrics import CallerMetrics, watch_jobs
-from jackdawridge.operations.router import Router
 from jackdawridge.platform.callers import CallerResource, ReadinessResource
 from jackdawridge.platform.operators import follow_operators
 from jackdawridge.submission.attended import AttendedJobs
@@ -78,18 +77,16 @@
     :param callers: serves the callers.
     """
     application = daemon.application
-    readiness = Router()
-    ready = ReadinessResource(daemon.resource.is_ready)
-    readiness.mount_klein('/v1/ready', ready.app)
+    readiness = ReadinessResource(daemon.resource.is_ready)
     daemon.add_operator_door()
     application.add(
-        HttpListener(daemon.reactor, node.readiness_address, readiness)
+        HttpListener(daemon.reactor, node.readiness_address, readiness.routes)
     )
     application.add(
         HttpListener(
             daemon.reactor,
             node.caller_address,
-            callers.app.resource(),
+            callers.routes,
             node.settings.memory_bytes('body_memory'),
         )
     )
--- a/jackdawridge/platform/heartbeats.py
+++ b/jackdawridge/platform/heartbeats.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from klein import Klein
 
 from jackdawridge.execution.messages import Room
 from jackdawridge.execution.target import TargetNews
 from jackdawridge.logs import get_logger
+from jackdawridge.operations.routes import POST, Route, Routes
 from jackdawridge.util.web import write_json
 
 if TYPE_CHECKING:
@@ -54,8 +54,6 @@
     :param left: called with the id of a minion that has left.
     """
 
-    app = Klein()
-
     def __init__(
         self,
         joined: Callable[[TargetNews], None],
@@ -64,8 +62,11 @@
         """Keep what is called."""
         self.joined = joined
         self.left = left
+        self.routes = Routes(
+            Route('/v1/Instances.Heartbeat/', POST, self.heartbeat),
+            Route('/v1/Instances.Deregister/', POST, self.deregister),
+        )
 
-    @app.route('/v1/Instances.Heartbeat/<minion>', methods=['POST'])
     def heartbeat(self, request: WebRequest, minion: str) -> bytes:
         """Take a heartbeat; one that cannot be read changes nothing.
 
@@ -81,7 +82,6 @@
         self.joined(news)
         return write_json(request, {})
 
-    @app.route('/v1/Instances.Deregister/<minion>', methods=['POST'])
     def deregister(self, request: WebRequest, minion: str) -> bytes:
         """Take note that the minion ends.
 
--- a/jackdawridge/platform/side.py
+++ b/jackdawridge/platform/side.py
@@ -14,7 +14,6 @@
 from jackdawridge.execution.target_watch import TargetWatch
 from jackdawridge.membership.component import Membership
 from jackdawridge.operations.listeners import HttpListener
-from jackdawridge.operations.router import Router
 from jackdawridge.platform.heartbeats import HeartbeatResource
 from jackdawridge.platform.minion import MinionClient
 from jackdawridge.platform.operators import follow_operators
@@ -61,11 +60,11 @@
         application, daemon.peers, daemon.connector, 'side_ready'
     )
     daemon.resource.sections['membership'] = membership.describe
-    heartbeats = Router()
-    resource = HeartbeatResource(watch.joined, watch.left)
-    heartbeats.mount_klein('/v1', resource.app)
+    heartbeats = HeartbeatResource(watch.joined, watch.left)
     daemon.add_operator_door()
-    application.add(HttpListener(reactor, node.heartbeat_address, heartbeats))
+    application.add(
+        HttpListener(reactor, node.heartbeat_address, heartbeats.routes)
+    )
     application.add(daemon.connector)
     application.add(membership)
     application.add(watch.execution)
--- a/jackdawridge/submission/resource.py
+++ b/jackdawridge/submission/resource.py
@@ -17,6 +17,7 @@
     refuse,
 )
 from jackdawridge.submission.relay import MAX_WAIT, Question
+from jackdawridge.submission.replies import write_reply
 from jackdawridge.util.web import write_later
 
 if TYPE_CHECKING:
@@ -135,19 +136,3 @@
         f'wait={text.decode(errors="replace")!r} is not valid;'
         f' allowed: 0 to {MAX_WAIT:g} seconds'
     )
-
-
-def write_reply(request: WebRequest, reply: Reply) -> bytes:
-    """Set status and headers and return the body.
-
-    :param request: of a caller.
-    :param reply: to it.
-    """
-    request.setResponseCode(reply.status)
-    request.setHeader('Content-Type', 'application/json')
-    if reply.outcome:
-        request.setHeader('X-Jackdawridge-Outcome', reply.outcome)
-    if reply.retry_after:
-        seconds = max(1, math.ceil(reply.retry_after))
-        request.setHeader('Retry-After', str(seconds))
-    return reply.body
