Wake a side up for several entries at once, and never for a timer that was cancelled

Change: the reactor drops cancelled timers before it waits; with the users' interval of 0.25 s a side sends its heartbeats in two turns. Longer intervals keep five turns and the moments of the entries.

Ruled out: longer intervals of the heartbeats, as room that entries know gets older by them.

--- a/jackdawridge/execution/turns.py
+++ b/jackdawridge/execution/turns.py
@@ -12,6 +12,13 @@
 #: Moments in an interval at which an entry takes heartbeats. Sides keep to
 #: them, so that the entry wakes up once for several heartbeats.
 MOMENTS = 20
+#: Shortest time between two turns, in seconds. A side that beats more often
+#: sends to several entries at a time: it wakes up for each turn and for the
+#: answers, and there are far more sides than entries.
+LEAST_TURN = 0.1
+#: Shortest time between two moments, in seconds: below it an entry would
+#: hardly ever get two heartbeats at once.
+LEAST_SPACING = 0.05
 
 
 def moment_phase(interval: float, now: float) -> float:
@@ -27,7 +34,8 @@
     """Spreads the heartbeats to several entries over an interval.
 
     Each entry gets one in each interval, and the side hears some entry's
-    word more often than that.
+    word more often than that. Turns of a long interval move to the moments of
+    each entry; those of a short one stay together.
 
     :param interval: between two heartbeats to one entry, in seconds.
     """
@@ -35,8 +43,11 @@
     def __init__(self, interval: float) -> None:
         """Start without entries."""
         self.interval = interval
+        self.count = min(TURNS, max(int(interval / LEAST_TURN), 1))
         #: Time between two turns, in seconds.
-        self.turn = interval / TURNS
+        self.turn = interval / self.count
+        self.spacing = interval / MOMENTS
+        self.keeps_moments = self.spacing >= LEAST_SPACING
         #: When each entry is due, by incarnation.
         self.due: dict[str, float] = {}
         #: Window of the last heartbeat in turn, by incarnation.
@@ -48,8 +59,9 @@
         :param incarnation: of an entry that was sent a heartbeat just now.
         :param now: the time in seconds.
         """
-        position = len(self.due) % TURNS + 1
-        self.due[incarnation] = now + self.turn * position
+        position = len(self.due) % self.count + 1
+        began = now if self.keeps_moments else now - now % self.turn
+        self.due[incarnation] = began + self.turn * position
 
     def take(self, linked: Collection[str], now: float) -> list[str]:
         """Return the entries that are due.
@@ -68,12 +80,12 @@
         return due
 
     def wait(self, now: float) -> float:
-        """Return the time until an entry may be due, at most one turn.
+        """Return the time until an entry may be due, at most an interval.
 
         :param now: the time in seconds.
         """
         following = min(self.due.values(), default=now + self.turn)
-        return min(max(following - now, 0), self.turn)
+        return min(max(following - now, 0), self.interval)
 
     def sent(self, incarnations: Collection[str], window: int) -> None:
         """Note the window of heartbeats that were sent in turn.
@@ -95,9 +107,10 @@
         :param window: of the heartbeat that is answered.
         :param phase: time from a moment to the heartbeat, in seconds.
         """
-        spacing = self.interval / MOMENTS
-        if self.windows.get(incarnation) != window or not 0 <= phase < spacing:
+        if not self.keeps_moments or self.windows.get(incarnation) != window:
+            return
+        if not 0 <= phase < self.spacing:
             return
         self.windows.pop(incarnation)
-        early = phase > spacing / 2
-        self.due[incarnation] += spacing - phase if early else -phase
+        early = phase > self.spacing / 2
+        self.due[incarnation] += self.spacing - phase if early else -phase
--- a/jackdawridge/util/reactor.py
+++ b/jackdawridge/util/reactor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import sys
 from typing import Any
 
@@ -71,6 +72,19 @@
                 delay = soonest
         self.doPoll(delay)
 
+    def timeout(self) -> float | None:
+        """Return the longest wait until a timer, None if there is none.
+
+        Timers that were cancelled are dropped here: Twisted would wake up
+        for each of them, and most requests set one that they cancel.
+        """
+        self._insertNewDelayedCalls()
+        timers = self._pendingTimedCalls
+        while timers and timers[0].cancelled:
+            heapq.heappop(timers)
+            self._cancellations -= 1
+        return super().timeout()
+
     def write_due(self) -> None:
         """Try each writer once; one that has not finished waits."""
         for writer in tuple(self.due):
--- a/tests/test_execution/test_turns.py
+++ b/tests/test_execution/test_turns.py
@@ -19,12 +19,16 @@
     """The heartbeats of one side, whose timers are late."""
 
     def __init__(
-        self, entries: dict[str, float], lateness: list[float]
+        self,
+        entries: dict[str, float],
+        lateness: list[float],
+        interval: float = INTERVAL,
     ) -> None:
         #: When each entry is linked.
         self.entries = entries
         self.lateness = lateness
-        self.turns = Turns(INTERVAL)
+        self.turns = Turns(interval)
+        self.wakes = 0
         self.now = float(0)
         #: When each entry got its heartbeats.
         self.times: defaultdict[str, list[float]] = defaultdict(list)
@@ -51,6 +55,7 @@
                 self.turns.answered(entry, steps, phase)
             self.now += wait + self.lateness[steps % len(self.lateness)]
             steps += 1
+            self.wakes += 1
 
 
 lateness = st.lists(st.floats(0, LATENESS), min_size=1, max_size=9)
@@ -81,6 +86,35 @@
         assert {len(entries) for entries in due} == {1}
 
 
+class TestShortIntervals:
+    interval = 0.25
+    joins = st.lists(st.floats(0, 5), min_size=1, max_size=8)
+
+    @given(joins, lateness)
+    def test_each_entry_is_sent_to_in_each_interval(
+        self, joined: list[float], late: list[float]
+    ) -> None:
+        entries = {f'entry-{number}': at for number, at in enumerate(joined)}
+        beats = Beats(entries, late, self.interval)
+        beats.run(20, {})
+        for times in beats.times.values():
+            gaps = _gaps(times)
+            assert max(gaps) <= self.interval + 2 * LATENESS
+            assert min(gaps[1:]) >= self.interval / 2
+
+    @given(joins, lateness)
+    def test_side_wakes_up_for_several_entries_at_once(
+        self, joined: list[float], late: list[float]
+    ) -> None:
+        entries = {f'entry-{number}': at for number, at in enumerate(joined)}
+        beats = Beats(entries, late, self.interval)
+        seconds = 20
+        beats.run(seconds, dict.fromkeys(entries, 0.003))
+        turns = seconds / self.interval * beats.turns.count
+        assert beats.wakes <= turns + len(entries) + 1
+        assert beats.turns.count == 2
+
+
 class TestMoments:
     @given(st.lists(st.floats(0, 9), min_size=5, max_size=5), lateness)
     def test_heartbeats_keep_to_them(
--- a/tests/test_util/test_reactor.py
+++ b/tests/test_util/test_reactor.py
@@ -198,3 +198,15 @@
         pair.reactor.runUntilCurrent()
         pair.turn(lambda: fired)
         assert pair.reactor.seconds() - began < PATIENCE / 2
+
+    def test_cancelled_timer_wakes_nobody(self, pair: Pair) -> None:
+        """The wait regards only timers that will fire."""
+        for delay in (0.01, 0.02, 0.03):
+            pair.reactor.callLater(delay, pair.close).cancel()
+        fired: list[bool] = []
+        pair.reactor.callLater(0.2, fired.append, True)
+        waits = pair.reactor.timeout()
+        assert waits is not None
+        assert waits > 0.1
+        pair.turn(lambda: fired)
+        assert not pair.reactor.getDelayedCalls()
