Find a slow worker by two late jobs, and keep it to a probe a second

Cause, by a replay of that load: an entry has two to five tasks at a side, and waited for three late ones or for eight that had ended; found out, a side was used in full again as soon as nothing late ran there any more; run times of slow sides were learned as those of the kind, after which nothing was late. Once slow, its mean took some fifteen tasks to recover.

Change: two late jobs without a task in time between them limit a side, until a later task ends in its time; after a slow task a limited side waits 1 s; run times are learned from the other sides; a limited side is judged by its last few tasks.

--- a/jackdawridge/placement/health.py
+++ b/jackdawridge/placement/health.py
@@ -24,6 +24,13 @@
 #: Weight of the newest task in the speed of a side.
 SPEED_WEIGHT = 0.1
 
+#: The same at a slow side, which gets few tasks to be judged by.
+PROBE_WEIGHT = 0.5
+
+#: Wait for the next task of a side whose last one was slow, in seconds: the
+#: job of each such task is late.
+SLOW_PROBE = 1.0
+
 #: Tasks after which the speed of a side is known.
 MIN_SPEED_TASKS = 8
 
@@ -36,11 +43,9 @@
 #: Octaves below which a slow side counts as healthy again.
 RECOVERED_OCTAVES = 0.5
 
-#: Tasks of a side that have to be late before it counts as slow.
-MIN_LATE_TASKS = 3
-
-#: Part of the running tasks of a side that have to be late.
-LATE_PART = 0.25
+#: Jobs that have to be late at a side before it counts as slow: the tasks of
+#: one job are alike, and an entry has few of them at each side.
+LATE_JOBS = 2
 
 
 class SideHealth:
@@ -59,17 +64,38 @@
         #: Decayed mean of the octaves by which tasks exceed their estimate.
         self.octaves: float = 0
         self.tasks = 0
-        #: Whether many running tasks are far over their estimate.
+        #: Jobs whose tasks ran far over their estimate here, the oldest
+        #: first, less one for each task that was in time since.
+        self.late_jobs: OrderedDict[str, None] = OrderedDict()
+        #: Whether there were several of them, and no task that was placed
+        #: later has ended in its time.
         self.is_late = False
+        #: Placement number of the newest task at that time.
+        self.late_number = -1
         self.is_slow = False
+        #: No placement before this time, while the side is late or slow.
+        self.slow_until = float('-inf')
 
     def is_failing(self) -> bool:
         """Return whether the side has failed what it started last."""
         return self.failures > 0
 
+    def is_behind(self) -> bool:
+        """Return whether the side runs its tasks slowly."""
+        return self.is_slow or self.is_late
+
     def is_limited(self) -> bool:
         """Return whether the side should get one task at a time."""
-        return self.is_failing() or self.is_slow or self.is_late
+        return self.is_failing() or self.is_behind()
+
+    def closed_until(self) -> float:
+        """Return the time before which the side should get nothing."""
+        until = float('-inf')
+        if self.is_failing():
+            until = self.probe_at
+        if self.is_behind():
+            until = max(until, self.slow_until)
+        return until
 
 
 class Verdict(NamedTuple):
@@ -149,7 +175,12 @@
             health.probe_at = now + min(wait, MAX_PROBE_WAIT)
 
     def succeeded(
-        self, side_id: str, kind: str, number: int, factor: float
+        self,
+        side_id: str,
+        kind: str,
+        number: int,
+        factor: float,
+        now: float = float('-inf'),
     ) -> None:
         """Take in that a task succeeded.
 
@@ -157,6 +188,7 @@
         :param kind: of the task.
         :param number: of its placement.
         :param factor: its run time over the estimate.
+        :param now: the time.
         """
         self.failing_kinds.pop(kind, None)
         health = self.of(side_id)
@@ -166,12 +198,34 @@
             health.failures = 0
             health.probe_at = float('-inf')
         octaves = math.log2(max(factor, MIN_FACTOR))
-        weight = max(SPEED_WEIGHT, 1 / (health.tasks + 1))
+        if health.is_behind():
+            self.probed(health, number, octaves, now)
+        elif health.late_jobs and octaves - self.octaves <= SLOW_OCTAVES:
+            health.late_jobs.popitem(last=False)
+        if side_id not in self.limited:
+            self.octaves += SPEED_WEIGHT / 10 * (octaves - self.octaves)
+        least = PROBE_WEIGHT if health.is_slow else SPEED_WEIGHT
+        weight = max(least, 1 / (health.tasks + 1))
         health.octaves += weight * (octaves - health.octaves)
         health.tasks += 1
-        self.octaves += SPEED_WEIGHT / 10 * (octaves - self.octaves)
         self.judge_speed(health)
 
+    def probed(
+        self, health: SideHealth, number: int, octaves: float, now: float
+    ) -> None:
+        """Take in the run time of a task at a side that is late or slow.
+
+        :param health: of the side.
+        :param number: of the placement of the task.
+        :param octaves: by which it exceeded its estimate.
+        :param now: the time.
+        """
+        if octaves - self.octaves > SLOW_OCTAVES:
+            health.slow_until = now + SLOW_PROBE
+        elif number > health.late_number:
+            health.is_late = False
+            health.late_jobs.clear()
+
     def judge_speed(self, health: SideHealth) -> None:
         """Decide whether a side is slow.
 
@@ -181,15 +235,21 @@
         limit = RECOVERED_OCTAVES if health.is_slow else SLOW_OCTAVES
         health.is_slow = health.tasks >= MIN_SPEED_TASKS and behind > limit
 
-    def late_tasks(self, side_id: str, late: int, running: int) -> None:
-        """Take in how many running tasks are far over their estimate.
+    def late(self, side_id: str, ticket: str, number: int) -> None:
+        """Take in that a running task is far over its estimate.
+
+        A side that was found late remains so until a task that was placed
+        later has ended in its time: it gets too few to be late by them.
 
-        :param side_id: where they run.
-        :param late: how many are.
-        :param running: how many run.
+        :param side_id: where it runs.
+        :param ticket: of its job.
+        :param number: of the newest placement.
         """
-        many = late >= MIN_LATE_TASKS and late >= running * LATE_PART
-        self.of(side_id).is_late = many
+        health = self.of(side_id)
+        health.late_jobs[ticket] = None
+        if len(health.late_jobs) >= LATE_JOBS and not health.is_late:
+            health.is_late = True
+            health.late_number = number
 
     def is_limited(self, side_id: str) -> bool:
         """Return whether a side has given reason to be limited.
@@ -213,8 +273,9 @@
             if len(self.limited) >= int(fleet * MAX_LIMITED_PART):
                 return HEALTHY
             self.limited.add(side_id)
-        closed_until = health.probe_at if health.is_failing() else float('-inf')
         behind = max(0, health.octaves - self.octaves)
         return Verdict(
-            is_limited=True, closed_until=closed_until, slowness=2**behind
+            is_limited=True,
+            closed_until=health.closed_until(),
+            slowness=2**behind,
         )
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -36,7 +36,7 @@
 START_MARGIN = 1.2
 
 #: Run time over the late estimate from which a running task counts as late.
-LATE_FACTOR = 2.0
+LATE_FACTOR = 1.5
 
 #: Run time that is never late, in seconds.
 MIN_LATE = 0.25
@@ -244,11 +244,14 @@
         self.bounds.count_ended(now)
         request, need = assignment.request, assignment.need
         if outcome == 'succeeded':
-            self.learner.observe(request, usage)
+            is_typical = side_id not in self.health.limited
+            self.learner.observe(
+                request, usage if is_typical else usage._replace(run_time=0)
+            )
             took = usage.run_time or now - assignment.placed_at
             factor = took / max(need.run_time, MIN_RUN_TIME)
             self.health.succeeded(
-                side_id, request.kind, assignment.number, factor
+                side_id, request.kind, assignment.number, factor, now
             )
             team = self.queues.team(request.team)
             excess = (took - need.run_time) * self.dominant_share(need)
@@ -279,15 +282,13 @@
         """
         again = (one for one in self.assignments.values() if one.request.reruns)
         self.stalled.extend(self.stalls.find(again, now))
-        late: dict[str, int] = {}
         for assignment in self.assignments.values():
             limit = max(assignment.need.late * LATE_FACTOR, MIN_LATE)
             if now - assignment.placed_at > limit:
                 side_id = assignment.side_id
-                late[side_id] = late.get(side_id, 0) + 1
-        for side_id, side in self.sides.items():
-            count = late.get(side_id, 0)
-            if not side.outstanding and not self.health.is_limited(side_id):
-                continue
-            self.health.late_tasks(side_id, count, side.outstanding)
+                self.health.late(
+                    side_id, assignment.request.ticket, self.placed
+                )
+                self.judge(side_id)
+        for side_id in tuple(self.health.limited):
             self.judge(side_id)
--- a/tests/test_placement/overload.py
+++ b/tests/test_placement/overload.py
@@ -19,6 +19,7 @@
     Placement,
     Request,
 )
+from jackdawridge.placement.tracking import NO_ROOM
 from jackdawridge.placement.view import SideInfo
 
 CORES = 16
@@ -36,6 +37,8 @@
 STEP = 0.01
 #: Time after the last arrival until everything has ended, in seconds.
 REST = 12.0
+#: Interval at which sides tell all entries their room, in seconds.
+HEARTBEAT = 0.25
 
 
 class Kind(NamedTuple):
@@ -119,48 +122,105 @@
     return source.lognormvariate(math.log(mean) - sigma**2 / 2, sigma)
 
 
+class Slowness(NamedTuple):
+    """Workers that take longer for a while."""
+
+    sides: tuple[str, ...]
+    since: float
+    until: float
+    factor: float
+
+    def at(self, side_id: str, now: float) -> float:
+        """Return the factor on the run time of a task that starts."""
+        is_slow = side_id in self.sides and self.since <= now < self.until
+        return self.factor if is_slow else 1
+
+
+#: All workers take their usual time.
+NOBODY_SLOW = Slowness((), 0, 0, 1)
+
+
 class Replay:
-    """One entry with workers that run what they are given.
+    """Entries with workers that run what they are given.
+
+    An entry hears of room at once where its own tasks end, and else by
+    heartbeats; what finds no room is refused.
 
     :param jobs: in the order of their arrival.
     :param sides: number of workers.
     :param has_priorities: whether the kinds differ in importance.
+    :param slowness: of some workers.
+    :param entries: that take the jobs in turn.
     """
 
     def __init__(
-        self, jobs: list[Job], sides: int, *, has_priorities: bool = True
+        self,
+        jobs: list[Job],
+        sides: int,
+        *,
+        has_priorities: bool = True,
+        slowness: Slowness = NOBODY_SLOW,
+        entries: int = 1,
     ) -> None:
         """Let the sides join long before the first job."""
         self.jobs = jobs
         self.has_priorities = has_priorities
-        self.placer = Placer(RoomPolicy(), QueueBounds(10000))
+        self.slowness = slowness
+        #: Starts by side and whole second.
+        self.starts: dict[tuple[str, int], int] = defaultdict(int)
+        self.placers = [
+            Placer(RoomPolicy(str(number)), QueueBounds(10000))
+            for number in range(entries)
+        ]
+        self.placer = self.placers[0]
         self.free = {f's{number}': float(CORES) for number in range(sides)}
-        self.batches: dict[str, int] = defaultdict(int)
+        #: Number of the last batch of each entry to each side.
+        self.batches: dict[tuple[Placer, str], int] = defaultdict(int)
         self.ends: list[tuple[float, str, int, int]] = []
+        #: When the tasks that run were started.
+        self.began: dict[tuple[int, int], float] = {}
         self.rest: dict[int, int] = {}
         self.outcomes: dict[int, Outcome] = {}
-        for side_id in self.free:
-            self.placer.side_joined(
-                side_id, SideInfo('d', CORES, MEMORY, 0), -10
-            )
-            self.report(side_id, -10)
+        self.refusals = 0
+        for placer in self.placers:
+            for side_id in self.free:
+                placer.side_joined(
+                    side_id, SideInfo('d', CORES, MEMORY, 0), -10
+                )
+                self.report(placer, side_id, -10)
+            placer.entries_changed(entries, {})
+
+    def placer_of(self, number: int) -> Placer:
+        """Return the entry that a job was sent to."""
+        return self.placers[number % len(self.placers)]
 
     def run(self) -> list[Outcome]:
         """Return what became of each job."""
         arrived = 0
         now: float = 0
+        beat: float = 0
         while now < self.jobs[-1].at + REST:
             while arrived < len(self.jobs) and self.jobs[arrived].at <= now:
                 self.arrive(arrived)
                 arrived += 1
             while self.ends and self.ends[0][0] <= now:
                 self.end(*heapq.heappop(self.ends))
-            self.refuse(self.placer.triage.give_up(now), now)
-            self.place(now)
-            self.refuse(self.placer.triage.make_way(now), now)
+            if len(self.placers) > 1 and now >= beat:
+                self.beat(now)
+                beat = now + HEARTBEAT
+            for placer in self.placers:
+                self.refuse(placer, placer.triage.give_up(now), now)
+                self.place(placer, now)
+                self.refuse(placer, placer.triage.make_way(now), now)
             now += STEP
         return [self.outcomes[number] for number in range(len(self.jobs))]
 
+    def beat(self, now: float) -> None:
+        """Report the room of all sides to all entries."""
+        for placer in self.placers:
+            for side_id in self.free:
+                self.report(placer, side_id, now)
+
     def arrive(self, number: int) -> None:
         """Queue a job."""
         job = self.jobs[number]
@@ -179,45 +239,62 @@
             )
             for task in range(len(job.run_times))
         ]
-        assert self.placer.enqueue(requests, job.at, objective).is_ok()
+        placer = self.placer_of(number)
+        assert placer.enqueue(requests, job.at, objective).is_ok()
         self.rest[number] = len(requests)
 
-    def report(self, side_id: str, now: float) -> None:
-        """Report the room of a side."""
+    def report(self, placer: Placer, side_id: str, now: float) -> None:
+        """Report the room of a side to an entry."""
         room = Room(self.free[side_id], MEMORY, 0, 0)
-        self.placer.side_reported(side_id, room, self.batches[side_id], now)
+        batch = self.batches[placer, side_id]
+        placer.side_reported(side_id, room, batch, now)
 
     def end(self, now: float, side_id: str, number: int, task: int) -> None:
         """End a task."""
         job = self.jobs[number]
         self.free[side_id] += job.cores
-        self.report(side_id, now)
-        usage = Usage(job.cores, 1, job.run_times[task])
-        self.placer.ended((str(number), task), side_id, 'succeeded', usage, now)
+        placer = self.placer_of(number)
+        self.report(placer, side_id, now)
+        usage = Usage(job.cores, 1, now - self.began.pop((number, task)))
+        placer.ended((str(number), task), side_id, 'succeeded', usage, now)
         self.rest[number] -= 1
         if not self.rest[number]:
             self.outcomes[number] = Outcome(True, now - job.at)
 
-    def refuse(self, useless: tuple[Impossible, ...], now: float) -> None:
+    def refuse(
+        self, placer: Placer, useless: tuple[Impossible, ...], now: float
+    ) -> None:
         """Cancel the jobs that the placer has given up."""
         for one in useless:
             ticket = one.request.ticket
-            self.placer.cancel(ticket)
+            placer.cancel(ticket)
             number = int(ticket)
             self.outcomes[number] = Outcome(False, now - self.jobs[number].at)
 
-    def place(self, now: float) -> None:
-        """Start what the placer places."""
+    def place(self, placer: Placer, now: float) -> None:
+        """Start what an entry places, as far as there is room."""
         by_side: dict[str, list[Placement]] = defaultdict(list)
-        for placement in self.placer.place(now):
+        for placement in placer.place(now):
             by_side[placement.side_id].append(placement)
         for side_id, placements in by_side.items():
-            self.batches[side_id] += 1
-            self.placer.sent(side_id, self.batches[side_id], placements)
+            self.batches[placer, side_id] += 1
+            batch = self.batches[placer, side_id]
+            placer.sent(side_id, batch, placements)
             for placement in placements:
-                number, task = placement.request.key
-                job = self.jobs[int(number)]
-                self.free[side_id] -= job.cores
-                until = now + job.run_times[task]
-                heapq.heappush(self.ends, (until, side_id, int(number), task))
-            self.report(side_id, now)
+                key = placement.request.key
+                if self.free[side_id] >= placement.request.cores:
+                    self.start(side_id, int(key[0]), key[1], now)
+                else:
+                    self.refusals += 1
+                    placer.refused(key, side_id, NO_ROOM, now)
+            self.report(placer, side_id, now)
+
+    def start(self, side_id: str, number: int, task: int, now: float) -> None:
+        """Start a task at a side that has room for it."""
+        job = self.jobs[number]
+        self.free[side_id] -= job.cores
+        slower = self.slowness.at(side_id, now)
+        until = now + job.run_times[task] * slower
+        self.starts[side_id, int(now)] += 1
+        self.began[number, task] = now
+        heapq.heappush(self.ends, (until, side_id, number, task))
--- /dev/null
+++ b/tests/test_placement/test_slow_sides.py
@@ -0,0 +1,88 @@
+"""Tests of workers that turn slow, by the load that this was seen under."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.test_placement.overload import (
+    Job,
+    Outcome,
+    Replay,
+    Slowness,
+    make_jobs,
+)
+
+SIDES = 11
+ENTRIES = 3
+#: Two of eleven workers, as on a busy day of three entries.
+SLOW = Slowness(('s3', 's7'), 3, 11, 5.4)
+#: Length of the day, in seconds.
+SECONDS = 20.0
+#: Time in which slow workers are found out, in seconds.
+NOTICE = 1.0
+SEEDS = (1, 2, 3)
+
+
+def play(seed: int, load: float, slowness: Slowness) -> Replay:
+    """Return a replay that has been played."""
+    replay = Replay(
+        make_jobs(seed, load, SECONDS),
+        SIDES,
+        slowness=slowness,
+        entries=ENTRIES,
+    )
+    replay.run()
+    return replay
+
+
+def in_time(replay: Replay, since: float, until: float) -> float:
+    """Return the part of the jobs of a time that were answered in time."""
+    asked: list[tuple[Job, Outcome]] = [
+        (job, replay.outcomes[number])
+        for number, job in enumerate(replay.jobs)
+        if since <= job.at < until
+    ]
+    served = [
+        outcome.is_served and outcome.took <= job.aimed
+        for job, outcome in asked
+    ]
+    return sum(served) / len(served)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+class TestSlowWorkers:
+    """Two of eleven workers take five times as long for eight seconds."""
+
+    def test_jobs_are_in_time_beside_slow_workers(self, seed: int) -> None:
+        """What the other workers have room for is in time there."""
+        replay = play(seed, 0.8, SLOW)
+        assert in_time(replay, SLOW.since + NOTICE, SLOW.until) >= 0.9
+
+    def test_slow_workers_get_few_tasks(self, seed: int) -> None:
+        """A slow worker gets no more than what finds out whether it still is."""
+        replay = play(seed, 0.8, SLOW)
+        seconds = range(int(SLOW.since + NOTICE) + 1, int(SLOW.until))
+        for side_id in SLOW.sides:
+            starts = [replay.starts[side_id, second] for second in seconds]
+            assert sum(starts) <= 2 * len(starts)
+
+    def test_worker_that_is_itself_again_is_used_again(self, seed: int) -> None:
+        """Within seconds of its recovery it has its share."""
+        replay = play(seed, 1, SLOW)
+        after = range(int(SLOW.until) + 4, int(SECONDS) - 1)
+        share = sum(
+            replay.starts[side_id, second]
+            for side_id in SLOW.sides
+            for second in after
+        )
+        total = sum(
+            count
+            for (_, second), count in replay.starts.items()
+            if second in after
+        )
+        assert share / total >= 0.75 * len(SLOW.sides) / SIDES
+
+    def test_sound_workers_are_not_taken_for_slow(self, seed: int) -> None:
+        """Tasks that differ by nature limit nobody."""
+        replay = play(seed, 1, Slowness((), 0, 0, 1))
+        assert not replay.placer.health.limited
