--- a/jackdawridge/placement/health.py
+++ b/jackdawridge/placement/health.py
@@ -180,7 +180,7 @@
         kind: str,
         number: int,
         factor: float,
-        now: float = float('-inf'),
+        now: float = 0,
     ) -> None:
         """Take in that a task succeeded.
 
--- a/tests/test_placement/overload.py
+++ b/tests/test_placement/overload.py
@@ -203,18 +203,22 @@
             while arrived < len(self.jobs) and self.jobs[arrived].at <= now:
                 self.arrive(arrived)
                 arrived += 1
-            while self.ends and self.ends[0][0] <= now:
-                self.end(*heapq.heappop(self.ends))
             if len(self.placers) > 1 and now >= beat:
                 self.beat(now)
                 beat = now + HEARTBEAT
-            for placer in self.placers:
-                self.refuse(placer, placer.triage.give_up(now), now)
-                self.place(placer, now)
-                self.refuse(placer, placer.triage.make_way(now), now)
+            self.step(now)
             now += STEP
         return [self.outcomes[number] for number in range(len(self.jobs))]
 
+    def step(self, now: float) -> None:
+        """End what has ended and let each entry decide."""
+        while self.ends and self.ends[0][0] <= now:
+            self.end(*heapq.heappop(self.ends))
+        for placer in self.placers:
+            self.refuse(placer, placer.triage.give_up(now), now)
+            self.place(placer, now)
+            self.refuse(placer, placer.triage.make_way(now), now)
+
     def beat(self, now: float) -> None:
         """Report the room of all sides to all entries."""
         for placer in self.placers:
