Let no record and no unexpected error end the following of the store

A ValueError (base64 of a page that cannot be read) or an error of what hears of a change ended its loop, and the process kept to the configuration and evacuations of that moment, silently. A record with a key that is no UTF-8, or an empty record, failed the whole read each time, with the same effect.

Change: each round is guarded as that of the lease is; such a record is passed over with a line. Three tests failed first.

--- a/jackdawridge/platform/store.py
+++ b/jackdawridge/platform/store.py
@@ -182,13 +182,25 @@
     async def follow(self) -> None:
         """Read until the end of the process."""
         while not self.closed:
-            try:
-                await self.advance()
-            except JackdawridgeError as error:
-                self.note(error)
+            if not await self.advance_safely():
                 await pause(self.clock, RETRY_WAIT)
-            else:
-                self.note(None)
+
+    async def advance_safely(self) -> bool:
+        """Read what is new and return whether that was possible.
+
+        A process that followed no more would keep to what is in force now,
+        so that no error ends the loop.
+        """
+        try:
+            await self.advance()
+        except JackdawridgeError as error:
+            self.note(error)
+            return False
+        except Exception:
+            logger.exception('records were not read', step='follow')
+            return False
+        self.note(None)
+        return True
 
     async def advance(self) -> None:
         """Read what is new, or everything if the position is forgotten."""
@@ -262,18 +274,22 @@
     """
     try:
         _READ_HEAD.unpack_from(body)
-        records = tuple(_split(body, start))
-    except (struct.error, IndexError, UnicodeDecodeError) as error:
+        contents = _split(body)
+    except (struct.error, IndexError) as error:
         raise PeerUnavailableError(
             f'answer cannot be read: {error}', step='log-read', peer=peer
         ) from error
-    return Page(start + len(records), records)
+    read = [
+        _record(content, start + number)
+        for number, content in enumerate(contents)
+    ]
+    return Page(start + len(contents), tuple(filter(None, read)))
 
 
-def _split(body: bytes, start: int) -> list[Record]:
-    """Return the keyed records behind the head of a raw read."""
+def _split(body: bytes) -> list[bytes]:
+    """Return the records behind the head of a raw read."""
     place = _READ_HEAD.size
-    records: list[Record] = []
+    contents: list[bytes] = []
     while place < len(body):
         length = _RECORD_LENGTH.unpack_from(body, place)[0]
         place += _RECORD_LENGTH.size
@@ -281,7 +297,22 @@
         if len(content) < length:
             raise IndexError('record is cut off')
         place += length
-        key_end = 1 + content[0]
+        contents.append(content)
+    return contents
+
+
+def _record(content: bytes, offset: int) -> Record | None:
+    """Return a keyed record, or None for one that cannot be read.
+
+    One that is passed over keeps nobody from those behind it.
+    """
+    key_end = 1 + content[0] if content else 1
+    try:
         key = content[1:key_end].decode()
-        records.append(Record(key, content[key_end:], start + len(records)))
-    return records
+    except UnicodeDecodeError as error:
+        logger.warning(str(error), step='log-read', offset=offset)
+        return None
+    if not key:
+        logger.warning('record has no key', step='log-read', offset=offset)
+        return None
+    return Record(key, content[key_end:], offset)
--- a/tests/test_platform/test_codecs.py
+++ b/tests/test_platform/test_codecs.py
@@ -235,6 +235,13 @@
         assert page.end == 5
         assert page.records == (Record('a', b'1', 3), Record('b', b'', 4))
 
+    def test_key_that_cannot_be_read_is_passed_over(self) -> None:
+        odd = self.record(b'\xff\xfe', b'1') + struct.pack('>I', 0)
+        body = self.head + odd + self.record(b'a', b'2')
+        page = parse_records(body, 3, 'store')
+        assert page.end == 6
+        assert page.records == (Record('a', b'2', 5),)
+
     def test_nothing_new(self) -> None:
         assert parse_records(self.head, 5, 'store').end == 5
 
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -100,3 +100,23 @@
         assert not bed.changes
         bed.clock.advance(RETRY_WAIT)
         assert bed.changes == [{'config': b'old'}]
+
+    def test_unexpected_error_does_not_end_it(self) -> None:
+        bed = Follower(Page(1, (OLD,)), ValueError('odd'), Page(4, (NEW,)))
+        bed.clock.advance(RETRY_WAIT)
+        assert bed.changes[-1] == {'config': b'new'}
+
+    def test_listener_that_fails_does_not_end_it(self) -> None:
+        bed = Follower()
+        seen: list[dict[str, Record]] = []
+
+        def fail_once(records: dict[str, Record]) -> None:
+            seen.append(records)
+            if len(seen) == 1:
+                raise KeyError('odd')
+
+        bed.follower.changed = fail_once
+        bed.store.answers.extend([Page(1, (OLD,)), Page(4, (NEW,))])
+        bed.follower.start()
+        bed.clock.advance(RETRY_WAIT)
+        assert seen[-1] == {'config': NEW}
