--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -138,7 +138,7 @@
         """
         if self.must_look(now):
             self.looked_at = now
-            self.look(now)
+            self.look()
         if not self.queues.queued:
             return ()
         current = Round(self, now, limit)
--- a/jackdawridge/placement/stalls.py
+++ b/jackdawridge/placement/stalls.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from jackdawridge.placement.tracking import Assignment
 
@@ -35,18 +35,20 @@
         self.stopped: dict[str, set[int]] = defaultdict(set)
 
     def find(
-        self, assignments: Iterable[Assignment], now: float
+        self, assignments: Iterable[Assignment], heard: Mapping[str, float]
     ) -> list[Assignment]:
         """Return the tasks to stop now.
 
         :param assignments: all tasks that run, which may run again.
-        :param now: the time.
+        :param heard: when each side reported last. What was placed may have
+            ended since, so that a silent side is not judged by it.
         """
         running = 0
         slow: dict[str, list[Assignment]] = defaultdict(list)
         for assignment in assignments:
             running += 1
-            if is_slow(assignment, now):
+            last_word = heard.get(assignment.side_id, float('-inf'))
+            if is_slow(assignment, last_word):
                 slow[assignment.side_id].append(assignment)
         found = [
             stalled
@@ -71,14 +73,14 @@
         return ticket in self.stopped and task in self.stopped[ticket]
 
 
-def is_slow(assignment: Assignment, now: float) -> bool:
+def is_slow(assignment: Assignment, last_word: float) -> bool:
     """Return whether a task takes longer than nearly all of its kind.
 
     :param assignment: of the task.
-    :param now: the time.
+    :param last_word: when its side reported last.
     """
     limit = max(assignment.need.late * STALL_FACTOR, LEAST_STALL)
-    return now - assignment.placed_at > limit
+    return last_word - assignment.placed_at > limit
 
 
 def count_jobs(tasks: list[Assignment]) -> int:
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -275,20 +275,25 @@
         """
         return self.release(key)
 
-    def look(self, now: float) -> None:
+    def look(self) -> None:
         """Find sides whose running tasks are far over their estimates.
 
-        :param now: the time.
+        Only the time until a side's last report counts: what has ended since
+        is not known.
         """
+        heard = {side.side_id: side.reported_at for side in self.sides.values()}
         again = (one for one in self.assignments.values() if one.request.reruns)
-        self.stalled.extend(self.stalls.find(again, now))
+        self.stalled.extend(self.stalls.find(again, heard))
         for assignment in self.assignments.values():
+            side_id = assignment.side_id
             limit = max(assignment.need.late * LATE_FACTOR, MIN_LATE)
-            if now - assignment.placed_at > limit:
-                side_id = assignment.side_id
+            if (
+                side_id in heard
+                and heard[side_id] - assignment.placed_at > limit
+            ):
                 self.health.late(
                     side_id, assignment.request.ticket, self.placed
                 )
                 self.judge(side_id)
-        for side_id in tuple(self.health.limited):
-            self.judge(side_id)
+        for limited in tuple(self.health.limited):
+            self.judge(limited)
--- a/tests/test_placement/test_slow_sides.py
+++ b/tests/test_placement/test_slow_sides.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from jackdawridge.execution.messages import Room
+from jackdawridge.placement.placer import Placer
 from tests.test_placement.overload import (
     Job,
     Outcome,
@@ -11,6 +13,7 @@
     Slowness,
     make_jobs,
 )
+from tests.test_placement.placers import WORKER, make_placer, make_request
 
 SIDES = 11
 ENTRIES = 3
@@ -88,3 +91,33 @@
         """Tasks that differ by nature limit nobody."""
         replay = play(seed, 1, Slowness((), 0, 0, 1))
         assert not replay.placer.health.limited
+
+
+class TestSilentSide:
+    """A side that says nothing for a while may have run everything in time."""
+
+    def make(self) -> Placer:
+        """Return a placer with two jobs that run at one side of five."""
+        placer = make_placer(sides=1)
+        for number in range(2):
+            placer.enqueue(
+                [make_request(f't{number}')._replace(reruns=True)], 10
+            )
+        assert len(placer.place(10)) == 2
+        for number in range(1, 5):
+            placer.side_joined(f's{number}', WORKER, 10)
+        return placer
+
+    def test_silence_is_no_slowness(self) -> None:
+        """Only what a side was heard with counts against it."""
+        placer = self.make()
+        placer.look()
+        assert not placer.health.is_limited('s0')
+        assert not placer.take_stalled()
+
+    def test_side_that_goes_on_reporting_is_judged(self) -> None:
+        """One that reports, and has not ended what it runs, is slow."""
+        placer = self.make()
+        placer.side_reported('s0', Room(14, 980, 1, 0), 0, 20)
+        placer.look()
+        assert placer.health.is_limited('s0')
