Forget the probes of an entry when it is linked anew

A question that is asked while no link is there is answered with 503.

Cause: a probe that was lost with a closed link went on counting, and failed two periods later, when a new link was there, which was closed for it; so were the probes over that one. Each end did that to the other, for ever.

Change: a new link to an entry drops the probes that were sent before it.

In memory, test_entries_that_were_cut_stay_linked_again failed first for silences of 1 and 3 s with 2 and 3 entries: links opened without end.

--- a/jackdawridge/membership/detector.py
+++ b/jackdawridge/membership/detector.py
@@ -130,6 +130,18 @@
         }
         return self.relays.pop(number, None)
 
+    def forget(self, node: str) -> None:
+        """Drop the probes of an entry to which there is a new link.
+
+        They were lost with the link before. Were they to count, the new link
+        would be closed for them, and so would the one after it.
+
+        :param node: of the entry.
+        """
+        self.direct = _without(self.direct, node)
+        self.late = _without(self.late, node)
+        self.indirect = _without(self.indirect, node)
+
 
 class Watch:
     """Notes when something was last received from each linked peer.
@@ -182,6 +194,11 @@
         return now - before
 
 
+def _without(probes: Mapping[int, str], node: str) -> dict[int, str]:
+    """Return the probes of other nodes."""
+    return {number: name for number, name in probes.items() if name != node}
+
+
 def is_cut_off(silent: int, watched: int) -> bool:
     """Return whether silence says more about this process than of peers.
 
--- a/jackdawridge/membership/duties.py
+++ b/jackdawridge/membership/duties.py
@@ -161,7 +161,9 @@
         if peer.introduction.role == 'side':
             self.sides.lost.pop(peer.name, None)
             peer.send(Gossip(tuple(self.table.entries.values())))
-        elif not self.exchange.joined:
+            return
+        self.prober.forget(peer.name)
+        if not self.exchange.joined:
             self.exchange.ask(peer)
 
     def peer_left(self, peer: Peer) -> None:
--- a/tests/test_membership/test_component.py
+++ b/tests/test_membership/test_component.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import pytest
+
 from jackdawridge.application import Application
 from jackdawridge.config import Settings
 from jackdawridge.execution import messages as execution
@@ -238,6 +240,25 @@
         states = {entry.state_of(side.node) for side in fleet.sides}
         assert states == {State.alive}
 
+    @pytest.mark.parametrize('size', [2, 3, 6])
+    @pytest.mark.parametrize('silence', [0.3, 1, 3])
+    def test_entries_that_were_cut_stay_linked_again(
+        self, size: int, silence: float
+    ) -> None:
+        fleet = Fleet(size, 2)
+        fleet.pass_time(5)
+        entry = fleet.entries[1]
+        fleet.network.cut.add(entry.address)
+        fleet.pass_time(silence)
+        fleet.network.cut.clear()
+        fleet.pass_time(5)
+        opened: list[str] = []
+        entry.application.events.connect(
+            'peer_joined', lambda peer: opened.append(peer.name)
+        )
+        fleet.pass_time(20)
+        assert not opened
+
     def test_restarted_entry_supersedes_its_earlier_run(self) -> None:
         fleet = Fleet(3, 3)
         entry, other = fleet.entries[1], fleet.entries[0]
--- a/tests/test_membership/test_detector.py
+++ b/tests/test_membership/test_detector.py
@@ -44,6 +44,27 @@
         prober.answered(second.indirect[0][1])
         assert not prober.advance(ENTRIES).failed
 
+    def test_probe_over_a_link_that_was_replaced_counts_for_nothing(
+        self,
+    ) -> None:
+        prober = Prober('')
+        first = prober.advance(ENTRIES)
+        prober.forget(first.target)
+        assert not prober.advance(ENTRIES).indirect
+        prober = Prober('')
+        first = prober.advance(ENTRIES)
+        prober.advance(ENTRIES)
+        prober.forget(first.target)
+        assert not prober.advance(ENTRIES).failed
+
+    def test_forgotten_probe_is_made_again(self) -> None:
+        prober = Prober('')
+        first = prober.advance(('e1',))
+        prober.forget('e1')
+        again = prober.advance(('e1',))
+        assert again.target == first.target
+        assert again.number != first.number
+
     def test_relayed_answer_goes_to_its_origin(self) -> None:
         prober = Prober('')
         number = prober.relay('e2', 17)
