Let a side that has started anew ask entries which domains are out, and start nothing before

Change: entries tell sides which domains they have out, when a link opens and on each change (DomainsOut); a side that has not read the store goes by all linked entries, what one has out is out, and admits nothing while nobody has told it. What it reads itself goes before that.

The test of the gate asserted that a gate without any knowledge refuses nothing; that was the fault. It asserts the same of a gate that has read that nothing is out, and a new test that one without knowledge refuses.

--- a/jackdawridge/daemon.py
+++ b/jackdawridge/daemon.py
@@ -7,6 +7,7 @@
 
 from jackdawridge.application import Application
 from jackdawridge.configuration import messages as configuration_messages
+from jackdawridge.deployment import messages as deployment_messages
 from jackdawridge.execution import messages as execution_messages
 from jackdawridge.forwarding import messages as forwarding_messages
 from jackdawridge.membership import messages as membership_messages
@@ -28,6 +29,7 @@
 #: Schemas and messages of all slices.
 SLICES = (
     configuration_messages,
+    deployment_messages,
     execution_messages,
     membership_messages,
     forwarding_messages,
--- a/jackdawridge/deployment/entry.py
+++ b/jackdawridge/deployment/entry.py
@@ -4,18 +4,22 @@
 
 from typing import TYPE_CHECKING
 
+from jackdawridge.deployment.messages import DomainsOut
+
 if TYPE_CHECKING:
     from jackdawridge.application import Application
     from jackdawridge.deployment.state import DeploymentState
     from jackdawridge.submission.engine import JobEngine
+    from jackdawridge.wire.peers import Peer, Peers
 
 
 class EntryDeployment:
-    """Tells an entry's placement which failure domains are in service.
+    """Tells placement and sides which failure domains are in service.
 
-    :param application: emits `domains_changed`.
+    :param application: the process.
     :param engine: owns the jobs.
     :param state: what is in force.
+    :param peers: of the process.
     """
 
     def __init__(
@@ -23,11 +27,15 @@
         application: Application,
         engine: JobEngine,
         state: DeploymentState,
+        peers: Peers,
     ) -> None:
         """Listen to events."""
         self.engine = engine
         self.state = state
+        self.peers = peers
         application.events.connect('domains_changed', self.domains_changed)
+        application.events.connect('domains_known', self.tell_sides)
+        application.events.connect('peer_joined', self.peer_joined)
 
     @property
     def position(self) -> int:
@@ -38,6 +46,20 @@
         """Return 0; each side follows the store by itself."""
         return 0
 
+    def peer_joined(self, peer: Peer) -> None:
+        """Tell a side that has been linked, before it is sent any start.
+
+        :param peer: any peer.
+        """
+        if peer.introduction.role == 'side' and self.state.knows_domains:
+            peer.send(DomainsOut(tuple(sorted(self.state.out))))
+
+    def tell_sides(self) -> None:
+        """Tell all sides what this entry knows."""
+        message = DomainsOut(tuple(sorted(self.state.out)))
+        for side in self.peers.of_role('side'):
+            side.send(message)
+
     def domains_changed(self, changed: frozenset[str]) -> None:
         """Stop placing in domains that have left, and begin in others.
 
@@ -47,4 +69,5 @@
         for name in sorted(changed):
             in_service = name not in self.state.out
             self.engine.placer.domain_changed(name, in_service, now)
+        self.tell_sides()
         self.engine.place_soon()
--- a/jackdawridge/deployment/state.py
+++ b/jackdawridge/deployment/state.py
@@ -79,6 +79,8 @@
         self.table = QueueTable()
         #: Failure domains that are out of service.
         self.out: frozenset[str] = frozenset()
+        #: Whether that has been read.
+        self.knows_domains = False
 
     @property
     def version(self) -> int:
@@ -105,6 +107,7 @@
         """
         changed = self.out ^ domains
         self.out = domains
+        self.knows_domains = True
         return changed
 
 
--- a/jackdawridge/platform/entry.py
+++ b/jackdawridge/platform/entry.py
@@ -33,7 +33,9 @@
     submission = EntrySubmission.from_application(application, daemon.peers)
     engine = submission.engine
     state = DeploymentState()
-    engine.configuration = EntryDeployment(application, engine, state)
+    engine.configuration = EntryDeployment(
+        application, engine, state, daemon.peers
+    )
     jobs = AttendedJobs(application, engine, daemon.peers.introduction.address)
     watch_jobs(application.events, daemon.registry, engine)
     application.events.connect(
--- a/jackdawridge/platform/operators.py
+++ b/jackdawridge/platform/operators.py
@@ -80,7 +80,8 @@
 class OperatorRecords:
     """Puts in force what operators have written.
 
-    Emits `deployment_changed` and `domains_changed`.
+    Emits `deployment_changed` and `domains_changed`, and `domains_known` when
+    nothing is out of service as far as the first records tell.
 
     :param application: the process.
     :param state: what is in force.
@@ -103,12 +104,15 @@
             for key in records
             if key.startswith(EVACUATION_PREFIX)
         )
+        is_first = not self.state.knows_domains
         changed = self.state.take_out(domains)
         if changed:
             logger.notice(
                 'failure domains change', out=sorted(domains), step='evacuate'
             )
             self.application.events.emit('domains_changed', changed)
+        elif is_first:
+            self.application.events.emit('domains_known')
         configuration = records.get(CONFIGURATION_KEY)
         if configuration is not None:
             self.configure(configuration)
--- a/jackdawridge/platform/side.py
+++ b/jackdawridge/platform/side.py
@@ -54,6 +54,7 @@
     application = daemon.application
     state = DeploymentState()
     gate = DeploymentGate(state, node.settings.text('failure_domain'))
+    gate.listen(application)
     watch = make_watch(daemon, node, gate)
     daemon.resource.sections['tasks'] = watch.execution.describe
     membership = Membership.from_application(
--- a/tests/test_deployment/test_state.py
+++ b/tests/test_deployment/test_state.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from typing import Any, NamedTuple
+
 from jackdawridge.deployment.gate import DeploymentGate
+from jackdawridge.deployment.messages import DomainsOut
 from jackdawridge.deployment.state import (
     CallerLimits,
     Deployment,
@@ -10,6 +13,7 @@
     Queue,
     QueueTable,
 )
+from jackdawridge.membership.messages import Introduction
 
 LIMITS = CallerLimits(16384, 262144, 3, 15)
 
@@ -77,8 +81,57 @@
     def test_nothing_starts_in_a_domain_out_of_service(self) -> None:
         state = DeploymentState()
         gate = DeploymentGate(state, 'soweto')
+        state.take_out(frozenset())
         assert not gate.refusal(0)
         state.take_out(frozenset(('soweto',)))
         assert 'soweto' in gate.refusal(0)
         state.take_out(frozenset(('tembisa',)))
         assert not gate.refusal(0)
+
+    def test_nothing_starts_while_nothing_is_known(self) -> None:
+        gate = DeploymentGate(DeploymentState(), 'soweto')
+        assert 'not known' in gate.refusal(0)
+
+
+class Entry(NamedTuple):
+    """An entry as a side sees it."""
+
+    introduction: Introduction
+
+
+def entry(incarnation: str) -> Any:
+    return Entry(
+        Introduction('entry', 'e', incarnation, 'd', '', '', 0, 0, 0, 0)
+    )
+
+
+class TestSideThatHasStartedAnew:
+    """The store is away; only the linked entries can tell what is out."""
+
+    def make(self, *told: str) -> DeploymentGate:
+        gate = DeploymentGate(DeploymentState(), 'soweto')
+        for number, domain in enumerate(told):
+            domains = (domain,) if domain else ()
+            gate.domains_told(entry(str(number)), DomainsOut(domains))
+        return gate
+
+    def test_word_of_an_entry_lets_it_work(self) -> None:
+        assert not self.make('').refusal(0)
+        assert not self.make('tembisa').refusal(0)
+
+    def test_domain_is_out_if_any_entry_has_it_out(self) -> None:
+        assert 'out of service' in self.make('', 'soweto', '').refusal(0)
+
+    def test_word_of_an_entry_that_is_gone_does_not_count(self) -> None:
+        gate = self.make('', 'soweto')
+        gate.peer_left(entry('1'))
+        assert not gate.refusal(0)
+        gate.peer_left(entry('0'))
+        assert 'not known' in gate.refusal(0)
+
+    def test_store_goes_before_the_entries(self) -> None:
+        gate = self.make('soweto')
+        gate.state.take_out(frozenset())
+        assert not gate.refusal(0)
+        gate.domains_told(entry('0'), DomainsOut(('soweto',)))
+        assert not gate.refusal(0)
