Keep no more late jobs of a side than it takes to judge it

Found in reading the change: each late job of a side that is slow for good was kept. What is decided does not change: a side that was found late stays so until a task in time clears it. The test failed first.

--- a/jackdawridge/placement/health.py
+++ b/jackdawridge/placement/health.py
@@ -246,8 +246,10 @@
         :param number: of the newest placement.
         """
         health = self.of(side_id)
+        if health.is_late:
+            return
         health.late_jobs[ticket] = None
-        if len(health.late_jobs) >= LATE_JOBS and not health.is_late:
+        if len(health.late_jobs) >= LATE_JOBS:
             health.is_late = True
             health.late_number = number
 
--- a/tests/test_placement/test_slow_sides.py
+++ b/tests/test_placement/test_slow_sides.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jackdawridge.execution.messages import Room
+from jackdawridge.placement.health import LATE_JOBS
 from jackdawridge.placement.placer import Placer
 from tests.test_placement.overload import (
     Job,
@@ -121,3 +122,10 @@
         placer.side_reported('s0', Room(14, 980, 1, 0), 0, 20)
         placer.look()
         assert placer.health.is_limited('s0')
+
+    def test_lasting_slowness_takes_no_memory(self) -> None:
+        """A worker that stays slow has a late job each second."""
+        placer = self.make()
+        for number in range(100):
+            placer.health.late('s0', f'late-{number}', number)
+        assert len(placer.health.of('s0').late_jobs) <= LATE_JOBS
