Show with real processes that a side without the store goes by its entries

A side is killed and started again with a store that nobody listens at: it works by the word of the entries, and admits nothing in a domain that they have out.

--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -85,8 +85,8 @@
         self.nodes = {host: self.run(host) for host in ZONES}
         self.wait_until_ready()
 
-    def run(self, host: str) -> Process:
-        """Start the process of a machine."""
+    def run(self, host: str, store: str = '') -> Process:
+        """Start the process of a machine, with another store if need be."""
         path = self.folder / f'{host}.toml'
         role = 'side' if host in SIDES else 'entry'
         path.write_text(
@@ -95,7 +95,7 @@
                 role=role,
                 ip=host,
                 zone=ZONES[host],
-                store=self.store,
+                store=store or self.store,
                 **self.ports,
             )
         )
@@ -268,6 +268,42 @@
         assert not site.minion('127.0.2.1', 'GET', '/history')
 
 
+class TestSideWithoutStore:
+    """A side starts anew while it cannot reach the store."""
+
+    def restart(self, site: Site, host: str) -> None:
+        nowhere = find_free_addresses(1)[0]
+        site.nodes[host].kill()
+        site.nodes[host] = site.run(host, store=nowhere)
+
+    def other_ends(self, site: Site, host: str) -> None:
+        """End the other side, so that only one is left for work."""
+        other = next(side for side in SIDES if side != host)
+        site.nodes[other].terminate()
+        assert site.nodes[other].wait(START_TIME) == 0
+
+    def test_works_by_the_word_of_its_entries(self, site: Site) -> None:
+        self.restart(site, '127.0.2.1')
+        self.other_ends(site, '127.0.2.1')
+        until = time.monotonic() + START_TIME
+        statuses: list[int] = []
+        while 200 not in statuses and time.monotonic() < until:
+            job_id = f'{len(statuses):016x}'
+            statuses.append(site.submit(ENTRIES[0], job_id, 2).status)
+            time.sleep(0.2)
+        assert 200 in statuses, statuses
+        assert site.minion('127.0.2.1', 'GET', '/history')
+
+    def test_keeps_to_what_its_entries_have_out(self, site: Site) -> None:
+        request(site.store, 'PUT', '/records/evacuate/north', {})
+        time.sleep(1)
+        self.restart(site, '127.0.2.1')
+        self.other_ends(site, '127.0.2.1')
+        time.sleep(3)
+        assert site.submit(ENTRIES[0], '0123456789abcdef', 2).status != 200
+        assert not site.minion('127.0.2.1', 'GET', '/history')
+
+
 class TestFailures:
     def test_job_sent_again_after_its_entry_died_runs_once_at_a_time(
         self, site: Site
