Write an error and an entry's word on domains in one place each

Found in reading the change again: HeartbeatResource wrote the status and the body that write_error of operations/routes.py writes, and EntryDeployment made the same message twice. Nothing changes in what is sent.

--- a/jackdawridge/deployment/entry.py
+++ b/jackdawridge/deployment/entry.py
@@ -52,14 +52,18 @@
         :param peer: any peer.
         """
         if peer.introduction.role == 'side' and self.state.knows_domains:
-            peer.send(DomainsOut(tuple(sorted(self.state.out))))
+            peer.send(self.word())
 
     def tell_sides(self) -> None:
         """Tell all sides what this entry knows."""
-        message = DomainsOut(tuple(sorted(self.state.out)))
+        message = self.word()
         for side in self.peers.of_role('side'):
             side.send(message)
 
+    def word(self) -> DomainsOut:
+        """Return what this entry knows to be out of service."""
+        return DomainsOut(tuple(sorted(self.state.out)))
+
     def domains_changed(self, changed: frozenset[str]) -> None:
         """Stop placing in domains that have left, and begin in others.
 
--- a/jackdawridge/platform/heartbeats.py
+++ b/jackdawridge/platform/heartbeats.py
@@ -9,7 +9,12 @@
 from jackdawridge.execution.messages import Room
 from jackdawridge.execution.target import TargetNews
 from jackdawridge.logs import get_logger
-from jackdawridge.operations.routes import POST, Route, Routes
+from jackdawridge.operations.routes import (
+    POST,
+    Route,
+    Routes,
+    write_error,
+)
 from jackdawridge.util.web import write_json
 
 if TYPE_CHECKING:
@@ -77,8 +82,7 @@
             news = read_heartbeat(minion, request.content.read())
         except msgspec.MsgspecError as error:
             logger.warning(str(error), step='heartbeat', peer=minion)
-            request.setResponseCode(_BAD_REQUEST)
-            return write_json(request, {'error': str(error)})
+            return write_error(request, _BAD_REQUEST, str(error))
         self.joined(news)
         return write_json(request, {})
 
