Let one entry decide what starts where for all that are linked to it

Change: the entry that runs longest decides for the others (coordination/). They tell it what waits, ends and is refused; it grants places; they send the starts and own the jobs as before. Side reports and known tasks together say what is free. SideOrders is split from the engine.

Second change, a slow side is probed beside what it still runs: a worker that was slow until 10.6 s got nothing until 18 s, since its tasks of before ran on; 16 to 28 cores stood idle while others refused. A probe is a short task now.

--- a/jackdawridge/daemon.py
+++ b/jackdawridge/daemon.py
@@ -7,6 +7,7 @@
 
 from jackdawridge.application import Application
 from jackdawridge.configuration import messages as configuration_messages
+from jackdawridge.coordination import messages as coordination_messages
 from jackdawridge.deployment import messages as deployment_messages
 from jackdawridge.execution import messages as execution_messages
 from jackdawridge.forwarding import messages as forwarding_messages
@@ -29,6 +30,7 @@
 #: Schemas and messages of all slices.
 SLICES = (
     configuration_messages,
+    coordination_messages,
     deployment_messages,
     execution_messages,
     membership_messages,
--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -98,7 +98,7 @@
     """
     application = daemon.application
     followed = EntryConfiguration.from_application(application, daemon.reactor)
-    submission.engine.configuration = followed
+    submission.engine.orders.configuration = followed
     submission.interface.agreements = ConfiguredJobs(
         application, submission.engine, followed.configuration
     )
--- a/jackdawridge/operations/metrics.py
+++ b/jackdawridge/operations/metrics.py
@@ -104,7 +104,7 @@
         registry,
         'linked_sides',
         'Sides in touch',
-        lambda: sum(record.ready for record in engine.sides.values()),
+        lambda: sum(record.ready for record in engine.orders.sides.values()),
     )
 
 
--- a/jackdawridge/placement/fleet.py
+++ b/jackdawridge/placement/fleet.py
@@ -30,7 +30,7 @@
     cores: float
     #: By the tasks of all entries, as far as it is known.
     used: float
-    #: By the tasks of this entry.
+    #: By the tasks that this entry has decided on.
     own: float
 
 
@@ -47,7 +47,12 @@
         #: When a side joined last.
         self.grown_at = float('-inf')
         self.out_of_service: set[str] = set()
+        #: Whether this entry decides for others too.
+        self.is_joint = False
         self.health = FleetHealth()
+        #: Mean expected run time of the tasks placed last, in seconds; 0 if
+        #: there were none.
+        self.typical_run_time: float = 0
         #: What the open sides have together.
         self.capacity = NOTHING
         #: One side for each size of worker that was ever known.
@@ -61,7 +66,8 @@
         :param now: the time.
         """
         side = Side(side_id, info, self.ramp_time)
-        side.ramp_from = now
+        side.is_joint = self.is_joint
+        side.ramp.begin(now)
         self.grown_at = now
         self.sides[side_id] = side
         if all(info[1:] != shape[1:] for shape in self.shapes):
@@ -94,6 +100,15 @@
         if side is not None:
             side.report(room, processed, now)
 
+    def decide_jointly(self, is_joint: bool) -> None:
+        """Begin or cease to count what other entries have at each side.
+
+        :param is_joint: whether this entry decides for others too.
+        """
+        self.is_joint = is_joint
+        for side in self.sides.values():
+            side.is_joint = is_joint
+
     def domain_changed(
         self, failure_domain: str, in_service: bool, now: float
     ) -> None:
@@ -121,7 +136,7 @@
         """
         for side in self.sides.values():
             if side.info.failure_domain == failure_domain:
-                side.ramp_from = now
+                side.ramp.begin(now)
                 side.closed_until = float('-inf')
 
     def offer_received(self, side_id: str, offer: Offer, now: float) -> None:
@@ -174,7 +189,7 @@
             if not service or service == side.info.service:
                 cores += side.info.cores
                 used += side.info.cores - max(side.free.cores, 0)
-                own += side.own_cores
+                own += side.own.cores
         return ServiceRoom(cores, used, own)
 
     def judge(self, side_id: str) -> None:
@@ -188,7 +203,8 @@
         verdict = self.health.judge(side_id, len(self.open_sides))
         if side.is_limited and not verdict.is_limited:
             side.closed_until = float('-inf')
-        side.is_limited = verdict.is_limited
+        side.probation.is_limited = verdict.is_limited
+        side.probation.longest_probe = self.typical_run_time
         side.slowness = verdict.slowness
         side.closed_until = max(side.closed_until, verdict.closed_until)
 
--- a/jackdawridge/placement/learning.py
+++ b/jackdawridge/placement/learning.py
@@ -43,6 +43,10 @@
     run_time: float
 
 
+#: Of a task that has not run.
+NOTHING_USED = Usage(0, 0, 0)
+
+
 class Need(NamedTuple):
     """Estimate of what a task will use."""
 
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -98,14 +98,21 @@
         overload = self.bounds.check(self.queues, team, len(requests))
         if overload is not None:
             return Err(overload)
-        job = self.queues.make_job(requests)
-        job.objective = objective
+        self.take_in(self.queues.make_job(requests), now, objective)
+        return Ok(len(requests))
+
+    def take_in(self, job: Job, queued_at: float, objective: Objective) -> None:
+        """Queue a job whatever else waits.
+
+        :param job: that was made just now.
+        :param queued_at: when it arrived, in seconds.
+        :param objective: for its response time.
+        """
         if objective != NO_OBJECTIVE:
             self.triage.is_needed = True
         if any(self.why_never(group.sample) for group in job.groups.values()):
-            self.doubtful[first.ticket] = now
-        self.queues.insert(job, self.standing(job, now, objective))
-        return Ok(len(requests))
+            self.doubtful[job.ticket] = queued_at
+        self.queues.insert(job, self.standing(job, queued_at, objective))
 
     def overload(self, reason: str) -> Overload:
         """Return the refusal of a job for which an entry has no memory.
@@ -136,9 +143,7 @@
         :param limit: number of placements from which on no more are begun;
             some more may follow.
         """
-        if self.must_look(now):
-            self.looked_at = now
-            self.look()
+        self.look_if_due(now)
         if not self.queues.queued:
             return ()
         current = Round(self, now, limit)
@@ -146,11 +151,21 @@
             current.place_offered(side_id, key)
         self.offers.clear()
         current.run()
-        may_ask = self.policy.knows_room and not current.is_full()
-        if self.queues.queued and may_ask:
+        # An entry that decides for others knows what each side has.
+        may_ask = self.policy.knows_room and not self.is_joint
+        if self.queues.queued and may_ask and not current.is_full():
             self.asking.run(current)
         return tuple(current.placements)
 
+    def look_if_due(self, now: float) -> None:
+        """Look at the tasks that run, now and then.
+
+        :param now: the time.
+        """
+        if self.must_look(now):
+            self.looked_at = now
+            self.look()
+
     def must_look(self, now: float) -> bool:
         """Return whether it is time to look at the tasks that run.
 
--- a/jackdawridge/placement/policies.py
+++ b/jackdawridge/placement/policies.py
@@ -157,7 +157,7 @@
     :param need: the estimate for the task.
     :param now: the time.
     """
-    return side.takes_work(now) and side.could_fit(need)
+    return side.takes_work(need, now) and side.could_fit(need)
 
 
 def most_room(need: Need, sides: Sequence[Side], now: float) -> Side | None:
--- a/jackdawridge/placement/queued_jobs.py
+++ b/jackdawridge/placement/queued_jobs.py
@@ -5,10 +5,10 @@
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
-from jackdawridge.placement.request import NO_OBJECTIVE
+from jackdawridge.placement.request import NO_OBJECTIVE, Objective
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Sequence
 
     from jackdawridge.placement.learning import Learner
     from jackdawridge.placement.request import Request
@@ -35,6 +35,7 @@
     priority: int = 0
     #: Whether the job can no longer be answered in time.
     is_late: bool = False
+    objective: Objective = NO_OBJECTIVE
 
 
 class Group(NamedTuple):
@@ -58,7 +59,6 @@
         self.ticket = requests[0].ticket
         self.sequence = sequence
         self.standing = Standing(0, 0)
-        self.objective = NO_OBJECTIVE
         self.groups: dict[tuple[object, ...], Group] = {}
         self.queued = 0
         for request in requests:
@@ -68,6 +68,8 @@
         self.size = self.queued
         #: Whether a task of the job was placed.
         self.has_begun = False
+        #: Sides that its entry reaches, if another one decides; else all.
+        self.reach: Collection[str] | None = None
 
     def order(self) -> tuple[float, int]:
         """Return where the job stands among those of its team."""
--- a/jackdawridge/placement/rounds.py
+++ b/jackdawridge/placement/rounds.py
@@ -141,10 +141,11 @@
             cursor.skip()
             return
         side = self.same_side(cursor, job, wanted) or self.placer.policy.choose(
-            wanted, self.sides_for(group), self.now
+            wanted, self.sides_for(job, group), self.now
         )
         if side is None:
-            self.misfits.append(wanted)
+            if job.reach is None:
+                self.misfits.append(wanted)
             self.tries += 1
             cursor.skip()
             return
@@ -154,20 +155,25 @@
         if not group.requests:
             cursor.advance()
 
-    def sides_for(self, group: Group) -> Sequence[Side]:
+    def sides_for(self, job: Job, group: Group) -> Sequence[Side]:
         """Return the sides for the next task of a group.
 
         A task that runs again goes elsewhere than before, if there is
         another side.
 
+        :param job: which the group belongs to.
         :param group: with at least one task.
         """
+        sides = self.sides
+        reach = job.reach
+        if reach is not None:
+            sides = [side for side in sides if side.side_id in reach]
         ticket, task = group.requests[0].key
         if ticket not in self.placer.avoided:
-            return self.sides
+            return sides
         avoided = self.placer.avoided[ticket].get(task)
-        others = [side for side in self.sides if side.side_id != avoided]
-        return others or self.sides
+        others = [side for side in sides if side.side_id != avoided]
+        return others or sides
 
     def same_side(
         self, cursor: TeamCursor, job: Job, need: Need
@@ -318,7 +324,7 @@
             for side in placer.open_sides
             if side.side_id not in self.asked
             and side.could_fit(need)
-            and side.takes_work(current.now)
+            and side.takes_work(need, current.now)
         ]
         team = placer.queues.team(job.team)
         if waited < ASK_AFTER or not sides or not team.within_quota(need):
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -41,6 +41,9 @@
 #: Run time that is never late, in seconds.
 MIN_LATE = 0.25
 
+#: Weight of the newest placement in the typical run time of tasks.
+TYPICAL_WEIGHT = 0.02
+
 #: Smallest run time that others are compared with, in seconds.
 MIN_RUN_TIME = 0.005
 
@@ -129,6 +132,7 @@
             work,
             room,
             objective.priority,
+            objective=objective,
         )
 
     def assign(
@@ -143,6 +147,11 @@
         need, request = assignment.need, assignment.request
         self.placed += 1
         side.reserve(need)
+        side.probation.placed(request.key)
+        typical = self.typical_run_time or need.run_time
+        self.typical_run_time = typical + TYPICAL_WEIGHT * (
+            need.run_time - typical
+        )
         self.assignments[request.key] = assignment
         team = self.queues.team(request.team)
         team.running += need.cores
@@ -176,6 +185,7 @@
         side = self.sides.get(assignment.side_id)
         if side is not None:
             side.release(assignment.need)
+            side.probation.released(key)
         return assignment
 
     def sent(
@@ -268,6 +278,25 @@
         self.judge(side_id)
         return assignment
 
+    def handed_over(self, key: Key) -> None:
+        """Note that another entry sends a task that was placed here.
+
+        :param key: of the task.
+        """
+        assignment = self.assignments[key]
+        side = self.sides.get(assignment.side_id)
+        if side is not None:
+            side.handed_over(assignment.need)
+
+    def given_back(self, assignment: Assignment) -> None:
+        """Note that a task of another entry has left its side.
+
+        :param assignment: that was released.
+        """
+        side = self.sides.get(assignment.side_id)
+        if side is not None:
+            side.given_back(assignment.need)
+
     def lost(self, key: Key) -> Assignment | None:
         """Free what a task reserved whose end will not be known.
 
--- a/jackdawridge/placement/triage.py
+++ b/jackdawridge/placement/triage.py
@@ -66,12 +66,14 @@
         """
         self.measured = self.placer.capacity
         for job in tuple(self.placer.queues.jobs.values()):
-            if job.has_begun or job.objective == NO_OBJECTIVE:
+            before = job.standing
+            if job.has_begun or before.objective == NO_OBJECTIVE:
                 continue
-            queued_at, is_late = job.standing.queued_at, job.standing.is_late
-            standing = self.placer.standing(job, queued_at, job.objective)
+            standing = self.placer.standing(
+                job, before.queued_at, before.objective
+            )
             self.placer.queues.move(job, standing)
-            if is_late:
+            if before.is_late:
                 move_behind(self.placer.queues, job)
 
     def make_way(self, now: float) -> tuple[Impossible, ...]:
--- a/jackdawridge/placement/view.py
+++ b/jackdawridge/placement/view.py
@@ -10,7 +10,7 @@
 
     from jackdawridge.execution.messages import Offer, Room
     from jackdawridge.placement.learning import Need
-    from jackdawridge.placement.request import Placement
+    from jackdawridge.placement.request import Key, Placement
 
 #: Time in which a returning side comes back to its full share, in seconds,
 #: unless the settings say otherwise.
@@ -57,11 +57,41 @@
             self.accelerators + other.accelerators,
         )
 
+    def minus(self, other: Amount) -> Amount:
+        """Return the difference.
+
+        :param other: what is taken off.
+        """
+        return Amount(
+            self.cores - other.cores,
+            self.memory - other.memory,
+            self.accelerators - other.accelerators,
+        )
+
+    def least(self, other: Amount) -> Amount:
+        """Return the smaller of each part.
+
+        :param other: what this is compared with.
+        """
+        return Amount(
+            min(self.cores, other.cores),
+            min(self.memory, other.memory),
+            min(self.accelerators, other.accelerators),
+        )
+
 
 #: The sum of no placements.
 NOTHING = Amount(0, 0, 0)
 
 
+def amount_of(need: Need) -> Amount:
+    """Return what a task reserves.
+
+    :param need: the estimate for the task.
+    """
+    return Amount(need.cores, need.memory, need.accelerators)
+
+
 def total(placements: Iterable[Placement]) -> Amount:
     """Return what placements reserve together.
 
@@ -76,6 +106,110 @@
     return amount
 
 
+class Unreported:
+    """Placements that the last report of a side does not include."""
+
+    def __init__(self) -> None:
+        """Begin without placements."""
+        #: In no batch yet.
+        self.unsent = NOTHING
+        #: Batches that the side had not handled at its last report.
+        self.batches: deque[tuple[int, Amount]] = deque()
+
+    def sent(self, number: int, amount: Amount) -> None:
+        """Note that placements left in a batch.
+
+        :param number: of the batch.
+        :param amount: what its placements reserve.
+        """
+        self.unsent = self.unsent.minus(amount)
+        self.batches.append((number, amount))
+
+    def reported(self, processed: int) -> None:
+        """Forget what a report includes.
+
+        :param processed: number of the last batch that the side has handled.
+        """
+        while self.batches and self.batches[0][0] <= processed:
+            self.batches.popleft()
+
+    def total(self) -> Amount:
+        """Return what the placements reserve together."""
+        amount = self.unsent
+        for _, in_batch in self.batches:
+            amount = amount.plus(in_batch)
+        return amount
+
+
+class Ramp:
+    """The time in which a side that joins or returns gets its full share.
+
+    :param duration: of the ramp, in seconds.
+    """
+
+    def __init__(self, duration: float) -> None:
+        """Begin with the full share."""
+        self.duration = duration
+        self.since = float('-inf')
+
+    def begin(self, now: float) -> None:
+        """Let the side come to its full share from now on.
+
+        :param now: the time.
+        """
+        self.since = now
+
+    def held(self, now: float) -> float:
+        """Return the part of the worker that stays free for now.
+
+        :param now: the time.
+        """
+        passed = now - self.since
+        if passed >= self.duration:
+            return 0
+        return (1 - RAMP_START) * (1 - passed / self.duration)
+
+
+class Probation:
+    """What a side may get that has given reason to be limited."""
+
+    def __init__(self) -> None:
+        """Begin without limits."""
+        #: Whether the side gets one short task at a time only.
+        self.is_limited = False
+        #: Tasks that it has got since, to be judged by.
+        self.probes: set[Key] = set()
+        #: Longest run time of such a task, in seconds.
+        self.longest_probe = float('inf')
+
+    def may_get(self, need: Need) -> bool:
+        """Return whether a task may be placed.
+
+        Tasks that were placed before the limit do not count: they run on for
+        long at a slow worker, which would get nothing to be judged by.
+
+        :param need: the estimate for the task.
+        """
+        if not self.is_limited:
+            return True
+        return not self.probes and need.run_time <= self.longest_probe
+
+    def placed(self, key: Key) -> None:
+        """Note that a task was placed.
+
+        :param key: of the task.
+        """
+        if self.is_limited:
+            self.probes.add(key)
+
+    def released(self, key: Key) -> None:
+        """Note that a task runs no more.
+
+        :param key: of the task.
+        """
+        self.probes.discard(key)
+
+
 class Side:
     """One side as an entry sees it.
 
@@ -90,26 +224,25 @@
         """Begin without room, until the side reports some."""
         self.side_id = side_id
         self.info = info
-        self.ramp_time = ramp_time
+        self.ramp = Ramp(ramp_time)
         #: Room reported less what was placed since.
         self.free = NOTHING
-        #: What was placed and is in no batch yet.
-        self.unsent = NOTHING
-        #: Batches that the side had not handled at its last report.
-        self.batches: deque[tuple[int, Amount]] = deque()
+        #: Room reported, as changed since by the tasks of other entries for
+        #: which this one decides.
+        self.room = NOTHING
+        #: Whether this entry decides for others too, whose tasks it knows.
+        self.is_joint = False
+        self.unreported = Unreported()
         self.reported_at = float('-inf')
         #: Whether the side takes new work and its failure domain is in service.
         self.is_open = True
         #: No placement before this time.
         self.closed_until = float('-inf')
-        #: Time at which the ramp began.
-        self.ramp_from = float('-inf')
-        #: Whether the side gets one task at a time only.
-        self.is_limited = False
-        #: Tasks of this entry at the side.
+        self.probation = Probation()
+        #: Tasks at the side that this entry has decided on.
         self.outstanding = 0
-        #: Cores that they reserve.
-        self.own_cores: float = 0
+        #: What they reserve.
+        self.own = NOTHING
         #: Run time of tasks here over that of tasks elsewhere.
         self.slowness = 1.0
 
@@ -120,18 +253,25 @@
         :param processed: number of that batch.
         :param now: the time.
         """
-        while self.batches and self.batches[0][0] <= processed:
-            self.batches.popleft()
-        sent = self.unsent
-        for _, amount in self.batches:
-            sent = sent.plus(amount)
-        self.free = Amount(
-            room.cores - sent.cores,
-            room.memory - sent.memory,
-            room.accelerators - sent.accelerators,
-        )
+        self.unreported.reported(processed)
+        self.room = Amount(room.cores, room.memory, room.accelerators)
+        self.recount()
         self.reported_at = now
 
+    def recount(self) -> None:
+        """Reckon the free room from the last report.
+
+        Where this entry decides for others, a report may lack what they are
+        just starting, so that no more counts as free than all known tasks
+        leave.
+        """
+        self.free = self.room.minus(self.unreported.total())
+        if self.is_joint:
+            whole = Amount(
+                self.info.cores, self.info.memory, self.info.accelerators
+            )
+            self.free = self.free.least(whole.minus(self.own))
+
     def offered(self, offer: Offer) -> None:
         """Take in room that the side holds for this entry.
 
@@ -149,15 +289,11 @@
 
         :param need: the estimate for the task.
         """
-        amount = Amount(need.cores, need.memory, need.accelerators)
-        self.unsent = self.unsent.plus(amount)
-        self.free = Amount(
-            self.free.cores - need.cores,
-            self.free.memory - need.memory,
-            self.free.accelerators - need.accelerators,
-        )
+        amount = amount_of(need)
+        self.unreported.unsent = self.unreported.unsent.plus(amount)
+        self.free = self.free.minus(amount)
+        self.own = self.own.plus(amount)
         self.outstanding += 1
-        self.own_cores += need.cores
 
     def release(self, need: Need) -> None:
         """Count a placement no more; its room is free once it is reported.
@@ -165,7 +301,10 @@
         :param need: the estimate for the task.
         """
         self.outstanding -= 1
-        self.own_cores = max(self.own_cores - need.cores, 0)
+        self.own = self.own.minus(amount_of(need))
+        if not self.outstanding:
+            # Rounding errors do not add up.
+            self.own = NOTHING
 
     def sent(self, number: int, amount: Amount) -> None:
         """Note that placements left in a batch.
@@ -173,21 +312,47 @@
         :param number: of the batch.
         :param amount: what its placements reserve.
         """
-        self.unsent = Amount(
-            self.unsent.cores - amount.cores,
-            self.unsent.memory - amount.memory,
-            self.unsent.accelerators - amount.accelerators,
-        )
-        self.batches.append((number, amount))
+        self.unreported.sent(number, amount)
+
+    def handed_over(self, need: Need) -> None:
+        """Note that another entry sends a placement, in a batch of its own.
+
+        :param need: the estimate for the task.
+        """
+        amount = amount_of(need)
+        self.unreported.unsent = self.unreported.unsent.minus(amount)
+        self.room = self.room.minus(amount)
 
-    def takes_work(self, now: float) -> bool:
+    def taken_over(self, need: Need) -> None:
+        """Note that a placement was part of the last report already.
+
+        :param need: the estimate for the task.
+        """
+        self.unreported.unsent = self.unreported.unsent.minus(amount_of(need))
+        self.recount()
+
+    def given_back(self, need: Need) -> None:
+        """Note that a task of another entry has ended.
+
+        :param need: the estimate for the task.
+        """
+        self.room = self.room.plus(amount_of(need))
+        self.recount()
+
+    @property
+    def is_limited(self) -> bool:
+        """Return whether the side gets one short task at a time only."""
+        return self.probation.is_limited
+
+    def takes_work(self, need: Need, now: float) -> bool:
         """Return whether the side may get a task at all.
 
+        :param need: the estimate for the task.
         :param now: the time.
         """
         if not self.is_open or now < self.closed_until:
             return False
-        return not self.is_limited or not self.outstanding
+        return self.probation.may_get(need)
 
     def has_room(self) -> bool:
         """Return whether any room is known at all."""
@@ -202,15 +367,12 @@
         cores, memory, accelerators = self.free
         if need.cores > cores or need.memory > memory:
             return False
-        if need.accelerators > accelerators or not self.takes_work(now):
+        if need.accelerators > accelerators or not self.takes_work(need, now):
             return False
         if not self.info.serves(need):
             return False
-        since = now - self.ramp_from
-        if since >= self.ramp_time:
-            return True
-        held = (1 - RAMP_START) * (1 - since / self.ramp_time)
-        return need.cores <= cores - held * self.info.cores
+        held = self.ramp.held(now) * self.info.cores
+        return need.cores <= cores - held
 
     def could_fit(self, need: Need) -> bool:
         """Return whether a task fits the worker when nothing else runs.
--- a/jackdawridge/platform/entry.py
+++ b/jackdawridge/platform/entry.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from jackdawridge.coordination.component import Coordination
 from jackdawridge.daemon import Daemon
 from jackdawridge.deployment.entry import EntryDeployment
 from jackdawridge.deployment.state import DeploymentState
@@ -33,7 +34,7 @@
     submission = EntrySubmission.from_application(application, daemon.peers)
     engine = submission.engine
     state = DeploymentState()
-    engine.configuration = EntryDeployment(
+    engine.orders.configuration = EntryDeployment(
         application, engine, state, daemon.peers
     )
     jobs = AttendedJobs(application, engine, daemon.peers.introduction.address)
@@ -57,7 +58,10 @@
     )
     submission.relay.entries = membership
     daemon.resource.sections['membership'] = membership.describe
+    coordination = Coordination(application, daemon.peers, engine, membership)
+    daemon.resource.sections['coordination'] = coordination.describe
     application.add(membership)
+    application.add(coordination)
     application.add(submission)
     application.add(
         follow_operators(reactor, node.store_address, application, state)
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -3,46 +3,41 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from itertools import count
 from typing import TYPE_CHECKING
 
 from result import Err
 from twisted.internet.defer import Deferred
 
-from jackdawridge.execution.messages import (
-    CancelBatch,
-    Ending,
-    Refusal,
-    Start,
-    StartBatch,
-    StopBatch,
-    TaskKey,
-)
-from jackdawridge.logs import get_logger, log_decision
-from jackdawridge.placement.learning import Usage
+from jackdawridge.execution.messages import Ending
+from jackdawridge.logs import get_logger
+from jackdawridge.placement.learning import NOTHING_USED, Usage
 from jackdawridge.placement.request import Request
 from jackdawridge.submission.answers import AnswerStore
-from jackdawridge.submission.batches import split_batches
-from jackdawridge.submission.configured import NoConfiguration
+from jackdawridge.submission.decider import AloneDecider
 from jackdawridge.submission.jobs import Job
+from jackdawridge.submission.orders import SideOrders
 from jackdawridge.submission.payloads import PayloadMemory
 from jackdawridge.util.retained import RetentionBounds
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable
 
     from result import Result
 
     from jackdawridge.application import Application
+    from jackdawridge.execution.messages import Refusal, TaskKey
     from jackdawridge.placement.placer import Placer
-    from jackdawridge.placement.request import Overload, Placement
+    from jackdawridge.placement.request import (
+        Impossible,
+        Overload,
+        Placement,
+    )
     from jackdawridge.submission.answers import KeptAnswer
-    from jackdawridge.submission.configured import KnownConfiguration
+    from jackdawridge.submission.decider import Decider
     from jackdawridge.submission.jobs import JobAnswer, JobSpec
     from jackdawridge.submission.sides import SideRecord
 
 logger = get_logger('submission')
-decisions = get_logger('placement')
 
 #: Tasks that are placed in a turn of the loop, so that other jobs and outcomes
 #: do not wait for a large job.
@@ -72,10 +67,9 @@
         )
         self.payloads = PayloadMemory(settings.memory_bytes('payload_memory'))
         self.waiters: dict[str, list[Deferred[KeptAnswer]]] = defaultdict(list)
-        self.sides: dict[str, SideRecord] = {}
-        self.leases = count(1)
-        #: What tasks are placed under.
-        self.configuration: KnownConfiguration = NoConfiguration()
+        self.orders = SideOrders(self.jobs, placer)
+        #: Decides what starts where, for this entry or together with others.
+        self.decider: Decider = AloneDecider()
         self.placing = False
         self.cancelled: list[str] = []
         #: Called when the last open job has ended.
@@ -115,6 +109,7 @@
             self.payloads.release(ticket)
         else:
             self.jobs[ticket] = Job(ticket, spec, digest, self.finished)
+            self.decider.queued(ticket)
             self.place_soon()
         return queued
 
@@ -134,7 +129,7 @@
         """
         job = self.jobs.pop(answer.ticket)
         self.payloads.release(answer.ticket)
-        self.placer.cancel(answer.ticket)
+        self.drop(answer.ticket)
         kept = self.answers.keep(answer, job.digest, self.clock.seconds())
         log = logger.info if answer.state == 'complete' else logger.notice
         log(
@@ -172,11 +167,19 @@
 
         :param ticket: of the job.
         """
-        self.placer.cancel(ticket)
+        self.drop(ticket)
         if ticket in self.jobs:
             self.cancelled.append(ticket)
             self.place_soon()
 
+    def drop(self, ticket: str) -> None:
+        """Drop what is queued of a job.
+
+        :param ticket: of the job.
+        """
+        if self.placer.cancel(ticket):
+            self.decider.dropped(ticket)
+
     def place_if_due(self) -> None:
         """Place at the end of this turn if the placer has something to do."""
         if self.placer.has_work(self.clock.seconds()):
@@ -191,101 +194,52 @@
     def act(self) -> None:
         """Send the cancellations that have gathered, then place."""
         self.placing = False
-        for useless in self.placer.triage.give_up(self.clock.seconds()):
-            self.fail(useless.request.ticket, useless.reason)
-        self.send_cancellations()
-        by_side: dict[str, list[Placement]] = defaultdict(list)
-        placed = self.placer.place(self.clock.seconds(), TURN_PLACEMENTS)
-        for placement in placed:
-            by_side[placement.side_id].append(placement)
-        for side, placements in by_side.items():
-            self.send(side, placements)
-        self.stop_stalled()
-        if len(placed) >= TURN_PLACEMENTS:
-            self.place_if_due()
-            return
-        for useless in self.placer.triage.make_way(self.clock.seconds()):
-            self.fail(useless.request.ticket, useless.reason)
-
-    def stop_stalled(self) -> None:
-        """Stop tasks that stand still, so that they run again elsewhere."""
-        by_side: dict[str, list[TaskKey]] = defaultdict(list)
-        for assignment in self.placer.take_stalled():
-            ticket, task = assignment.request.key
-            job = self.jobs.get(ticket)
-            sent = job.sent.get(task) if job else None
-            if sent is not None and sent.side == assignment.side_id:
-                by_side[sent.side].append(sent.key)
-        for side, keys in by_side.items():
-            record = self.sides.get(side)
-            logger.warning('tasks stand still', peer=side, tasks=len(keys))
-            if record is not None and record.peer is not None:
-                record.peer.send(StopBatch(tuple(keys)))
-
-    def send_cancellations(self) -> None:
-        """Tell each side once about all jobs that have to stop there."""
-        by_side: dict[str, set[str]] = defaultdict(set)
-        for ticket in self.cancelled:
-            job = self.jobs.get(ticket)
-            for sent in job.sent.values() if job else ():
-                by_side[sent.side].add(ticket)
+        now = self.clock.seconds()
+        if self.decider.is_elsewhere():
+            self.cancel_at_sides()
+            self.placer.look_if_due(now)
+        else:
+            for useless in self.placer.triage.give_up(now):
+                self.give_up(useless)
+            self.cancel_at_sides()
+            self.place(now)
+        self.orders.stop_stalled(self.placer.take_stalled())
+        self.decider.flush()
+
+    def cancel_at_sides(self) -> None:
+        """Send the cancellations that have gathered."""
+        self.orders.cancel(self.cancelled)
         self.cancelled.clear()
-        for side, tickets in by_side.items():
-            peer = self.sides[side].peer
-            if peer is not None:
-                peer.send(CancelBatch(tuple(sorted(tickets))))
-
-    def send(self, side: str, placements: Sequence[Placement]) -> None:
-        """Send the starts for one side in as few batches as the bounds allow.
-
-        :param side: node of the side.
-        :param placements: decided for it.
-        """
-        record = self.sides[side]
-        for part in split_batches(placements, self.payload_size):
-            number = record.next_batch()
-            starts = tuple(self.begin(record, placement) for placement in part)
-            self.placer.sent(side, number, part)
-            batch = StartBatch(
-                number, record.window, self.configuration.position, starts
-            )
-            if record.peer is None or not record.peer.send(batch):
-                logger.warning('link is gone', step='start', peer=side)
 
-    def payload_size(self, placement: Placement) -> int:
-        """Return the length of a placed task's payload in bytes.
+    def place(self, now: float) -> None:
+        """Place what there is room for, and give up what is too much.
 
-        :param placement: of the task.
+        :param now: the time in seconds.
         """
-        request = placement.request
-        return len(self.jobs[request.ticket].spec.tasks[request.task].payload)
+        placed = self.placer.place(now, TURN_PLACEMENTS)
+        own: list[Placement] = []
+        for placement in placed:
+            if placement.request.ticket in self.jobs:
+                own.append(placement)
+            else:
+                self.decider.grant(placement)
+        self.orders.start(own)
+        if len(placed) >= TURN_PLACEMENTS:
+            self.place_if_due()
+            return
+        for useless in self.placer.triage.make_way(now):
+            self.give_up(useless)
 
-    def begin(self, record: SideRecord, placement: Placement) -> Start:
-        """Return the start of a placed task and note that it is in doubt.
+    def give_up(self, useless: Impossible) -> None:
+        """Answer a job without its result.
 
-        :param record: of the side.
-        :param placement: of the task.
+        :param useless: one of its tasks, with the reason.
         """
-        request = placement.request
-        job = self.jobs[request.ticket]
-        key = TaskKey(request.ticket, request.task, next(self.leases))
-        job.send(key, record.node)
-        record.keys.add(key)
-        log_decision(
-            decisions, 'start', record.node, placement.reason, key._asdict()
-        )
-        return Start(
-            *key,
-            kind=request.kind,
-            team=request.team,
-            cores=placement.cores,
-            memory=placement.memory,
-            accelerators=request.accelerators,
-            run_time=placement.run_time,
-            agreement=job.spec.agreement,
-            agreement_version=job.spec.agreement_version,
-            payload=job.spec.tasks[request.task].payload,
-        )
+        ticket = useless.request.ticket
+        if ticket in self.jobs:
+            self.fail(ticket, useless.reason)
+        else:
+            self.decider.give_up(useless)
 
     def refused(self, record: SideRecord, refusal: Refusal) -> None:
         """Queue a task again that was certainly not started.
@@ -296,13 +250,15 @@
         job = self.take(record, refusal.key)
         if job is None:
             return
-        key = refusal.key
-        if job.refuse(key):
+        key = refusal.key[:2]
+        self.decider.ended(key, 'refused', NOTHING_USED, refusal.reason)
+        if job.refuse(refusal.key):
             self.placer.refused(
-                key[:2], record.node, refusal.reason, self.clock.seconds()
+                key, record.node, refusal.reason, self.clock.seconds()
             )
+            self.decider.repeated(key, '')
         else:
-            self.placer.lost(key[:2])
+            self.placer.lost(key)
 
     def ended(self, record: SideRecord, ending: Ending) -> None:
         """Take the outcome of a task.
@@ -314,10 +270,11 @@
         if job is None:
             return
         key = ending.key[:2]
+        usage = Usage(ending.cores, ending.memory, ending.run_time)
+        self.decider.ended(key, ending.outcome, usage)
         if ending.outcome == 'lost':
             assignment = self.placer.lost(key)
         else:
-            usage = Usage(ending.cores, ending.memory, ending.run_time)
             assignment = self.placer.ended(
                 key, record.node, ending.outcome, usage, self.clock.seconds()
             )
@@ -330,6 +287,7 @@
                 **ending.key._asdict(),
             )
             self.placer.queue_again(assignment)
+            self.decider.repeated(key, record.node)
         elif job.end(ending):
             self.stop_rest(ending.key.ticket)
 
--- a/jackdawridge/submission/status.py
+++ b/jackdawridge/submission/status.py
@@ -34,5 +34,9 @@
         engine.placer.placed,
         engine.placer.refusals,
         engine.placer.offered,
-        sorted(record.node for record in engine.sides.values() if record.ready),
+        sorted(
+            record.node
+            for record in engine.orders.sides.values()
+            if record.ready
+        ),
     )
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -80,7 +80,7 @@
     def stop(self) -> None:
         """Stop looking and acknowledge the last outcomes."""
         self.sweeper.stop()
-        for record in self.engine.sides.values():
+        for record in self.engine.orders.sides.values():
             if record.peer is not None:
                 self.reply(record, record.peer, 0)
 
@@ -92,10 +92,10 @@
         if peer.introduction.role != 'side':
             return
         now = self.clock.seconds()
-        record = self.engine.sides.get(peer.name)
+        record = self.engine.orders.sides.get(peer.name)
         if record is None:
             record = SideRecord(peer, now)
-            self.engine.sides[peer.name] = record
+            self.engine.orders.sides[peer.name] = record
         else:
             self.retire(record)
             record.join(peer, now)
@@ -107,7 +107,7 @@
 
         :param peer: any peer.
         """
-        record = self.engine.sides.get(peer.name)
+        record = self.engine.orders.sides.get(peer.name)
         if record is not None and record.peer is peer:
             self.retire(record)
             record.leave(peer)
@@ -120,6 +120,7 @@
         if record.ready:
             record.ready = False
             self.engine.placer.side_left(record.node)
+            self.application.events.emit('sides_changed')
             if not self.engine.placer.sides:
                 self.application.events.emit('sides_lost')
 
@@ -140,13 +141,14 @@
         record.ready = True
         self.engine.placer.side_joined(record.node, info, self.clock.seconds())
         self.application.events.emit('side_admitted')
+        self.application.events.emit('sides_changed')
 
     def current(self, peer: Peer) -> SideRecord | None:
         """Return the record of a side whose current link this is.
 
         :param peer: a side.
         """
-        record = self.engine.sides.get(peer.name)
+        record = self.engine.orders.sides.get(peer.name)
         if record is None or record.peer is not peer:
             return None
         record.last_heard = self.clock.seconds()
@@ -183,7 +185,7 @@
         :param peer: the current link.
         :param window: of the heartbeat; 0 renews nothing.
         """
-        known = self.engine.configuration
+        known = self.engine.orders.configuration
         peer.send(
             HeartbeatReply(
                 window,
@@ -200,17 +202,19 @@
         :param peer: the side.
         :param batch: of outcomes.
         """
-        record = self.engine.sides.get(peer.name)
+        record = self.engine.orders.sides.get(peer.name)
         if record is None or not record.is_newer(peer, batch.number):
             return
-        if self.current(peer) is not None and record.ready:
-            self.engine.placer.side_reported(
-                record.node, batch.room, batch.processed, self.clock.seconds()
-            )
+        is_current = self.current(peer) is not None and record.ready
         for refusal in batch.refusals:
             self.engine.refused(record, refusal)
         for ending in batch.endings:
             self.engine.ended(record, ending)
+        if is_current:
+            # The room that is reported no longer holds what has ended.
+            self.engine.placer.side_reported(
+                record.node, batch.room, batch.processed, self.clock.seconds()
+            )
         self.engine.place_if_due()
 
     def resolution_received(self, peer: Peer, resolution: Resolution) -> None:
@@ -268,7 +272,7 @@
         self.swept = now
         if paused:
             return
-        for record in tuple(self.engine.sides.values()):
+        for record in tuple(self.engine.orders.sides.values()):
             silence = now - record.last_heard
             if silence > self.silence:
                 self.retire(record)
@@ -290,6 +294,6 @@
         :param record: of the side.
         """
         self.engine.lose(record, record.keys)
-        self.engine.sides.pop(record.node, None)
+        self.engine.orders.sides.pop(record.node, None)
         if record.peer is not None:
             record.peer.link.close('side is silent')
--- /dev/null
+++ b/tests/test_coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of one entry that decides for several."""
--- /dev/null
+++ b/tests/test_coordination/joint_world.py
@@ -0,0 +1,97 @@
+"""The world of the tests of jobs, with entries that decide together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from jackdawridge.coordination.component import Coordination
+from jackdawridge.execution.component import SideExecution
+from jackdawridge.membership.messages import Member, State
+from jackdawridge.submission.component import EntrySubmission
+from tests.test_submission.world import FakeLink, FakeProcess, World
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+#: A lead reckons with the cores that a side has.
+WHOLE_CORES = {'core_oversubscription': 1}  # noqa: WPS407
+
+
+class FakeDirectory:
+    """Knows all entries of a world that were not killed."""
+
+    def __init__(self, world: JointWorld) -> None:
+        self.world = world
+
+    def entries(self) -> Iterable[Member]:
+        for process in self.world.entries:
+            incarnation = process.introduction.incarnation
+            yield Member(
+                process.introduction.node,
+                int(incarnation.removeprefix('run')),
+                incarnation,
+                0,
+                int(State.alive),
+                False,
+                'entry',
+                'Soweto',
+                '',
+                '',
+            )
+
+
+class JointWorld(World):
+    """Two entries, of which the one that runs longer decides for both."""
+
+    def make_entry(self, number: int) -> FakeProcess:
+        process = FakeProcess(
+            'entry', f'entry-{number}', self.next_incarnation()
+        )
+        submission = EntrySubmission.from_application(
+            process.application, process.peers
+        )
+        directory: Any = FakeDirectory(self)
+        coordination = Coordination(
+            process.application, process.peers, submission.engine, directory
+        )
+        process.application.add(submission)
+        process.application.add(coordination)
+        process.application.events.connect('job_finished', self.finished)
+        process.application.start()
+        return process
+
+    def make_side(self, number: int) -> FakeProcess:
+        process = FakeProcess(
+            'side', f'side-{number}', self.next_incarnation(), WHOLE_CORES
+        )
+        self.workers[number].listener = None
+        worker: Any = self.workers[number]
+        execution = SideExecution.from_application(
+            process.application, process.peers, worker
+        )
+        process.application.add(execution)
+        process.application.start()
+        return process
+
+    def link_all(self) -> None:
+        super().link_all()
+        first, second = self.entries
+        awake = not (first.paused or second.paused)
+        if awake and not any(
+            link.is_open and link.processes == {'entry': first, 'side': second}
+            for link in self.links
+        ):
+            self.links.append(FakeLink(first, second))
+
+    def coordination(self, number: int) -> Coordination:
+        component: Any = self.entries[number].application.components[1]
+        assert isinstance(component, Coordination)
+        return component
+
+    def link_of_entries(self) -> FakeLink:
+        first, second = self.entries
+        return next(
+            link
+            for link in self.links
+            if link.processes == {'entry': first, 'side': second}
+        )
--- a/tests/test_placement/overload.py
+++ b/tests/test_placement/overload.py
@@ -6,7 +6,7 @@
 import math
 import random
 from collections import defaultdict
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.execution.messages import Room
 from jackdawridge.placement.admission import QueueBounds
@@ -22,6 +22,11 @@
 from jackdawridge.placement.tracking import NO_ROOM
 from jackdawridge.placement.view import SideInfo
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from jackdawridge.placement.request import Key
+
 CORES = 16
 MEMORY = 32000
 STRETCH = 1.6
@@ -212,13 +217,17 @@
 
     def step(self, now: float) -> None:
         """End what has ended and let each entry decide."""
-        while self.ends and self.ends[0][0] <= now:
-            self.end(*heapq.heappop(self.ends))
+        self.end_due(now)
         for placer in self.placers:
             self.refuse(placer, placer.triage.give_up(now), now)
             self.place(placer, now)
             self.refuse(placer, placer.triage.make_way(now), now)
 
+    def end_due(self, now: float) -> None:
+        """End what has ended."""
+        while self.ends and self.ends[0][0] <= now:
+            self.end(*heapq.heappop(self.ends))
+
     def beat(self, now: float) -> None:
         """Report the room of all sides to all entries."""
         for placer in self.placers:
@@ -272,27 +281,42 @@
         for one in useless:
             ticket = one.request.ticket
             placer.cancel(ticket)
-            number = int(ticket)
-            self.outcomes[number] = Outcome(False, now - self.jobs[number].at)
+            self.lose(int(ticket), now)
+
+    def lose(self, number: int, now: float) -> None:
+        """Note that a job was given up."""
+        self.outcomes[number] = Outcome(False, now - self.jobs[number].at)
 
     def place(self, placer: Placer, now: float) -> None:
         """Start what an entry places, as far as there is room."""
+        self.send(placer, placer.place(now), now)
+
+    def send(
+        self, placer: Placer, placements: Iterable[Placement], now: float
+    ) -> None:
+        """Start tasks, as far as there is room."""
         by_side: dict[str, list[Placement]] = defaultdict(list)
-        for placement in placer.place(now):
+        for placement in placements:
             by_side[placement.side_id].append(placement)
-        for side_id, placements in by_side.items():
+        for side_id, of_side in by_side.items():
             self.batches[placer, side_id] += 1
             batch = self.batches[placer, side_id]
-            placer.sent(side_id, batch, placements)
-            for placement in placements:
+            placer.sent(side_id, batch, of_side)
+            for placement in of_side:
                 key = placement.request.key
                 if self.free[side_id] >= placement.request.cores:
                     self.start(side_id, int(key[0]), key[1], now)
                 else:
-                    self.refusals += 1
-                    placer.refused(key, side_id, NO_ROOM, now)
+                    self.turn_away(placer, key, side_id, now)
             self.report(placer, side_id, now)
 
+    def turn_away(
+        self, placer: Placer, key: Key, side_id: str, now: float
+    ) -> None:
+        """Refuse a start for lack of room."""
+        self.refusals += 1
+        placer.refused(key, side_id, NO_ROOM, now)
+
     def start(self, side_id: str, number: int, task: int, now: float) -> None:
         """Start a task at a side that has room for it."""
         job = self.jobs[number]
--- a/tests/test_placement/test_slow_sides.py
+++ b/tests/test_placement/test_slow_sides.py
@@ -14,7 +14,12 @@
     Slowness,
     make_jobs,
 )
-from tests.test_placement.placers import WORKER, make_placer, make_request
+from tests.test_placement.placers import (
+    WORKER,
+    make_placer,
+    make_request,
+    placements_at,
+)
 
 SIDES = 11
 ENTRIES = 3
@@ -94,6 +99,52 @@
         assert not replay.placer.health.limited
 
 
+class TestProbes:
+    """A side is probed beside the long tasks that it still runs."""
+
+    def make(self) -> Placer:
+        """Return a placer with a limited side that runs a long task."""
+        placer = make_placer(sides=4)
+        long = make_request('long')._replace(run_time=9, kind='long')
+        placer.enqueue([long], 10)
+        side_id = placer.place(10)[0].side_id
+        for number in range(LATE_JOBS):
+            placer.health.late(side_id, f'late-{number}', 0)
+        placer.judge(side_id)
+        assert placer.sides[side_id].is_limited
+        for number in range(70):
+            placer.enqueue([make_request(f'short-{number}')], 10)
+        return placer
+
+    def test_short_task_is_sent(self) -> None:
+        """The long one says nothing of the worker for seconds."""
+        placer = self.make()
+        limited = next(
+            side.side_id for side in placer.open_sides if side.is_limited
+        )
+        placements = placer.place(10)
+        assert len(placements_at(limited, placements)) == 1
+
+    def test_no_second_one_before_the_first_has_ended(self) -> None:
+        """The job of each probe may be late."""
+        placer = self.make()
+        limited = next(
+            side.side_id for side in placer.open_sides if side.is_limited
+        )
+        placer.place(10)
+        assert not placements_at(limited, placer.place(11))
+
+    def test_long_task_is_no_probe(self) -> None:
+        """It would tell late what a short one tells soon."""
+        placer = self.make()
+        placer.place(10)
+        side = next(side for side in placer.open_sides if side.is_limited)
+        side.probation.probes.clear()
+        placer.judge(side.side_id)
+        need = placer.need(make_request('other'))._replace(run_time=9)
+        assert not side.takes_work(need, 12)
+
+
 class TestSilentSide:
     """A side that says nothing for a while may have run everything in time."""
 
--- a/tests/test_submission/test_interleavings.py
+++ b/tests/test_submission/test_interleavings.py
@@ -12,15 +12,20 @@
 from tests.test_submission.world import World
 
 PAIRS = st.integers(0, 1)
+#: Four links between entries and sides, and one that some worlds have.
+LINKS = st.integers(0, 4)
 TASK = TaskSpec('kind', 1, 16, 0, 0.1, b'')
 
 
 class JobInterleavings(RuleBasedStateMachine):
     """Loses, delays and reorders what passes between the processes."""
 
+    #: What the processes and links of a run are.
+    make_world = World
+
     def __init__(self) -> None:
         super().__init__()
-        self.world = World()
+        self.world = self.make_world()
         self.world.settle()
         self.world.advance(1)
         self.world.settle()
@@ -42,7 +47,7 @@
             for ticket in tuple(self.world.engine(entry).jobs)[:1]:
                 self.world.engine(entry).fail(ticket, 'cancelled')
 
-    @rule(link=st.integers(0, 3), sender=st.sampled_from(['entry', 'side']))
+    @rule(link=LINKS, sender=st.sampled_from(['entry', 'side']))
     def deliver(self, link: int, sender: str) -> None:
         if link < len(self.world.links):
             self.world.links[link].deliver(sender)
@@ -51,7 +56,7 @@
     def settle(self) -> None:
         self.world.settle()
 
-    @rule(link=st.integers(0, 3), arriving=st.integers(0, 3))
+    @rule(link=LINKS, arriving=st.integers(0, 3))
     def cut(self, link: int, arriving: int) -> None:
         if link < len(self.world.links):
             self.world.links[link].cut(arriving)
