--- a/tests/test_placement/test_pace.py
+++ b/tests/test_placement/test_pace.py
@@ -111,7 +111,7 @@
         """
         source = random.Random(3)
         measure = Measure(0.95)
-        found = [float(0)] * 3
+        found: list[float] = [0, 0, 0]
         for number in range(2000):
             used = math.exp(source.gauss(0, spread))
             declared = used * source.uniform(1 - off, 1 + off)
