Refuse at once a job whose caller leaves before an answer can come

Cause: after a loss of power callers come again with what is left of their wait (title-check 2.3 s at first, down to 0.2 s then); their jobs took room until the callers had gone. Ruled out: telling from the wait when a caller came first: it says so only as long as all callers of a queue wait alike, and after a restart nothing is learned yet. Change: the caller's wait is part of the objective; a job is of no use once its longest task would end after it. Test: test_caller_who_comes_again_and_leaves_before_the_end.

--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -38,6 +38,10 @@
 SLOWER_SIDES = frozenset((2, 5, 9))
 #: Workers that turn slow for some seconds, as on the users' days.
 TURNING_SLOW = Slowness(('s3', 's7'), 3, 8, 5.4)
+#: What the replay calls the time after the last arrival.
+LAST_SECONDS = 'tests.test_placement.overload.REST'
+#: Time for what runs at slow workers to end, in seconds.
+REST = 60.0
 PROCESSES = 3
 
 
@@ -93,6 +97,7 @@
     replay = JointReplay if case.is_joint else RandomReplay
     found = []
     with ExitStack() as stack:
+        stack.enter_context(mock.patch(LAST_SECONDS, REST))
         for patch in MECHANISMS[case.mechanism]:
             stack.enter_context(mock.patch.object(*patch))
         for seed in SEEDS:
--- a/jackdawridge/coordination/messages.capnp
+++ b/jackdawridge/coordination/messages.capnp
@@ -21,6 +21,7 @@
   hasBegun @8 :Bool;
   avoided @9 :Text;
   groups @10 :List(TaskGroup);
+  patience @11 :Float64;
 }
 
 struct RunningTask {
--- a/jackdawridge/coordination/messages.py
+++ b/jackdawridge/coordination/messages.py
@@ -39,6 +39,8 @@
     allowance: float
     #: The same.
     priority: int
+    #: The same, in seconds.
+    patience: float
     #: Time since the job came to its entry, in seconds.
     waited: float
     #: Whether a task of the job was placed.
--- a/jackdawridge/coordination/waiting.py
+++ b/jackdawridge/coordination/waiting.py
@@ -90,4 +90,4 @@
 
     :param job: from another entry.
     """
-    return Objective(job.stretch, job.allowance, job.priority)
+    return Objective(job.stretch, job.allowance, job.priority, job.patience)
--- a/jackdawridge/placement/request.py
+++ b/jackdawridge/placement/request.py
@@ -17,6 +17,9 @@
     allowance: float
     #: Jobs with the lowest number are refused last when room is short.
     priority: int = 0
+    #: Time for which the caller waits for the answer, in seconds. One who comes
+    #: again has waited before.
+    patience: float = float('inf')
 
 
 #: Of jobs that name no objective.
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -51,6 +51,17 @@
 BLIND_WAIT = 0.02
 
 
+class Extent(NamedTuple):
+    """The expected size of a job."""
+
+    #: Run time of its longest task, in seconds.
+    longest: float
+    #: In seconds of the whole room.
+    work: float
+    #: Part of the whole room that its tasks take when all run.
+    room: float
+
+
 class Assignment(NamedTuple):
     """A task that was placed and has not ended."""
 
@@ -110,15 +121,10 @@
         """
         return self.cap(self.learner.need(request), request)
 
-    def standing(self, job: Job, now: float, objective: Objective) -> Standing:
-        """Return where a new job stands in the order.
-
-        The ideal time of a job is its longest task, or its work over the
-        whole room if that is more.
+    def measure(self, job: Job) -> Extent:
+        """Return how large the tasks of a job are expected to be.
 
         :param job: none of whose tasks has been placed.
-        :param now: the time.
-        :param objective: for the response time of the job.
         """
         longest: float = 0
         work: float = 0
@@ -129,17 +135,32 @@
             share = self.dominant_share(need) * len(group.requests)
             room += share
             work += share * need.run_time
+        return Extent(longest, work, room)
+
+    def standing(self, job: Job, now: float, objective: Objective) -> Standing:
+        """Return where a new job stands in the order.
+
+        The ideal time of a job is its longest task, or its work over the
+        whole room if that is more.
+
+        :param job: none of whose tasks has been placed.
+        :param now: the time.
+        :param objective: for the response time of the job.
+        """
+        longest, work, room = self.measure(job)
         ideal = max(longest, work)
         bulk = work if job.size >= BULK else 0
         if objective == NO_OBJECTIVE:
             return Standing(now + TARGET_SLOWDOWN * ideal, now, bulk)
         aimed = objective.stretch * ideal + objective.allowance
+        useful = min(USEFUL_OBJECTIVES * aimed, objective.patience)
         # The order is that of the latest starts that are still in time.
+        latest = min(aimed - longest * START_MARGIN, useful - longest)
         return Standing(
-            now + aimed - longest * START_MARGIN,
+            now + latest,
             now,
             bulk,
-            now + USEFUL_OBJECTIVES * aimed - longest,
+            now + useful - longest,
             work,
             room,
             objective.priority,
--- a/jackdawridge/submission/attended.py
+++ b/jackdawridge/submission/attended.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from jackdawridge.logs import get_logger
-from jackdawridge.placement.request import Overload
+from jackdawridge.placement.request import NO_OBJECTIVE, Overload
 from jackdawridge.submission.jobs import Started
 from jackdawridge.submission.tickets import write_caller_ticket
 from jackdawridge.util.clock import pause
@@ -211,6 +211,9 @@
         if now >= self.closes_at:
             refusal = Overload(RETRY_AFTER, 'entry is leaving')
             return succeed(refused(ticket, refusal))
+        objective = spec.objective._replace(patience=patience)
+        if spec.objective != NO_OBJECTIVE:
+            spec = spec._replace(objective=objective)
         queued = self.engine.submit(ticket, spec, digest)
         if isinstance(queued, Err):
             return succeed(refused(ticket, queued.err_value))
--- a/tests/test_placement/test_lateness.py
+++ b/tests/test_placement/test_lateness.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from jackdawridge.execution.messages import Room
 from jackdawridge.placement.admission import QueueBounds
 from jackdawridge.placement.placer import Placer
@@ -31,14 +33,17 @@
     def report(self, cores: float, now: float) -> None:
         self.placer.side_reported('s', Room(cores, 1000, 0, 0), 10**6, now)
 
-    def arrive(self, now: float, tasks: int = 1) -> str:
+    def arrive(
+        self, now: float, tasks: int = 1, patience: float = math.inf
+    ) -> str:
         self.jobs += 1
         ticket = f'job {self.jobs}'
         requests = [
             Request(ticket, task, 'team', 'kind', 1, 1, 0, RUN_TIME)
             for task in range(tasks)
         ]
-        assert self.placer.enqueue(requests, now, OBJECTIVE).is_ok()
+        objective = OBJECTIVE._replace(patience=patience)
+        assert self.placer.enqueue(requests, now, objective).is_ok()
         return ticket
 
     def give_up(self, now: float) -> list[str]:
@@ -79,6 +84,23 @@
         assert not bed.give_up(OF_USE - 0.1)
         assert bed.give_up(OF_USE + 0.1) == [late]
 
+    def test_caller_who_comes_again_and_leaves_before_the_end(self) -> None:
+        """Nothing of its job is started, and it is told at once."""
+        bed = Bed()
+        leaving = bed.arrive(0, patience=RUN_TIME - 0.1)
+        staying = bed.arrive(0, patience=RUN_TIME + 0.1)
+        assert bed.give_up(0) == [leaving]
+        bed.report(1, 0)
+        assert bed.place(0) == [staying]
+
+    def test_job_goes_before_one_whose_caller_waits_longer(self) -> None:
+        bed = Bed()
+        bed.arrive(0)
+        short = bed.arrive(0.01, patience=RUN_TIME + 0.1)
+        bed.report(1, 0.02)
+        assert not bed.give_up(0.02)
+        assert bed.place(0.02) == [short]
+
     def test_late_job_without_room_is_refused_at_once(self) -> None:
         bed = Bed()
         late = bed.arrive(0, 2)
