--- a/jackdawridge/coordination/delegate.py
+++ b/jackdawridge/coordination/delegate.py
@@ -93,16 +93,7 @@
         self.unanswered[0] = now
         self.sent_at = now
         jobs = [
-            describe(
-                [
-                    request
-                    for group in job.groups.values()
-                    for request in group.requests
-                ],
-                job.standing,
-                now,
-                has_begun=job.has_begun,
-            )
+            describe(job.waiting(), job.standing, now, has_begun=job.has_begun)
             for job in self.placer.queues.jobs.values()
         ]
         running = [
@@ -203,14 +194,12 @@
         for ticket in self.queued:
             job = self.placer.queues.jobs.get(ticket)
             if job is not None:
-                requests = [
-                    request
-                    for group in job.groups.values()
-                    for request in group.requests
-                ]
                 found.append(
                     describe(
-                        requests, job.standing, now, has_begun=job.has_begun
+                        job.waiting(),
+                        job.standing,
+                        now,
+                        has_begun=job.has_begun,
                     )
                 )
         for key, avoided in self.repeated.items():
--- a/jackdawridge/placement/queued_jobs.py
+++ b/jackdawridge/placement/queued_jobs.py
@@ -93,6 +93,14 @@
             self.groups[alike] = group
         return group
 
+    def waiting(self) -> list[Request]:
+        """Return all tasks that wait."""
+        return [
+            request
+            for group in self.groups.values()
+            for request in group.requests
+        ]
+
     def first(self) -> Request:
         """Return a task that waits."""
         return next(
