Reckon a task that a lead takes over by the pace of its side

Cause: found in reading the change again. Three places made an assignment, and the one for tasks that ran before a lead decided left out the pace: at a slower worker their ends were expected too early, their run times learned as those of the usual pace, and they counted as late too soon. Change: the pace is set where the task is reserved, for all three. The test failed before.

--- a/jackdawridge/coordination/delegate.py
+++ b/jackdawridge/coordination/delegate.py
@@ -274,7 +274,6 @@
                 self.placer.placed,
                 now,
                 job.standing,
-                side.pace,
             ),
             side,
             grant.reason,
--- a/jackdawridge/placement/rounds.py
+++ b/jackdawridge/placement/rounds.py
@@ -272,7 +272,6 @@
             placer.placed,
             self.now,
             job.standing,
-            side.pace,
         )
         self.placements.append(placer.assign(assignment, side, reason))
 
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -72,7 +72,8 @@
     number: int
     placed_at: float
     standing: Standing
-    #: Run time at the side over that at one of the usual speed.
+    #: Run time at the side over that at one of the usual speed; `assign` sets
+    #: it.
     pace: float = 1
 
     def expected_end(self) -> float:
@@ -185,7 +186,7 @@
         self.typical_run_time = typical + TYPICAL_WEIGHT * (
             need.run_time - typical
         )
-        self.assignments[request.key] = assignment
+        self.assignments[request.key] = assignment._replace(pace=side.pace)
         team = self.queues.team(request.team)
         team.running += need.cores
         team.outstanding += 1
--- a/tests/test_coordination/test_coordination.py
+++ b/tests/test_coordination/test_coordination.py
@@ -115,6 +115,20 @@
         for entry in (0, 1):
             assert not world.engine(entry).placer.refusals
 
+    def test_task_that_ran_before_is_reckoned_by_the_pace_of_its_side(
+        self,
+    ) -> None:
+        """Its end is expected later at a slower worker."""
+        world = make_world()
+        submit(world, 1, 1)
+        world.settle()
+        lead = world.engine(0).placer
+        for side in lead.sides.values():
+            side.pace = 1.5
+        world.coordination(1).sides_changed()
+        world.settle()
+        assert [one.pace for one in lead.assignments.values()] == [1.5]
+
     def test_job_that_is_given_up_makes_room(self) -> None:
         """What waits at the lead is dropped with the job."""
         world = make_world()
