Keep one copy of what a lead, its entries and their tests did twice

Cause: found in reading the change again. The least pace of the slower sides was reckoned for each waiting job of a pass; the names of outcomes, the closing of a side and the description of a waiting job stood in two to four places; the world of the joint tests copied how entries and sides are made. Behaviour stays, and no test loses an assertion. Left: the decider that has nobody to tell spells out its empty methods, since the type checker takes inherited empty ones for abstract.

--- a/jackdawridge/coordination/component.py
+++ b/jackdawridge/coordination/component.py
@@ -220,9 +220,8 @@
         :param peer: the entry.
         :param dismissal: from it.
         """
-        if dismissal.term != self.delegate.term:
-            return
-        if peer.introduction.incarnation != self.delegate.lead:
+        sender = (peer.introduction.incarnation, dismissal.term)
+        if sender != (self.delegate.lead, self.delegate.term):
             return
         if dismissal.reason == OUT_OF_REACH:
             # Others would have to be reached by the lead, too.
--- a/jackdawridge/coordination/delegate.py
+++ b/jackdawridge/coordination/delegate.py
@@ -5,12 +5,14 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.coordination.messages import (
+    LOST,
+    REFUSED,
     Delegation,
     EndedTask,
     News,
     RunningTask,
 )
-from jackdawridge.coordination.waiting import describe
+from jackdawridge.coordination.waiting import describe, describe_job
 from jackdawridge.placement.learning import NOTHING_USED
 from jackdawridge.placement.tracking import Assignment
 
@@ -31,11 +33,6 @@
 #: an answer takes some milliseconds, and a short task waits for it.
 SILENCE = 0.15
 
-#: The outcome of a task that is granted and waits no more.
-LOST = 'lost'
-#: The outcome of a task that was not started.
-REFUSED = 'refused'
-
 
 class Verdicts(NamedTuple):
     """What follows from the decisions of a lead."""
@@ -93,8 +90,7 @@
         self.unanswered[0] = now
         self.sent_at = now
         jobs = [
-            describe(job.waiting(), job.standing, now, has_begun=job.has_begun)
-            for job in self.placer.queues.jobs.values()
+            describe_job(job, now) for job in self.placer.queues.jobs.values()
         ]
         running = [
             RunningTask(
@@ -194,14 +190,7 @@
         for ticket in self.queued:
             job = self.placer.queues.jobs.get(ticket)
             if job is not None:
-                found.append(
-                    describe(
-                        job.waiting(),
-                        job.standing,
-                        now,
-                        has_begun=job.has_begun,
-                    )
-                )
+                found.append(describe_job(job, now))
         for key, avoided in self.repeated.items():
             waiting = self.placer.queues.find(key)
             if waiting is not None and key[0] not in self.queued:
--- a/jackdawridge/coordination/lead.py
+++ b/jackdawridge/coordination/lead.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.coordination.messages import (
+    LOST,
+    REFUSED,
     Decisions,
     GivenUp,
     Grant,
@@ -216,7 +218,7 @@
         if running is None or task.task not in running:
             return
         running.discard(task.task)
-        if task.outcome in {'lost', 'refused'}:
+        if task.outcome in {LOST, REFUSED}:
             assignment = self.placer.lost(key)
         else:
             usage = Usage(task.cores, task.memory, task.run_time)
@@ -239,7 +241,7 @@
         """
         side = self.placer.sides.get(assignment.side_id)
         if side is not None and refusal and refusal != NO_ROOM:
-            side.closed_until = max(side.closed_until, now + REFUSAL_WAIT)
+            side.close_until(now + REFUSAL_WAIT)
         if refusal != NO_ROOM:
             self.placer.given_back(assignment)
 
--- a/jackdawridge/coordination/messages.py
+++ b/jackdawridge/coordination/messages.py
@@ -11,6 +11,12 @@
 SCHEMA = Path(__file__).with_name('messages.capnp')
 
 
+#: Outcome of a task of which nothing will be known, or that waits no more.
+LOST = 'lost'
+#: Outcome of a task that was not started.
+REFUSED = 'refused'
+
+
 class TaskGroup(NamedTuple):
     """Tasks of a job that are declared alike."""
 
@@ -84,7 +90,7 @@
 
     ticket: str
     task: int
-    #: `succeeded`, `failed`, `stopped`, `lost` or `refused`.
+    #: `succeeded`, `failed`, `stopped`, `LOST` or `REFUSED`.
     outcome: str
     #: Of a refusal.
     reason: str
--- a/jackdawridge/coordination/waiting.py
+++ b/jackdawridge/coordination/waiting.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from jackdawridge.placement.queued_jobs import Standing
+    from jackdawridge.placement.queued_jobs import Job, Standing
 
 
 def describe(
@@ -46,6 +46,15 @@
     )
 
 
+def describe_job(job: Job, now: float) -> WaitingJob:
+    """Return what is said of all tasks of a job that wait.
+
+    :param job: with at least one.
+    :param now: the time in seconds.
+    """
+    return describe(job.waiting(), job.standing, now, has_begun=job.has_begun)
+
+
 def group_of(requests: list[Request]) -> TaskGroup:
     """Return what is said of tasks that are declared alike.
 
--- a/jackdawridge/placement/fleet.py
+++ b/jackdawridge/placement/fleet.py
@@ -206,7 +206,7 @@
         side.probation.is_limited = verdict.is_limited
         side.probation.longest_probe = self.typical_run_time
         side.probation.slowness = verdict.slowness
-        side.closed_until = max(side.closed_until, verdict.closed_until)
+        side.close_until(verdict.closed_until)
 
     def measure_paces(self) -> None:
         """Note how the speeds of the sides differ."""
--- a/jackdawridge/placement/rounds.py
+++ b/jackdawridge/placement/rounds.py
@@ -71,8 +71,8 @@
         self.limit = limit
         self.placements: list[Placement] = []
         self.sides: Sequence[Side] = placer.open_sides
-        #: Whether only jobs are placed that may go to slower sides.
-        self.is_for_slower = False
+        #: Least pace of the slower sides while these are filled, else 0.
+        self.least_pace: float = 0
         #: Needs that no side fits.
         self.misfits: list[Need] = []
         self.tries = 0
@@ -88,7 +88,7 @@
         self.pass_over()
         if slower:
             self.sides = slower
-            self.is_for_slower = True
+            self.least_pace = min(side.pace for side in slower)
             self.misfits.clear()
             self.tries = 0
             self.pass_over()
@@ -179,10 +179,9 @@
 
         :param job: that waits.
         """
-        if not self.is_for_slower:
+        if not self.least_pace:
             return True
-        least = min(side.pace for side in self.sides)
-        return may_start(job.standing, least, self.now)
+        return may_start(job.standing, self.least_pace, self.now)
 
     def sides_for(self, job: Job, group: Group) -> Sequence[Side]:
         """Return the sides for the next task of a group.
@@ -197,7 +196,7 @@
         reach = job.reach
         if reach is not None:
             sides = [side for side in sides if side.side_id in reach]
-        if self.is_for_slower:
+        if self.least_pace:
             sides = [
                 side
                 for side in sides
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -252,9 +252,9 @@
         if side is None:
             return
         if reason != NO_ROOM:
-            side.closed_until = max(side.closed_until, now + REFUSAL_WAIT)
+            side.close_until(now + REFUSAL_WAIT)
         elif not self.policy.knows_room:
-            side.closed_until = max(side.closed_until, now + BLIND_WAIT)
+            side.close_until(now + BLIND_WAIT)
 
     def queue_again(self, assignment: Assignment) -> None:
         """Queue a task again whose run is over.
--- a/jackdawridge/placement/view.py
+++ b/jackdawridge/placement/view.py
@@ -341,6 +341,13 @@
         self.room = self.room.plus(amount_of(need))
         self.recount()
 
+    def close_until(self, until: float) -> None:
+        """Take no placement before a time, or a later one that is set.
+
+        :param until: the time.
+        """
+        self.closed_until = max(self.closed_until, until)
+
     @property
     def is_limited(self) -> bool:
         """Return whether the side gets one short task at a time only."""
--- a/tests/test_coordination/joint.py
+++ b/tests/test_coordination/joint.py
@@ -5,8 +5,9 @@
 import random
 from typing import TYPE_CHECKING
 
-from jackdawridge.coordination.delegate import REFUSED, Delegate
+from jackdawridge.coordination.delegate import Delegate
 from jackdawridge.coordination.lead import Lead
+from jackdawridge.coordination.messages import REFUSED
 from jackdawridge.placement.learning import NOTHING_USED, Usage
 from jackdawridge.placement.tracking import NO_ROOM
 from tests.test_placement.overload import Outcome, Replay
--- a/tests/test_coordination/joint_world.py
+++ b/tests/test_coordination/joint_world.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
 from jackdawridge.coordination.component import Coordination
-from jackdawridge.execution.component import SideExecution
 from jackdawridge.membership.messages import Member, State
-from jackdawridge.submission.component import EntrySubmission
 from tests.test_submission.world import FakeLink, FakeProcess, World
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 #: A lead reckons with the cores that a side has.
-WHOLE_CORES = {'core_oversubscription': 1}  # noqa: WPS407
+WHOLE_CORES: Mapping[str, object] = MappingProxyType(
+    {'core_oversubscription': 1}
+)
 
 
 class FakeDirectory:
@@ -43,34 +45,16 @@
 class JointWorld(World):
     """Two entries, of which the one that runs longer decides for both."""
 
+    side_changes = WHOLE_CORES
+
     def make_entry(self, number: int) -> FakeProcess:
-        process = FakeProcess(
-            'entry', f'entry-{number}', self.next_incarnation()
-        )
-        submission = EntrySubmission.from_application(
-            process.application, process.peers
-        )
+        process = super().make_entry(number)
+        submission: Any = process.application.components[0]
         directory: Any = FakeDirectory(self)
         coordination = Coordination(
             process.application, process.peers, submission.engine, directory
         )
-        process.application.add(submission)
         process.application.add(coordination)
-        process.application.events.connect('job_finished', self.finished)
-        process.application.start()
-        return process
-
-    def make_side(self, number: int) -> FakeProcess:
-        process = FakeProcess(
-            'side', f'side-{number}', self.next_incarnation(), WHOLE_CORES
-        )
-        self.workers[number].listener = None
-        worker: Any = self.workers[number]
-        execution = SideExecution.from_application(
-            process.application, process.peers, worker
-        )
-        process.application.add(execution)
-        process.application.start()
         return process
 
     def link_all(self) -> None:
--- a/tests/test_submission/world.py
+++ b/tests/test_submission/world.py
@@ -285,6 +285,9 @@
 class World:
     """Two entries and two sides, of which each may be replaced."""
 
+    #: Settings of a side that differ from those of all tests.
+    side_changes = NO_CHANGES
+
     def __init__(self) -> None:
         self.runs = 0
         self.workers = [FakeWorker(), FakeWorker()]
@@ -313,7 +316,9 @@
         return process
 
     def make_side(self, number: int) -> FakeProcess:
-        process = FakeProcess('side', f'side-{number}', self.next_incarnation())
+        process = FakeProcess(
+            'side', f'side-{number}', self.next_incarnation(), self.side_changes
+        )
         self.workers[number].listener = None
         worker: Any = self.workers[number]
         execution = SideExecution.from_application(
