Send GETs and POSTs apart in the test of hedging

Now GETs alone go to one slow minion, where a hedge must be counted, then POSTs alone to another, where no further one may be.

--- a/tests/test_processes/services.py
+++ b/tests/test_processes/services.py
@@ -175,13 +175,19 @@
     :param addresses: addresses of the entries, used in turn.
     :param callers: number of concurrent callers.
     :param seconds: run time of each request at the minion.
+    :param methods: methods of the requests of a caller, used in turn.
     """
 
     def __init__(
-        self, addresses: list[str], callers: int, seconds: float = 0.05
+        self,
+        addresses: list[str],
+        callers: int,
+        seconds: float = 0.05,
+        methods: tuple[str, ...] = ('GET', 'POST'),
     ) -> None:
         """Start the callers."""
         super().__init__()
+        self.methods = methods
         self.addresses = addresses
         self.seconds = seconds
         self.pool = ThreadPoolExecutor(callers)
@@ -190,7 +196,7 @@
         ]
 
     def run(self, number: int) -> list[Called]:
-        """Send requests until stopped; every second one is a POST."""
+        """Send requests until stopped."""
         answers: list[Called] = []
         while not self.stopped.is_set():
             count = len(answers)
@@ -198,8 +204,8 @@
             answers.append(
                 call(
                     address,
-                    f'caller-{number}-{count}',
-                    'POST' if count % 2 else 'GET',
+                    f'{self.methods[0]}-{number}-{count}',
+                    self.methods[count % len(self.methods)],
                     seconds=self.seconds,
                 )
             )
--- a/tests/test_processes/test_forwarding.py
+++ b/tests/test_processes/test_forwarding.py
@@ -227,20 +227,34 @@
         with ServiceDeployment(tmp_path, entries=1, sides=4) as deployment:
             deployment.wait_served()
             entry = deployment.entries[0].caller_address
-            load = Load([entry], 8)
-            time.sleep(3)
-            deployment.minions[0].set_faults(slowdown=60)
-            time.sleep(5)
-            answers = load.finish()
-            check(deployment, answers)
-            assert summarize(answers) == {'200 ': len(answers)}
-            assert deployment.count_steps('hedge') >= 1
-            slow_gets = [
-                each
-                for each in answers
-                if each.method == 'GET' and each.seconds > 2
-            ]
-            assert len(slow_gets) <= len(answers) / 100
+            gets = self.run_load(deployment, entry, 'GET', 0)
+            hedges = deployment.count_steps('hedge')
+            assert hedges >= 1
+            slow_gets = [each for each in gets if each.seconds > 2]
+            assert len(slow_gets) <= len(gets) / 100
+            self.run_load(deployment, entry, 'POST', 1)
+            assert deployment.count_steps('hedge') == hedges
+
+    def run_load(
+        self,
+        deployment: ServiceDeployment,
+        entry: str,
+        method: str,
+        slow_minion: int,
+    ) -> list[Called]:
+        """Send requests of one method while a minion turns slow.
+
+        A slow minion gets only 2 to 5 requests before it is avoided, so that
+        with a mix of methods chance would decide which ones it gets.
+        """
+        load = Load([entry], 8, methods=(method,))
+        time.sleep(3)
+        deployment.minions[slow_minion].set_faults(slowdown=60)
+        time.sleep(5)
+        answers = load.finish()
+        check(deployment, answers)
+        assert summarize(answers) == {'200 ': len(answers)}
+        return answers
 
 
 class TestOverload:
