Tell failing sides from failing kinds by the share of sides that fail

Cause: where a kind of task failed at two sides with no success between, the kind was blamed and both sides' failures were forgotten. On sixty workers of which four fail at once this is the usual case, and blame also left the time of the next probe standing, so that the side was not limited for 4 s whatever it failed; a worker that fails at once looks empty and draws work. Now: the newest outcome of each kind at each side is kept, and a kind is blamed once more than 30% of the sides that ran it (and two) fail it; blame clears the probe time; after a first failed job a side gets one short task at a time; successes of tasks placed before the failure no longer count for the side. A first batch that is on its way when the first failure arrives is lost still: up to about ten tasks an entry, so that five for a worker in all are not reached. Ruled out: a side that finds its own worker failing (only an entry knows whether the kind fails elsewhere).

--- a/jackdawridge/placement/health.py
+++ b/jackdawridge/placement/health.py
@@ -9,6 +9,13 @@
 #: Largest fraction of the open sides that is limited at a time.
 MAX_LIMITED_FRACTION = 0.3
 
+#: Largest fraction of the sides with outcomes of a kind of task that are
+#: blamed for its failures; if more of them fail it, the kind is blamed.
+MAX_BLAMED_FRACTION = 0.3
+
+#: Number of kinds of task whose outcomes are kept by side.
+MAX_KINDS = 200
+
 #: Number of jobs that fail at a side before it is limited, if their tasks are
 #: retried elsewhere: a single job may fail through its own fault.
 MIN_SUSPECT_JOBS = 2
@@ -75,7 +82,7 @@
         self.last_failed_number = -1
         self.next_probe_at = float('-inf')
         #: Tickets of jobs that failed here and are retried elsewhere, the
-        #: oldest first; each success removes one.
+        #: oldest first; each success of a task placed later removes one.
         self.suspect_jobs: OrderedDict[str, None] = OrderedDict()
         #: Moving average of the log2 ratio of run times to their estimates.
         self.log2_excess: float = 0
@@ -116,6 +123,11 @@
         weight = max(LONG_TERM_WEIGHT, 1 / self.long_term_tasks)
         self.long_term_excess += weight * (log2_excess - self.long_term_excess)
 
+    def clear_failures(self) -> None:
+        """Forget the failures, and allow a probe at once."""
+        self.failures = 0
+        self.next_probe_at = float('-inf')
+
     def is_failing(self) -> bool:
         """Return whether the side has failed its recent tasks."""
         return self.failures > 0
@@ -125,9 +137,17 @@
         return self.is_slow or self.is_late
 
     def is_limited(self) -> bool:
-        """Return whether the side should get one short task at a time."""
+        """Return whether the side has failed or runs slowly."""
         return self.is_failing() or self.is_slow_or_late()
 
+    def needs_probe(self) -> bool:
+        """Return whether the side should get one short task at a time.
+
+        A first failed job alone does not limit a side, but a worker that fails
+        its tasks at once looks empty and would be sent many more.
+        """
+        return self.is_limited() or bool(self.suspect_jobs)
+
     def closed_until(self) -> float:
         """Return the time before which the side should get no task."""
         until = float('-inf')
@@ -155,15 +175,17 @@
     """Evaluates the health of sides by comparison with each other.
 
     Only a small fraction of the sides is limited at a time. If a kind of task
-    fails at more than one side, the kind is blamed and not the sides.
+    fails at a large fraction of the sides that run it, the kind is blamed and
+    not the sides.
     """
 
     def __init__(self) -> None:
         """Initialise without sides."""
         self.sides: dict[str, SideHealth] = {}
         self.log2_excess: float = 0
-        #: Sides at which each kind of task failed since its last success.
-        self.failing_kinds: dict[str, set[str]] = {}
+        #: Whether the newest task of each kind has failed at each side, by
+        #: kind and side; the kinds that were first seen longest ago first.
+        self.has_failed: OrderedDict[str, dict[str, bool]] = OrderedDict()
         #: Sides that are limited now.
         self.limited: set[str] = set()
 
@@ -185,6 +207,8 @@
         """
         self.sides.pop(side_id, None)
         self.limited.discard(side_id)
+        for outcomes in self.has_failed.values():
+            outcomes.pop(side_id, None)
 
     def record_failure(
         self, side_id: str, kind: str, number: int, now: float, ticket: str = ''
@@ -198,18 +222,19 @@
         :param ticket: ticket of its job if the task is retried elsewhere, else
             empty. A single such job does not limit a side.
         """
-        failing_sides = self.failing_kinds.setdefault(kind, set())
-        failing_sides.add(side_id)
-        if len(failing_sides) > 1:
+        outcomes = self.outcomes_of(kind)
+        outcomes[side_id] = True
+        failing_sides = [side for side, failed in outcomes.items() if failed]
+        if len(failing_sides) > max(1, MAX_BLAMED_FRACTION * len(outcomes)):
             for failing_side in failing_sides:
-                self.side_health(failing_side).failures = 0
+                self.side_health(failing_side).clear_failures()
             return
         health = self.side_health(side_id)
+        health.last_failed_number = max(health.last_failed_number, number)
         if ticket:
             health.suspect_jobs[ticket] = None
             if len(health.suspect_jobs) < MIN_SUSPECT_JOBS:
                 return
-        health.last_failed_number = max(health.last_failed_number, number)
         if now >= health.next_probe_at:
             health.failures += 1
             wait = FIRST_PROBE_WAIT * PROBE_BACKOFF_FACTOR ** (
@@ -233,13 +258,12 @@
         :param factor: ratio of its run time to the estimate.
         :param now: current time in seconds.
         """
-        self.failing_kinds.pop(kind, None)
+        self.outcomes_of(kind)[side_id] = False
         health = self.side_health(side_id)
-        if health.suspect_jobs:
-            health.suspect_jobs.popitem(last=False)
         if number > health.last_failed_number:
-            health.failures = 0
-            health.next_probe_at = float('-inf')
+            health.clear_failures()
+            if health.suspect_jobs:
+                health.suspect_jobs.popitem(last=False)
         log2_excess = math.log2(max(factor, MIN_RUN_TIME_RATIO))
         if health.is_slow_or_late():
             self.record_probe(health, number, log2_excess, now)
@@ -259,6 +283,19 @@
         health.observe_long_term(log2_excess, self.log2_excess)
         self.update_is_slow(health)
 
+    def outcomes_of(self, kind: str) -> dict[str, bool]:
+        """Return whether the newest task of a kind has failed, by side.
+
+        :param kind: kind of the tasks.
+        """
+        outcomes = self.has_failed.get(kind)
+        if outcomes is None:
+            outcomes = {}
+            self.has_failed[kind] = outcomes
+            if len(self.has_failed) > MAX_KINDS:
+                self.has_failed.popitem(last=False)
+        return outcomes
+
     def run_time_factors(self) -> dict[str, float]:
         """Return the ratio of the run times at each side to the fast sides.
 
@@ -341,7 +378,7 @@
         :param open_sides: number of open sides.
         """
         health = self.sides.get(side_id)
-        if health is None or not health.is_limited():
+        if health is None or not health.needs_probe():
             self.limited.discard(side_id)
             return HEALTHY
         if side_id not in self.limited:
--- a/tests/test_placement/overload.py
+++ b/tests/test_placement/overload.py
@@ -11,7 +11,7 @@
 
 from jackdawridge.execution.messages import Room
 from jackdawridge.placement.admission import QueueBounds
-from jackdawridge.placement.learning import Usage
+from jackdawridge.placement.learning import NO_USAGE, Usage
 from jackdawridge.placement.placer import Placer
 from jackdawridge.placement.policies import RoomPolicy
 from jackdawridge.placement.request import (
@@ -30,6 +30,8 @@
 
 CORES = 16
 MEMORY = 32000
+#: Mean cores of a task.
+TASK_CORES = 0.1 * CORES
 STRETCH = 1.6
 ALLOWANCE = 0.06
 #: Coefficient of variation of run times and numbers of tasks, and of cores.
@@ -45,6 +47,8 @@
 DRAIN_TIME = 12.0
 #: Interval at which sides report their room to all entries, in seconds.
 HEARTBEAT = 0.25
+#: Number of failed runs of a task after which its job fails.
+MAX_ATTEMPTS = 3
 
 
 class Kind(NamedTuple):
@@ -68,6 +72,16 @@
 }
 
 
+#: Load of the shared fuel ledger on 60 workers after its work has shifted.
+SHIFTED_KINDS = {  # noqa: WPS407
+    'pump-tick': Kind(0, 77, 8, 0.12),
+    'tank-recon': Kind(2, 24.4, 4, 1.8),
+    'driver-fill': Kind(1, 225, 2, 0.4),
+}
+#: Mean cores of a task of that load.
+SHIFTED_TASK_CORES = 1.4
+
+
 class Job(NamedTuple):
     """A job of the load."""
 
@@ -90,16 +104,24 @@
     response_time: float
 
 
-def make_jobs(seed: int, load: float, seconds: float) -> list[Job]:
+def make_jobs(
+    seed: int,
+    load: float,
+    seconds: float,
+    kinds: Mapping[str, Kind] = KINDS,
+    task_cores: float = TASK_CORES,
+) -> list[Job]:
     """Return random jobs in the order of their arrival.
 
     :param seed: seed of the random values.
     :param load: factor on the rates of the kinds.
     :param seconds: time during which jobs arrive, in seconds.
+    :param kinds: kinds of jobs by name.
+    :param task_cores: mean cores of a task.
     """
     source = random.Random(seed)
     jobs: list[Job] = []
-    for name, kind in KINDS.items():
+    for name, kind in kinds.items():
         now = source.expovariate(kind.rate * load)
         while now < seconds:
             tasks = max(round(log_normal(source, kind.tasks, SPREAD)), 1)
@@ -108,7 +130,7 @@
                 Job(
                     now,
                     name,
-                    log_normal(source, 0.1 * CORES, CORES_SPREAD),
+                    log_normal(source, task_cores, CORES_SPREAD),
                     run_time * source.uniform(*DECLARED_RATIOS),
                     tuple(
                         run_time * source.uniform(*RUN_TIME_RATIOS)
@@ -147,6 +169,28 @@
 
 #: Stands for workers that all keep their usual speed.
 NO_SLOWNESS = Slowness((), 0, 0, 1)
+
+
+class Failing(NamedTuple):
+    """Failure of all tasks that some workers start during an interval."""
+
+    sides: tuple[str, ...]
+    since: float
+    until: float
+    #: Kind of the tasks that fail; empty for all kinds.
+    kind: str = ''
+
+    def fails(self, side_id: str, kind: str, now: float) -> bool:
+        """Return whether a task that starts now will fail at once."""
+        return (
+            side_id in self.sides
+            and self.since <= now < self.until
+            and self.kind in {'', kind}
+        )
+
+
+#: Failing for workers that run all tasks.
+NO_FAILURES = Failing((), 0, 0)
 #: Run time factors of permanently slower workers by side: none.
 NO_SLOWER_KINDS: Mapping[str, float] = MappingProxyType({})
 
@@ -163,6 +207,8 @@
     :param slowness: temporary slowdown of some workers.
     :param entries: number of entries, which get the jobs in turn.
     :param run_time_factors: run time factors of permanently slow workers.
+    :param kinds: kinds of jobs by name.
+    :param failing: temporary failure of some workers.
     """
 
     def __init__(
@@ -174,12 +220,23 @@
         slowness: Slowness = NO_SLOWNESS,
         entries: int = 1,
         run_time_factors: Mapping[str, float] = NO_SLOWER_KINDS,
+        kinds: Mapping[str, Kind] = KINDS,
+        failing: Failing = NO_FAILURES,
     ) -> None:
         """Add the sides long before the first job, past their ramp-up."""
         self.jobs = jobs
         self.has_priorities = has_priorities
         self.slowness = slowness
         self.run_time_factors = run_time_factors
+        self.kinds = kinds
+        self.failing = failing
+        #: Number of tasks by side that have failed although their entry knew of
+        #: an earlier failure there when it sent them.
+        self.failures: dict[str, int] = defaultdict(int)
+        #: Number of failed runs of each task.
+        self.attempts: dict[Key, int] = defaultdict(int)
+        #: Time at which each entry first learned of a failure at a side.
+        self.warned_at: dict[tuple[Placer, str], float] = {}
         #: Number of starts by side and whole second.
         self.starts: dict[tuple[str, int], int] = defaultdict(int)
         self.placers = [
@@ -246,7 +303,7 @@
     def arrive(self, number: int) -> None:
         """Queue a job at its entry."""
         job = self.jobs[number]
-        priority = KINDS[job.kind].priority if self.has_priorities else 0
+        priority = self.kinds[job.kind].priority if self.has_priorities else 0
         objective = Objective(STRETCH, ALLOWANCE, priority)
         requests = [
             Request(
@@ -258,6 +315,7 @@
                 1,
                 0,
                 job.declared,
+                reruns=True,
             )
             for task in range(len(job.run_times))
         ]
@@ -277,12 +335,29 @@
         self.free[side_id] += job.cores
         placer = self.placer_of(number)
         self.report(placer, side_id, now)
-        usage = Usage(job.cores, 1, now - self.began.pop((number, task)))
+        began = self.began.pop((number, task))
+        if self.failing.fails(side_id, job.kind, began):
+            warned_at = self.warned_at.setdefault((placer, side_id), now)
+            self.failures[side_id] += began > warned_at
+            self.fail(placer, (str(number), task), side_id, now)
+            return
+        usage = Usage(job.cores, 1, now - began)
         placer.ended((str(number), task), side_id, 'succeeded', usage, now)
         self.remaining_tasks[number] -= 1
         if not self.remaining_tasks[number]:
             self.outcomes[number] = Outcome(True, now - job.at)
 
+    def fail(self, placer: Placer, key: Key, side_id: str, now: float) -> None:
+        """Report a task as failed; its entry retries it or fails the job."""
+        assignment = placer.ended(key, side_id, 'failed', NO_USAGE, now)
+        number = int(key[0])
+        self.attempts[key] += 1
+        if self.attempts[key] >= MAX_ATTEMPTS:
+            placer.cancel(key[0])
+            self.record_shed(number, now)
+        elif assignment is not None and number not in self.outcomes:
+            placer.requeue(assignment)
+
     def refuse(
         self, placer: Placer, rejected: tuple[UnplaceableTask, ...], now: float
     ) -> None:
@@ -334,6 +409,8 @@
             side_id, 1
         )
         until = now + job.run_times[task] * slower
+        if self.failing.fails(side_id, job.kind, now):
+            until = now
         self.starts[side_id, int(now)] += 1
         self.began[number, task] = now
         heapq.heappush(self.ends, (until, side_id, number, task))
