Ask for no lead where none can reach the sides

Now an entry compares the links of a side (its setting) with the entries that it knows, and asks only if a lead could be linked to nine tenths of its sides. Ruled out: a longer wait after each rejection (still delegates without need, and a fleet that shrinks would wait for it). Test: test_coordination.py, TestReach (red before).

--- a/jackdawridge/coordination/component.py
+++ b/jackdawridge/coordination/component.py
@@ -12,7 +12,11 @@
 )
 from jackdawridge.coordination.links import EntryLinks
 from jackdawridge.coordination.messages import Decisions, DelegationEnd
-from jackdawridge.coordination.selection import EXCLUSION_TIME, LeadSelector
+from jackdawridge.coordination.selection import (
+    EXCLUSION_TIME,
+    LeadSelector,
+    can_reach_sides,
+)
 from jackdawridge.logs import get_logger
 
 if TYPE_CHECKING:
@@ -63,6 +67,7 @@
     ) -> None:
         """Register the handlers of messages and events."""
         self.clock = application.clock
+        self.entries_per_side = application.settings.integer('entries_per_side')
         self.engine = engine
         self.links = EntryLinks(application.incarnation, peers, directory)
         self.delegations = DelegationHandler(application, engine, self.links)
@@ -156,7 +161,9 @@
     def select_lead(self) -> None:
         """Select the lead again, and delegate to it if it has changed."""
         selected = None
-        if self.engine.placer.sides:
+        if self.engine.placer.sides and can_reach_sides(
+            self.links.count_entries(), self.entries_per_side
+        ):
             selected = self.selector.select(
                 self.links.candidates(), self.clock.seconds()
             )
--- a/jackdawridge/coordination/lead.py
+++ b/jackdawridge/coordination/lead.py
@@ -13,6 +13,7 @@
     Grant,
     ShedDecision,
 )
+from jackdawridge.coordination.selection import MIN_REACHED_FRACTION
 from jackdawridge.placement.fleet import REFUSAL_WAIT
 from jackdawridge.placement.learning import Usage
 from jackdawridge.placement.tracking import NO_ROOM, Assignment
@@ -31,8 +32,6 @@
 #: Time in seconds without a message after which an entry with tasks here is
 #: forgotten. It sends one at least every `UPDATE_INTERVAL` while it has any.
 DELEGATOR_TIMEOUT = 0.35
-#: Fraction of an entry's sides that a lead must be linked to itself.
-MIN_REACHED_FRACTION = 0.9
 #: Placement reason of a task that was running before this entry became lead.
 TAKEN_OVER_REASON = 'taken over'
 
--- a/jackdawridge/coordination/links.py
+++ b/jackdawridge/coordination/links.py
@@ -56,6 +56,10 @@
         if peer is not None:
             peer.send(message)
 
+    def count_entries(self) -> int:
+        """Return the number of entries that may run, including this one."""
+        return len(self.directory.entries())
+
     def candidates(self) -> Iterator[Candidate]:
         """Yield this entry and the linked entries that can be the lead.
 
--- a/jackdawridge/coordination/selection.py
+++ b/jackdawridge/coordination/selection.py
@@ -11,6 +11,22 @@
 EXCLUSION_TIME = 0.5
 
 
+#: Fraction of an entry's sides that its lead must be linked to.
+MIN_REACHED_FRACTION = 0.9
+
+
+def can_reach_sides(entries: int, entries_per_side: int) -> bool:
+    """Return whether any entry can be linked to nearly all sides of another.
+
+    Where each side links to a few of many entries none can, and it would cost
+    a delegation that is rejected to learn that.
+
+    :param entries: number of entries.
+    :param entries_per_side: number of entries that each side links to.
+    """
+    return entries_per_side >= MIN_REACHED_FRACTION * entries
+
+
 class Candidate(NamedTuple):
     """An entry that can be the lead; the smallest candidate is selected.
 
--- a/tests/test_coordination/joint_world.py
+++ b/tests/test_coordination/joint_world.py
@@ -11,7 +11,7 @@
 from tests.test_submission.world import FakeLink, FakeProcess, World
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from jackdawridge.membership.messages import Introduction
 
 #: Sides report the cores that they have, without oversubscription.
 WHOLE_CORES: Mapping[str, object] = MappingProxyType(
@@ -25,21 +25,30 @@
     def __init__(self, world: JointWorld) -> None:
         self.world = world
 
-    def entries(self) -> Iterable[Member]:
-        for process in self.world.entries:
-            incarnation = process.introduction.incarnation
-            yield Member(
-                process.introduction.node,
-                int(incarnation.removeprefix('run')),
-                incarnation,
-                0,
-                int(State.alive),
-                False,
-                'entry',
-                'Soweto',
-                '',
-                '',
-            )
+        #: Further entries, which are not linked.
+        self.unlinked: list[Member] = []
+
+    def entries(self) -> list[Member]:
+        linked = [
+            make_record(process.introduction) for process in self.world.entries
+        ]
+        return linked + self.unlinked
+
+
+def make_record(introduction: Introduction) -> Member:
+    """Return the record of a living entry."""
+    return Member(
+        introduction.node,
+        int(introduction.incarnation.removeprefix('run')),
+        introduction.incarnation,
+        0,
+        int(State.alive),
+        False,
+        'entry',
+        'Soweto',
+        '',
+        '',
+    )
 
 
 class JointWorld(World):
--- a/tests/test_coordination/test_coordination.py
+++ b/tests/test_coordination/test_coordination.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from jackdawridge.coordination.delegate import LEAD_TIMEOUT
@@ -10,9 +12,10 @@
     EXCLUSION_TIME,
     Candidate,
     LeadSelector,
+    can_reach_sides,
 )
 from jackdawridge.submission.jobs import JobSpec, TaskSpec
-from tests.test_coordination.joint_world import JointWorld
+from tests.test_coordination.joint_world import JointWorld, make_record
 from tests.test_submission.world import CORES
 
 TASK = TaskSpec('kind', 1, 16, 0, 0.1, b'')
@@ -65,6 +68,36 @@
         assert LeadSelector().select((), 0) is None
 
 
+class TestReach:
+    """Each side links to a few entries only."""
+
+    def test_lead_needs_sides_that_link_to_nearly_all_entries(self) -> None:
+        assert can_reach_sides(3, 5)
+        assert can_reach_sides(5, 5)
+        assert not can_reach_sides(10, 5)
+
+    def test_no_lead_is_asked_that_cannot_reach_the_sides(self) -> None:
+        """An entry asked each second, and its jobs waited for the rejection."""
+        world = make_world()
+        for number in (0, 1):
+            coordination = world.coordination(number)
+            directory: Any = coordination.links.directory
+            own = make_record(world.entries[number].introduction)
+            directory.unlinked = [
+                own._replace(node=f'other-{other}', incarnation=f'run9{other}')
+                for other in range(8)
+            ]
+            coordination.entries_changed(None)
+        world.settle()
+        term = world.coordination(1).delegate.term
+        for _ in range(4):
+            submit(world, 1, 1)
+            world.settle()
+            world.advance(1)
+            assert not world.coordination(1).delegate.has_lead()
+        assert world.coordination(1).delegate.term == term
+
+
 class TestLead:
     """The older entry places the tasks of the younger one."""
 
