Dial known entries without waiting for all seeds on the platform

Cause: after a start a process dials only its seeds until each has led to an entry, at most 1.5 s, since a seed may be the only route to an entry. On the platform the seeds are the addresses that entries announce, so nothing is to be discovered: setting seed_discovery (0 there, 1.5 s as before elsewhere). So that an entry that starts last is not without sides for up to 30 s, a side moves without the delay of MIGRATION_TIME in the first 5 s after its start. Ruled out: links before the target is known (the size is part of the introduction, so that each link would be closed and dialled again).

--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -400,4 +400,5 @@
     number_row('snapshot_interval', _ENTRY, 600.0, (1, 86400), _SECONDS),
     number_row('drain', _BOTH, 20.0, (0.1, 3600), _SECONDS),
     number_row('entries_per_side', _BOTH, 5, (1, 64), 'entries'),
+    number_row('seed_discovery', _BOTH, 1.5, (0, 60), _SECONDS),
 )
--- a/jackdawridge/membership/component.py
+++ b/jackdawridge/membership/component.py
@@ -16,6 +16,7 @@
     EntryDialPolicy,
     Links,
     ReachedEntry,
+    SeedMap,
     SideDialPolicy,
 )
 from jackdawridge.membership.directory import Directory, state_name
@@ -307,12 +308,14 @@
     :param own: the record of this process.
     :param settings: the settings of this process.
     """
-    seeds = settings.texts('entries')
+    seed_map = SeedMap(
+        settings.texts('entries'), settings.number('seed_discovery')
+    )
     if own.role == 'entry':
         offset = zlib.crc32(own.node.encode()) % SEED_REDIAL_PERIOD
-        return EntryDialPolicy(seeds, offset)
+        return EntryDialPolicy(seed_map, offset)
     count = settings.integer('entries_per_side')
-    return SideDialPolicy(seeds, EntrySubset(own.node, count))
+    return SideDialPolicy(seed_map, EntrySubset(own.node, count))
 
 
 def format_members(members: list[Member]) -> str:
--- a/jackdawridge/membership/dial_policy.py
+++ b/jackdawridge/membership/dial_policy.py
@@ -21,9 +21,6 @@
 SEED_REDIAL_PERIOD = 30.0
 #: Time for which it keeps dialling them in each interval, in seconds.
 SEED_REDIAL_TIME = 4.0
-#: Maximum time in which a process dials only the seeds, until each has led to
-#: an entry, in seconds.
-SEED_DISCOVERY_TIMEOUT = 1.5
 
 
 class Links(NamedTuple):
@@ -50,11 +47,15 @@
     announces, as it may be the only route to it.
 
     :param seeds: the seed addresses from the settings.
+    :param discovery_time: maximum time in which a process dials only the seeds,
+        until each has led to an entry, in seconds; 0 if no seed is the only
+        route to its entry.
     """
 
-    def __init__(self, seeds: Collection[str]) -> None:
+    def __init__(self, seeds: Collection[str], discovery_time: float) -> None:
         """Start with no seed reached."""
         self.seeds = frozenset(seeds)
+        self.discovery_time = discovery_time
         self.by_seed: dict[str, ReachedEntry] = {}
         #: Time at which the discovery of the seeds started, in seconds.
         self.started: float | None = None
@@ -68,7 +69,7 @@
         if self.started is None:
             self.started = now
         unreached = self.seeds - self.by_seed.keys() - {own_address}
-        return bool(unreached) and now - self.started < SEED_DISCOVERY_TIMEOUT
+        return bool(unreached) and now - self.started < self.discovery_time
 
     def record(self, address: str, reached: ReachedEntry) -> None:
         """Record the entry that was reached at a seed; ignore other addresses.
@@ -110,13 +111,13 @@
 class SideDialPolicy:
     """Dials a side's entries, and the seeds while it has no link.
 
-    :param seeds: the seed addresses from the settings.
+    :param seed_map: the seeds, and the entries reached through them.
     :param subset: selects the entries.
     """
 
-    def __init__(self, seeds: Collection[str], subset: EntrySubset) -> None:
+    def __init__(self, seed_map: SeedMap, subset: EntrySubset) -> None:
         """Start without links."""
-        self.seed_map = SeedMap(seeds)
+        self.seed_map = seed_map
         self.subset = subset
         #: Time at which the side last had a link, in seconds.
         self.linked_at: float | None = None
@@ -163,13 +164,13 @@
     while no entry is linked, and periodically for a short time, so that
     separate groups of entries find each other.
 
-    :param seeds: the seed addresses from the settings.
+    :param seed_map: the seeds, and the entries reached through them.
     :param offset: shifts the periodic dialling of seeds, in seconds.
     """
 
-    def __init__(self, seeds: Collection[str], offset: float) -> None:
+    def __init__(self, seed_map: SeedMap, offset: float) -> None:
         """Start without links."""
-        self.seed_map = SeedMap(seeds)
+        self.seed_map = seed_map
         self.offset = offset
 
     def addresses(
--- a/jackdawridge/membership/entry_subset.py
+++ b/jackdawridge/membership/entry_subset.py
@@ -20,6 +20,10 @@
 LAST_LINK_HOLD_TIME = 2.0
 #: Time over which the sides spread their move to a new entry, in seconds.
 MIGRATION_TIME = 30.0
+#: Time from the first selection in which a side moves to new entries without
+#: that delay, in seconds. When all processes start at once, it learns of the
+#: entries one after the other.
+SETTLING_TIME = 5.0
 
 _HASH_RANGE = 18446744073709551616.0
 
@@ -67,7 +71,8 @@
     A dead or unreachable entry stays selected for `HOLD_TIME`, so that its
     restart moves no sides; a side with at most one link left waits only
     `LAST_LINK_HOLD_TIME`. Each side moves to a new entry at its own time within
-    `MIGRATION_TIME`, and drops the old entry only once the new one is linked.
+    `MIGRATION_TIME`, or at once within `SETTLING_TIME` of its start, and drops
+    the old entry only once the new one is linked.
 
     :param side: node of the side.
     :param count: the number of entries wanted.
@@ -79,6 +84,8 @@
         self.count = count
         #: Nodes of the selected entries.
         self.chosen: set[str] = set()
+        #: Time of the first selection, in seconds; None before it.
+        self.started_at: float | None = None
         #: Time since which a selected entry has had no link.
         self.unlinked_since: dict[str, float] = {}
         #: Time since which hashing has given an entry that is not selected yet.
@@ -94,6 +101,8 @@
         :param now: the time in seconds.
         """
         entries = {member.node: member for member in members}
+        if self.started_at is None:
+            self.started_at = now
         self.update_unlinked(linked, now)
         self.drop_ended(entries, linked, now)
         usable = [
@@ -182,16 +191,19 @@
         for position, entry in enumerate(missing):
             waited = now - self.wanted_since[entry.node]
             if position < shortage or waited >= self.migration_delay(
-                entry.node
+                entry.node, now
             ):
                 self.chosen.add(entry.node)
                 self.wanted_since.pop(entry.node)
 
-    def migration_delay(self, entry: str) -> float:
+    def migration_delay(self, entry: str, now: float) -> float:
         """Return the delay before this side moves to a new entry, in seconds.
 
         :param entry: node of the entry.
+        :param now: the time in seconds.
         """
+        if self.started_at is None or now - self.started_at < SETTLING_TIME:
+            return 0
         return (
             MIGRATION_TIME * rendezvous_weight(entry, self.side) / _HASH_RANGE
         )
--- a/jackdawridge/platform/settings.py
+++ b/jackdawridge/platform/settings.py
@@ -199,6 +199,8 @@
         'shared_key': SHARED_KEY,
         'operator_address': f'{boot.ip}:{last_port}',
         'entries': [f'{host}:{peer_port}' for host in hosts],
+        # Seeds are the addresses that their entries announce.
+        'seed_discovery': 0,
         'heartbeat': HEARTBEAT_INTERVAL,
         'send_window': lease,
         'task_lease': lease,
--- a/tests/test_membership/test_component.py
+++ b/tests/test_membership/test_component.py
@@ -40,6 +40,7 @@
             'heartbeat': 1.0,
             'entries': [SEED],
             'entries_per_side': 2,
+            'seed_discovery': 1.5,
         }
         self.application = Application(
             Settings(role, document), reactor, f'{self.node}-{run}'
--- a/tests/test_membership/test_entry_subset.py
+++ b/tests/test_membership/test_entry_subset.py
@@ -10,6 +10,7 @@
 from jackdawridge.membership.entry_subset import (
     HOLD_TIME,
     MIGRATION_TIME,
+    SETTLING_TIME,
     EntrySubset,
     choose_entries,
 )
@@ -117,6 +118,21 @@
         assert len(subset.chosen) == ENTRIES_PER_SIDE + 1
         assert unreachable in subset.chosen
 
+    def test_entries_that_start_with_the_side_are_selected_at_once(
+        self,
+    ) -> None:
+        """A late entry would be without sides for up to `MIGRATION_TIME`."""
+        entries = make_entries(ENTRIES)
+        subset = EntrySubset('side-1', ENTRIES_PER_SIDE)
+        subset.update(entries[:ENTRIES_PER_SIDE], set(), 0)
+        subset.update(entries, set(subset.chosen), SETTLING_TIME / 2)
+        subset.update(entries, set(subset.chosen), SETTLING_TIME / 2)
+        expected = {
+            entry.node
+            for entry in choose_entries('side-1', entries, ENTRIES_PER_SIDE)
+        }
+        assert set(subset.chosen) == expected
+
     @given(st.text(max_size=6), st.integers(0, 5))
     def test_new_entries_are_selected_within_migration_time(
         self, side: str, new: int
