Let the tasks of an entry end before a side closes its link

Cause: a side that selects other entries closed the links to the former ones at once, whatever it ran for them. Now the side releases such an entry: it tells it by its heartbeats that it is draining, and closes the link once nothing runs or waits for it there and its outcomes are acknowledged, 0.5 s after the release at the earliest (starts are on their way) and 10 s at the latest. Ruled out: to keep the links for good (5 links a side are the plan's slope), or to wait for a moment without tasks only (a busy entry has none).

--- a/jackdawridge/execution/component.py
+++ b/jackdawridge/execution/component.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import Deferred, ensureDeferred
 
+from jackdawridge.execution.entry_release import EntryRelease
 from jackdawridge.execution.gate import OpenGate
 from jackdawridge.execution.heartbeats import HeartbeatSender
 from jackdawridge.execution.memory_pressure import MemoryPressureHandler
@@ -76,6 +77,7 @@
             application, worker, state, self.sender
         )
         self.heartbeats = HeartbeatSender(application, peers, state)
+        self.entry_release = EntryRelease(peers, state, self.heartbeats)
         self.sweep_loop = make_loop(self.clock, self.sweep)
         self.renewal_loop = make_loop(
             self.clock, self.worker_monitor.renew_and_forget
--- a/jackdawridge/execution/heartbeats.py
+++ b/jackdawridge/execution/heartbeats.py
@@ -37,6 +37,8 @@
         self.interval = application.settings.number('heartbeat')
         self.schedule = HeartbeatSchedule(self.interval)
         self.timer: DelayedCall | None = None
+        #: Nodes of the entries whose links the side is about to close.
+        self.released: set[str] = set()
 
     def start(self) -> None:
         """Start to send each entry one heartbeat per interval."""
@@ -98,20 +100,28 @@
         for peer in entries:
             incarnation = peer.introduction.incarnation
             record = self.state.sessions.entry(incarnation, now)
-            peer.send(self.make_heartbeat(record, window))
+            is_released = peer.name in self.released
+            peer.send(
+                self.make_heartbeat(record, window, is_released=is_released)
+            )
         return window
 
-    def make_heartbeat(self, record: EntryRecord, window: int) -> Heartbeat:
+    def make_heartbeat(
+        self, record: EntryRecord, window: int, *, is_released: bool
+    ) -> Heartbeat:
         """Return a heartbeat.
 
         :param record: record of the entry that receives it.
         :param window: number of the send window that it opens.
+        :param is_released: whether the side is about to close the link.
         """
         now = self.clock.seconds()
         return Heartbeat(
             window,
             record.processed,
             self.state.room.room_for(record.incarnation, now),
-            self.state.draining or bool(self.state.closed_reason),
+            self.state.draining
+            or bool(self.state.closed_reason)
+            or is_released,
             self.state.gate.position,
         )
--- a/jackdawridge/membership/dial_policy.py
+++ b/jackdawridge/membership/dial_policy.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from jackdawridge.membership.entry_subset import EntrySubset
+    from jackdawridge.membership.entry_subset import EntrySubset, LinkUsage
     from jackdawridge.membership.messages import Member
     from jackdawridge.membership.table import MemberTable
 
@@ -97,6 +97,12 @@
 
     seed_map: SeedMap
 
+    def set_usage(self, usage: LinkUsage) -> None:
+        """Set what tells whether the links to the entries are used.
+
+        :param usage: usage of the links.
+        """
+
     def addresses(
         self, table: MemberTable, links: Links, now: float
     ) -> set[str]:
@@ -122,6 +128,13 @@
         #: Time at which the side last had a link, in seconds.
         self.linked_at: float | None = None
 
+    def set_usage(self, usage: LinkUsage) -> None:
+        """Set what tells for which entries this side works.
+
+        :param usage: usage of the links.
+        """
+        self.subset.usage = usage
+
     def addresses(
         self, table: MemberTable, links: Links, now: float
     ) -> set[str]:
@@ -173,6 +186,12 @@
         self.seed_map = seed_map
         self.offset = offset
 
+    def set_usage(self, usage: LinkUsage) -> None:
+        """Do nothing: an entry closes no link to another.
+
+        :param usage: usage of the links.
+        """
+
     def addresses(
         self, table: MemberTable, links: Links, now: float
     ) -> set[str]:
--- a/jackdawridge/membership/entry_subset.py
+++ b/jackdawridge/membership/entry_subset.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import xxhash
 
@@ -24,6 +24,11 @@
 #: that delay, in seconds. When all processes start at once, it learns of the
 #: entries one after the other.
 SETTLING_TIME = 5.0
+#: Time in seconds between the release of an entry and the end of its link. It
+#: covers the starts that the entry has sent before it hears of the release.
+RELEASE_TIME = 0.5
+#: Time after which the link ends whatever runs for the entry, in seconds.
+MAX_RELEASE_TIME = 10.0
 
 _HASH_RANGE = 18446744073709551616.0
 
@@ -65,6 +70,41 @@
     return (preferred + spare)[:count]
 
 
+class LinkUsage(Protocol):
+    """Tells what the links to the entries are used for."""
+
+    def is_idle(self, node: str) -> bool:
+        """Return whether nothing runs for an entry.
+
+        :param node: node of the entry.
+        """
+
+    def announce_release(self, node: str, *, is_released: bool) -> None:
+        """Tell an entry whether its link is about to end.
+
+        :param node: node of the entry.
+        :param is_released: whether it is.
+        """
+
+
+class UnusedLinks:
+    """Usage of links on which nothing runs."""
+
+    def is_idle(self, node: str) -> bool:
+        """Return that nothing runs for an entry.
+
+        :param node: node of the entry.
+        """
+        return True
+
+    def announce_release(self, node: str, *, is_released: bool) -> None:
+        """Do nothing: no entry sends anything.
+
+        :param node: node of the entry.
+        :param is_released: whether its link is about to end.
+        """
+
+
 class EntrySubset:
     """The entries that a side keeps links to; avoids needless changes.
 
@@ -72,7 +112,8 @@
     restart moves no sides; a side with at most one link left waits only
     `LAST_LINK_HOLD_TIME`. Each side moves to a new entry at its own time within
     `MIGRATION_TIME`, or at once within `SETTLING_TIME` of its start, and drops
-    the old entry only once the new one is linked.
+    the old entry only once the new one is linked and nothing runs for the old
+    one any more.
 
     :param side: node of the side.
     :param count: the number of entries wanted.
@@ -84,6 +125,10 @@
         self.count = count
         #: Nodes of the selected entries.
         self.chosen: set[str] = set()
+        #: Tells which entries the side still works for.
+        self.usage: LinkUsage = UnusedLinks()
+        #: Time since which an entry has been released, by node, in seconds.
+        self.released_since: dict[str, float] = {}
         #: Time of the first selection, in seconds; None before it.
         self.started_at: float | None = None
         #: Time since which a selected entry has had no link.
@@ -117,7 +162,7 @@
         )
         retained = sum(entry.node in self.chosen for entry in usable)
         self.add_entries(desired, len(desired) - retained, now)
-        self.drop_surplus([entry.node for entry in desired], linked, entries)
+        self.release(self.find_surplus(desired, linked, entries), now)
         return set(self.chosen)
 
     def update_unlinked(self, linked: Collection[str], now: float) -> None:
@@ -208,20 +253,49 @@
             MIGRATION_TIME * rendezvous_weight(entry, self.side) / _HASH_RANGE
         )
 
-    def drop_surplus(
+    def find_surplus(
         self,
-        desired: list[str],
+        desired: list[Member],
         linked: Collection[str],
         entries: dict[str, Member],
-    ) -> None:
-        """Drop entries that hashing doesn't give, once all others are linked.
+    ) -> set[str]:
+        """Return the selected entries that hashing doesn't give.
 
-        :param desired: nodes of the entries that hashing gives.
+        :param desired: the entries that it gives.
         :param linked: nodes of the linked entries.
         :param entries: all known entries by node.
+        :returns: nodes; none while a desired entry isn't linked. A leaving
+            entry closes its link itself.
         """
-        if not all(node in linked for node in desired):
-            return
-        for node in self.chosen - set(desired):
-            if not entries[node].leaving:
-                self.chosen.discard(node)
+        wanted = {entry.node for entry in desired}
+        if not wanted <= set(linked):
+            return set()
+        leaving = {node for node, entry in entries.items() if entry.leaving}
+        return self.chosen - wanted - leaving
+
+    def release(self, surplus: set[str], now: float) -> None:
+        """Release surplus entries, and drop those for which nothing runs.
+
+        :param surplus: nodes of the entries that hashing doesn't give.
+        :param now: the time in seconds.
+        """
+        for node in set(self.released_since) - surplus:
+            self.released_since.pop(node)
+            self.usage.announce_release(node, is_released=False)
+        for released in surplus:
+            if released not in self.released_since:
+                self.released_since[released] = now
+                self.usage.announce_release(released, is_released=True)
+            elif self.has_ended(released, now):
+                self.chosen.discard(released)
+
+    def has_ended(self, node: str, now: float) -> bool:
+        """Return whether the link to a released entry can be closed.
+
+        :param node: node of the entry.
+        :param now: the time in seconds.
+        """
+        released = now - self.released_since[node]
+        if released >= MAX_RELEASE_TIME:
+            return True
+        return released >= RELEASE_TIME and self.usage.is_idle(node)
--- a/jackdawridge/platform/side.py
+++ b/jackdawridge/platform/side.py
@@ -73,6 +73,7 @@
     members = Membership.from_application(
         application, daemon.peers, daemon.connector, 'side_ready'
     )
+    members.dial_policy.set_usage(monitor.execution.entry_release)
     daemon.resource.sections['membership'] = members.status
     heartbeats = HeartbeatResource(
         monitor.heartbeat_received, monitor.target_left
--- a/jackdawridge/side.py
+++ b/jackdawridge/side.py
@@ -41,6 +41,7 @@
     membership = Membership.from_application(
         application, daemon.peers, daemon.connector, 'side_ready'
     )
+    membership.dial_policy.set_usage(execution.entry_release)
     daemon.add_operator_listener()
     application.add(daemon.connector)
     daemon.resource.sections['membership'] = membership.status
--- a/tests/test_membership/test_entry_subset.py
+++ b/tests/test_membership/test_entry_subset.py
@@ -9,7 +9,9 @@
 
 from jackdawridge.membership.entry_subset import (
     HOLD_TIME,
+    MAX_RELEASE_TIME,
     MIGRATION_TIME,
+    RELEASE_TIME,
     SETTLING_TIME,
     EntrySubset,
     choose_entries,
@@ -61,6 +63,23 @@
         assert moved < 1000 * ENTRIES_PER_SIDE / ENTRIES * 1.5
 
 
+class FakeUsage:
+    """Usage of links that tests set, and the entries that were released."""
+
+    def __init__(self) -> None:
+        self.busy: set[str] = set()
+        self.released: set[str] = set()
+
+    def is_idle(self, node: str) -> bool:
+        return node not in self.busy
+
+    def announce_release(self, node: str, *, is_released: bool) -> None:
+        if is_released:
+            self.released.add(node)
+        else:
+            self.released.remove(node)
+
+
 class TestEntrySubset:
     def make_subset(self) -> tuple[EntrySubset, set[str]]:
         subset = EntrySubset('side-1', ENTRIES_PER_SIDE)
@@ -127,12 +146,70 @@
         subset.update(entries[:ENTRIES_PER_SIDE], set(), 0)
         subset.update(entries, set(subset.chosen), SETTLING_TIME / 2)
         subset.update(entries, set(subset.chosen), SETTLING_TIME / 2)
+        assert len(subset.chosen) > ENTRIES_PER_SIDE
+        later = SETTLING_TIME / 2 + RELEASE_TIME
+        subset.update(entries, set(subset.chosen), later)
         expected = {
             entry.node
             for entry in choose_entries('side-1', entries, ENTRIES_PER_SIDE)
         }
         assert set(subset.chosen) == expected
 
+    def make_moved_subset(self, usage: FakeUsage) -> tuple[EntrySubset, str]:
+        """Return a subset whose side has moved off an entry, and the entry."""
+        entries = make_entries(ENTRIES)
+        subset = EntrySubset('side-1', ENTRIES_PER_SIDE)
+        subset.usage = usage
+        subset.update(entries[:ENTRIES_PER_SIDE], set(), 0)
+        first = set(subset.chosen)
+        subset.update(entries, first, 1)
+        subset.update(entries, set(subset.chosen), 1)
+        wanted = choose_entries('side-1', entries, ENTRIES_PER_SIDE)
+        dropped = first - {entry.node for entry in wanted}
+        assert usage.released == dropped
+        return subset, min(dropped)
+
+    def test_entry_keeps_its_link_while_its_tasks_run(self) -> None:
+        """The entry would lose the outcomes of the tasks that run here."""
+        usage = FakeUsage()
+        subset, dropped = self.make_moved_subset(usage)
+        entries = make_entries(ENTRIES)
+        usage.busy.add(dropped)
+        later = 1 + 2 * RELEASE_TIME
+        subset.update(entries, set(subset.chosen), later)
+        assert dropped in subset.chosen
+        usage.busy.clear()
+        subset.update(entries, set(subset.chosen), later)
+        assert dropped not in subset.chosen
+        assert len(subset.chosen) == ENTRIES_PER_SIDE
+
+    def test_link_ends_some_time_after_the_release(self) -> None:
+        """Starts may still be on their way when the entry is released."""
+        subset, dropped = self.make_moved_subset(FakeUsage())
+        entries = make_entries(ENTRIES)
+        subset.update(entries, set(subset.chosen), 1 + RELEASE_TIME / 2)
+        assert dropped in subset.chosen
+
+    def test_busy_entry_is_dropped_in_the_end(self) -> None:
+        usage = FakeUsage()
+        subset, dropped = self.make_moved_subset(usage)
+        usage.busy.add(dropped)
+        entries = make_entries(ENTRIES)
+        subset.update(entries, set(subset.chosen), 1 + MAX_RELEASE_TIME)
+        assert dropped not in subset.chosen
+
+    def test_released_entry_that_is_wanted_again_takes_work(self) -> None:
+        usage = FakeUsage()
+        subset, dropped = self.make_moved_subset(usage)
+        entries = [
+            entry
+            for entry in make_entries(ENTRIES)
+            if entry.node in subset.released_since
+        ]
+        subset.update(entries, set(subset.chosen), 1.1)
+        assert dropped in subset.chosen
+        assert dropped not in usage.released
+
     @given(st.text(max_size=6), st.integers(0, 5))
     def test_new_entries_are_selected_within_migration_time(
         self, side: str, new: int
