Refuse a start at once if its side expects no room within the wait

Cause: with sixty workers and ten entries, each linked to half of them, an entry sees a side's room up to 0.25 s late. Now a side forecasts when its running tasks free the cores that are missing, by the run times that their starts named, and refuses at once if that is beyond the wait; the timer fires when the first start is overdue.

--- a/jackdawridge/execution/room.py
+++ b/jackdawridge/execution/room.py
@@ -5,7 +5,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.execution.messages import Offer, Room
-from jackdawridge.execution.wait_queue import EMPTY_ROOM, Waiter, WaitQueue
+from jackdawridge.execution.room_forecast import ANY_TIME, RoomForecast
+from jackdawridge.execution.wait_queue import (
+    EMPTY_ROOM,
+    MAX_WAIT_TIME,
+    Waiter,
+    WaitQueue,
+)
 
 if TYPE_CHECKING:
     from jackdawridge.execution.messages import Start, TaskKey
@@ -72,6 +78,7 @@
         self.waiting_entries: dict[str, WaitingEntry] = {}
         self.held_rooms: dict[str, HeldRoom] = {}
         self.wait_queue = WaitQueue()
+        self.forecast = RoomForecast()
 
     def resize(self, size: Room) -> None:
         """Change the size of the worker and keep all reservations.
@@ -92,22 +99,22 @@
         :param now: local time in seconds.
         :returns: whether the room was reserved.
         """
-        requested = requested_room(start)
-        if not fits(requested, self.room_for(entry, now)):
+        if not fits(requested_room(start), self.room_for(entry, now)):
             return False
-        self.reserve_for_entry(entry, start.key(), requested)
+        self.reserve_for_entry(entry, start, now)
         return True
 
-    def reserve_for_entry(
-        self, entry: str, key: TaskKey, requested: Room
-    ) -> None:
+    def reserve_for_entry(self, entry: str, start: Start, now: float) -> None:
         """Reserve room, first out of the room held for the entry.
 
         :param entry: incarnation of the entry that sent the start.
-        :param key: key of the task.
-        :param requested: room to reserve.
+        :param start: start to reserve room for.
+        :param now: local time in seconds.
         """
+        key = start.key()
+        requested = requested_room(start)
         self.reserve_unchecked(key, requested)
+        self.forecast.add(key, start.cores, now + start.run_time)
         held_room = self.held_rooms.pop(entry, None)
         if held_room is not None:
             remainder = subtract_room(held_room.room, requested)
@@ -131,12 +138,17 @@
         """Append a start to the wait queue.
 
         :param waiter: start to append.
-        :returns: whether it was appended; not if it exceeds the worker or the
-            queue is full.
+        :returns: whether it was appended; not if it exceeds the worker, is not
+            expected to get room in time, or the queue is full.
         """
-        if not fits(requested_room(waiter.start), self.size):
+        requested = requested_room(waiter.start)
+        if not fits(requested, self.size):
             return False
-        return self.wait_queue.append(waiter)
+        missing_cores = (
+            requested.cores + self.wait_queue.requested.cores - self.free.cores
+        )
+        wait = self.forecast.wait_for(missing_cores, waiter.waiting_since)
+        return wait <= MAX_WAIT_TIME and self.wait_queue.append(waiter)
 
     def dequeue_fitting(self, now: float) -> Waiter | None:
         """Remove the first start from the wait queue and reserve its room.
@@ -151,7 +163,7 @@
         requested = requested_room(waiter.start)
         if not fits(requested, self.free_for(waiter.entry, now)):
             return None
-        self.reserve_for_entry(waiter.entry, waiter.start.key(), requested)
+        self.reserve_for_entry(waiter.entry, waiter.start, now)
         return self.wait_queue.pop_first()
 
     def reserve_unchecked(self, key: TaskKey, requested: Room) -> None:
@@ -161,6 +173,7 @@
         :param requested: room to reserve.
         """
         self.release(key)
+        self.forecast.add(key, requested.cores, ANY_TIME)
         self.reserved[key] = requested
         self.free = subtract_room(self.free, requested)
 
@@ -169,6 +182,7 @@
 
         :param key: key of the task.
         """
+        self.forecast.remove(key)
         reserved = self.reserved.pop(key, None)
         if reserved is not None:
             used = self.measured.pop(key, reserved)
--- a/jackdawridge/execution/wait_queue_server.py
+++ b/jackdawridge/execution/wait_queue_server.py
@@ -13,6 +13,11 @@
     from jackdawridge.util.clock import Clock, DelayedCall
 
 
+#: Delay in seconds that makes the first start overdue when the timer fires,
+#: whatever the rounding.
+TIMER_MARGIN = 0.001
+
+
 class WaitQueueServer:
     """Serves the wait queue before each flush of outcomes, and on a timer.
 
@@ -45,7 +50,10 @@
     def schedule_serving(self) -> None:
         """Schedule a flush before queued starts have waited too long."""
         is_scheduled = self.timer is not None and self.timer.active()
-        if self.state.room.wait_queue.waiters and not is_scheduled:
+        waiters = self.state.room.wait_queue.waiters
+        if waiters and not is_scheduled:
+            waited = self.clock.seconds() - waiters[0].waiting_since
             self.timer = self.clock.callLater(
-                MAX_WAIT_TIME / 2, self.sender.flush_soon
+                max(MAX_WAIT_TIME - waited, 0) + TIMER_MARGIN,
+                self.sender.flush_soon,
             )
