Split the health of a side and the outcomes of a kind from the fleet's health

Moved as they were: SideHealth to side_health.py, the table of the newest outcomes to kind_outcomes.py with a name for what it decides. No change of behaviour; the tests of failing and slow sides pass.

--- a/jackdawridge/placement/health.py
+++ b/jackdawridge/placement/health.py
@@ -3,19 +3,14 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
 from typing import NamedTuple
 
+from jackdawridge.placement.kind_outcomes import KindOutcomes
+from jackdawridge.placement.side_health import SLOW_LOG2_EXCESS, SideHealth
+
 #: Largest fraction of the open sides that is limited at a time.
 MAX_LIMITED_FRACTION = 0.3
 
-#: Largest fraction of the sides with outcomes of a kind of task that are
-#: blamed for its failures; if more of them fail it, the kind is blamed.
-MAX_BLAMED_FRACTION = 0.3
-
-#: Number of kinds of task whose outcomes are kept by side.
-MAX_KINDS = 200
-
 #: Number of jobs that fail at a side before it is limited, if their tasks are
 #: retried elsewhere: a single job may fail through its own fault.
 MIN_SUSPECT_JOBS = 2
@@ -44,16 +39,9 @@
 #: Lower bound of the ratio of a run time to its estimate.
 MIN_RUN_TIME_RATIO = 0.001
 
-#: Log2 excess over the fleet above which a side is slow; 1 is twice as long.
-SLOW_LOG2_EXCESS = 1.0
-
 #: Log2 excess over the fleet up to which a slow side has recovered.
 RECOVERED_LOG2_EXCESS = 0.5
 
-#: Weight of the newest task in the long-term log2 excess of a side. It is
-#: small, since single tasks differ more than kinds of workers do.
-LONG_TERM_WEIGHT = 0.03
-
 #: Number of tasks after which the run time factor of a side is accurate to a
 #: few hundredths.
 MIN_LONG_TERM_TASKS = 30
@@ -71,93 +59,6 @@
 MIN_LATE_JOBS = 2
 
 
-class SideHealth:
-    """Health of one side, from the recent outcomes of its tasks."""
-
-    def __init__(self) -> None:
-        """Initialise a healthy side."""
-        #: Number of failures since the last success of a task placed later.
-        self.failures = 0
-        #: Placement number of the newest task that failed.
-        self.last_failed_number = -1
-        self.next_probe_at = float('-inf')
-        #: Tickets of jobs that failed here and are retried elsewhere, the
-        #: oldest first; each success of a task placed later removes one.
-        self.suspect_jobs: OrderedDict[str, None] = OrderedDict()
-        #: Moving average of the log2 ratio of run times to their estimates.
-        self.log2_excess: float = 0
-        #: The same over more tasks, since the side was last slow or late.
-        self.long_term_excess: float = 0
-        self.long_term_tasks = 0
-        self.tasks = 0
-        #: Tickets of jobs with a task far over its estimate here, the oldest
-        #: first; each task that ends in time removes one.
-        self.late_jobs: OrderedDict[str, None] = OrderedDict()
-        #: Whether there were `MIN_LATE_JOBS` of them, and no task placed later
-        #: has ended in time.
-        self.is_late = False
-        #: Placement number of the newest task when the side became late.
-        self.late_since_number = -1
-        self.is_slow = False
-        #: Time before which a late or slow side gets no task.
-        self.slow_until = float('-inf')
-
-    def observe_long_term(
-        self, log2_excess: float, fleet_log2_excess: float
-    ) -> None:
-        """Update the long-term log2 excess, unless the side is slow or late.
-
-        Single tasks far over their estimate are left out.
-
-        :param log2_excess: log2 ratio of the run time to its estimate.
-        :param fleet_log2_excess: moving average of that over the fleet.
-        """
-        if self.is_slow_or_late():
-            self.long_term_tasks = 0
-        if (
-            self.is_slow_or_late()
-            or log2_excess - fleet_log2_excess > SLOW_LOG2_EXCESS
-        ):
-            return
-        self.long_term_tasks += 1
-        weight = max(LONG_TERM_WEIGHT, 1 / self.long_term_tasks)
-        self.long_term_excess += weight * (log2_excess - self.long_term_excess)
-
-    def clear_failures(self) -> None:
-        """Forget the failures, and allow a probe at once."""
-        self.failures = 0
-        self.next_probe_at = float('-inf')
-
-    def is_failing(self) -> bool:
-        """Return whether the side has failed its recent tasks."""
-        return self.failures > 0
-
-    def is_slow_or_late(self) -> bool:
-        """Return whether the side runs tasks slowly."""
-        return self.is_slow or self.is_late
-
-    def is_limited(self) -> bool:
-        """Return whether the side has failed or runs slowly."""
-        return self.is_failing() or self.is_slow_or_late()
-
-    def needs_probe(self) -> bool:
-        """Return whether the side should get one short task at a time.
-
-        A first failed job alone does not limit a side, but a worker that fails
-        its tasks at once looks empty and would be sent many more.
-        """
-        return self.is_limited() or bool(self.suspect_jobs)
-
-    def closed_until(self) -> float:
-        """Return the time before which the side should get no task."""
-        until = float('-inf')
-        if self.is_failing():
-            until = self.next_probe_at
-        if self.is_slow_or_late():
-            until = max(until, self.slow_until)
-        return until
-
-
 class Verdict(NamedTuple):
     """Limits of one side that follow from its health."""
 
@@ -183,9 +84,7 @@
         """Initialise without sides."""
         self.sides: dict[str, SideHealth] = {}
         self.log2_excess: float = 0
-        #: Whether the newest task of each kind has failed at each side, by
-        #: kind and side; the kinds that were first seen longest ago first.
-        self.has_failed: OrderedDict[str, dict[str, bool]] = OrderedDict()
+        self.kind_outcomes = KindOutcomes()
         #: Sides that are limited now.
         self.limited: set[str] = set()
 
@@ -207,8 +106,7 @@
         """
         self.sides.pop(side_id, None)
         self.limited.discard(side_id)
-        for outcomes in self.has_failed.values():
-            outcomes.pop(side_id, None)
+        self.kind_outcomes.forget(side_id)
 
     def record_failure(
         self, side_id: str, kind: str, number: int, now: float, ticket: str = ''
@@ -222,12 +120,11 @@
         :param ticket: ticket of its job if the task is retried elsewhere, else
             empty. A single such job does not limit a side.
         """
-        outcomes = self.outcomes_of(kind)
-        outcomes[side_id] = True
-        failing_sides = [side for side, failed in outcomes.items() if failed]
-        if len(failing_sides) > max(1, MAX_BLAMED_FRACTION * len(outcomes)):
-            for failing_side in failing_sides:
-                self.side_health(failing_side).clear_failures()
+        self.kind_outcomes.record(kind, side_id, has_failed=True)
+        blameless = self.kind_outcomes.sides_without_fault(kind)
+        if blameless:
+            for blameless_side in blameless:
+                self.side_health(blameless_side).clear_failures()
             return
         health = self.side_health(side_id)
         health.last_failed_number = max(health.last_failed_number, number)
@@ -258,7 +155,7 @@
         :param factor: ratio of its run time to the estimate.
         :param now: current time in seconds.
         """
-        self.outcomes_of(kind)[side_id] = False
+        self.kind_outcomes.record(kind, side_id, has_failed=False)
         health = self.side_health(side_id)
         if number > health.last_failed_number:
             health.clear_failures()
@@ -283,19 +180,6 @@
         health.observe_long_term(log2_excess, self.log2_excess)
         self.update_is_slow(health)
 
-    def outcomes_of(self, kind: str) -> dict[str, bool]:
-        """Return whether the newest task of a kind has failed, by side.
-
-        :param kind: kind of the tasks.
-        """
-        outcomes = self.has_failed.get(kind)
-        if outcomes is None:
-            outcomes = {}
-            self.has_failed[kind] = outcomes
-            if len(self.has_failed) > MAX_KINDS:
-                self.has_failed.popitem(last=False)
-        return outcomes
-
     def run_time_factors(self) -> dict[str, float]:
         """Return the ratio of the run times at each side to the fast sides.
 
