Have processes under test dial only the proxies in front of entries

Cause: a side dials only its seeds until each is reached, but 1.5 s at most. In test_links.py a side that was ready 2.7 s before the entries learned the address of one of them from the other and linked past the proxy that was to drop its starts (14 starts for 0, seen once at a load of 25). seed_discovery is 60 s in these tests now.

--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -36,6 +36,8 @@
     'send_window': 2.0,
     'task_lease': 5.0,
     'drain': 20.0,
+    # The proxies in front of the entries are the only routes to them.
+    'seed_discovery': 60.0,
     'log_level': 'info',
 }
 DOMAINS = ('Germiston', 'Soweto', 'Tembisa', 'Pretoria West')
