Dial addresses quickly for some seconds after the first failed attempt

Now the delay stays at 0.2 s for 3 s after the first failure, or after the end of a link, and an attempt is given up after 0.3 s in that time (3 s later). Ruled out: a lower limit for good (dead addresses would be dialled five times a second by each process that knows them). Tests: test_backoff.py.

--- a/jackdawridge/wire/peers.py
+++ b/jackdawridge/wire/peers.py
@@ -23,9 +23,6 @@
 
 logger = get_logger('peers')
 
-#: Time limit for establishing a connection, in seconds.
-CONNECT_TIMEOUT = 3
-
 
 class Peer:
     """A process at the other end of a link, known by its introduction.
@@ -288,9 +285,9 @@
     def dial(self) -> None:
         """Attempt to connect once."""
         host, _, port = self.address.rpartition(':')
-        endpoint = TCP4ClientEndpoint(
-            self.connector.reactor, host, int(port), timeout=CONNECT_TIMEOUT
-        )
+        reactor = self.connector.reactor
+        timeout = self.backoff.connect_timeout(reactor.seconds())
+        endpoint = TCP4ClientEndpoint(reactor, host, int(port), timeout)
         factory: Any = DialingFactory(self.connector.peers.context)
         attempt = endpoint.connect(factory)
         attempt.addCallbacks(self.handle_connected, self.schedule_redial)
--- a/tests/test_wire/test_backoff.py
+++ b/tests/test_wire/test_backoff.py
@@ -6,8 +6,12 @@
 from hypothesis import strategies as st
 
 from jackdawridge.wire.backoff import (
+    CONNECT_TIMEOUT,
     MAX_REDIAL_DELAY,
     MIN_REDIAL_DELAY,
+    QUICK_CONNECT_TIMEOUT,
+    QUICK_REDIAL_DELAY,
+    QUICK_REDIAL_TIME,
     Backoff,
 )
 
@@ -22,6 +26,47 @@
     return backoff.next_delay(10 + lasted)
 
 
+def fail_for(backoff: Backoff, since: float, duration: float) -> float:
+    """Fail all attempts for some time and return the last delay."""
+    now = since
+    delay: float = 0
+    while now < since + duration:
+        delay = backoff.next_delay(now)
+        now += delay
+    return delay
+
+
+class TestQuickRedial:
+    """A peer that is starting is reached soon after it listens."""
+
+    def test_delay_stays_short_after_the_first_failure(self) -> None:
+        """All processes start at once after a loss of power."""
+        delay = fail_for(Backoff(), 5, QUICK_REDIAL_TIME)
+        assert delay == QUICK_REDIAL_DELAY
+
+    def test_delay_stays_short_after_a_link_has_ended(self) -> None:
+        """The peer may be started again."""
+        backoff = Backoff()
+        fail_for(backoff, 5, 10 * MAX_REDIAL_DELAY)
+        backoff.link_opened(100)
+        backoff.next_delay(200)
+        assert fail_for(backoff, 200, QUICK_REDIAL_TIME) == QUICK_REDIAL_DELAY
+
+    def test_connections_are_not_awaited_for_long_at_first(self) -> None:
+        """TCP repeats a packet to a VM without power after a second."""
+        backoff = Backoff()
+        assert backoff.connect_timeout(5) == QUICK_CONNECT_TIMEOUT
+        fail_for(backoff, 5, QUICK_REDIAL_TIME / 2)
+        now = 5 + QUICK_REDIAL_TIME / 2
+        assert backoff.connect_timeout(now) == QUICK_CONNECT_TIMEOUT
+        now = 5 + QUICK_REDIAL_TIME
+        assert backoff.connect_timeout(now) == CONNECT_TIMEOUT
+
+    def test_delay_grows_if_the_peer_stays_away(self) -> None:
+        backoff = Backoff()
+        assert fail_for(backoff, 5, 10 * MAX_REDIAL_DELAY) == MAX_REDIAL_DELAY
+
+
 class TestBackoff:
     @given(st.integers(0, 20))
     def test_link_resets_the_delay_of_earlier_failures(
