Request a report of ended runs again beside an unanswered one

Now, while anything runs, a second report is requested after 0.05 s without an answer; the first that arrives counts. The first failure counts as before, so that a silent target is found no later.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
 
 from jackdawridge.errors import JackdawridgeError
+from jackdawridge.execution.hedged_call import HedgedCall
 from jackdawridge.execution.leased_target import (
     FencedError,
     HoldOrder,
@@ -41,6 +42,9 @@
 #: Number of unanswered calls after which the lease is no longer renewed, so
 #: that the time is known at which every run has ended.
 MAX_UNANSWERED_CALLS = 3
+#: Time without an answer after which a report is requested again beside the
+#: first request while tasks run, in seconds. The first is given up much later.
+REPORT_HEDGE_DELAY = 0.05
 #: Nothing is started until the runs that an earlier side left are stopped.
 TAKE_OVER_PENDING = 'target is being taken over'
 
@@ -149,11 +153,21 @@
         """Renew the lease once, after a take-over if that is pending."""
         if not self.is_taken_over:
             await self.take_over()
-        await self.refresh(self.timing.renewal)
+        # An end that is reported late makes its whole job late.
+        renewal = HedgedCall(
+            self.clock,
+            lambda: self.refresh(self.timing.renewal),
+            self.has_runs,
+        )
+        await renewal.start(REPORT_HEDGE_DELAY)
         self.unanswered_calls = 0
         if self.is_taken_over:
             self.report_availability('')
 
+    def has_runs(self) -> bool:
+        """Return whether any run at the target may end."""
+        return bool(self.table.runs)
+
     async def refresh(self, wait: float) -> None:
         """Request a report, report the ended runs and stop unknown ones.
 
--- a/tests/test_execution/test_leased_worker.py
+++ b/tests/test_execution/test_leased_worker.py
@@ -22,6 +22,9 @@
         TaskUsage,
     )
 
+#: Time in seconds within which an end is reported although a report is lost.
+#: A job of short tasks can wait for about 0.13 s.
+MAX_REPORT_DELAY = 0.1
 TIMING = LeaseTiming(lease=0.7, renewal=0.15, drift=0.02, stop=0.05)
 
 
@@ -217,6 +220,18 @@
             assert len(harness.target.running) == 1
             assert not harness.listener.ended
 
+    def test_end_is_reported_soon_despite_a_lost_report(self) -> None:
+        """The whole job of the task waits for this end."""
+        harness = Harness()
+        task = harness.start()
+        harness.advance(0.1)
+        harness.target.faults.append('silent')
+        while harness.target.faults:
+            harness.advance(0.01)
+        harness.target.end(next(iter(harness.target.running)), 'succeeded')
+        harness.advance(MAX_REPORT_DELAY)
+        assert harness.outcomes() == [(task, 'succeeded')]
+
     def test_target_is_used_again_after_silence(self) -> None:
         harness = Harness()
         harness.target.faults.extend(repeat('silent', 6))
