--- a/tests/test_membership/test_entry_subset.py
+++ b/tests/test_membership/test_entry_subset.py
@@ -198,6 +198,16 @@
         subset.update(entries, set(subset.chosen), 1 + MAX_RELEASE_TIME)
         assert dropped not in subset.chosen
 
+    def test_dropped_entry_stays_released(self) -> None:
+        """Its link may not have ended, and it would place tasks again."""
+        usage = FakeUsage()
+        subset, dropped = self.make_moved_subset(usage)
+        entries = make_entries(ENTRIES)
+        for now in (1 + RELEASE_TIME, 1 + RELEASE_TIME):
+            subset.update(entries, set(subset.chosen), now)
+        assert dropped not in subset.chosen
+        assert dropped in usage.released
+
     def test_released_entry_that_is_wanted_again_takes_work(self) -> None:
         usage = FakeUsage()
         subset, dropped = self.make_moved_subset(usage)
