--- a/jackdawridge/membership/entry_subset.py
+++ b/jackdawridge/membership/entry_subset.py
@@ -279,7 +279,8 @@
         :param surplus: nodes of the entries that hashing doesn't give.
         :param now: the time in seconds.
         """
-        for node in set(self.released_since) & self.chosen - surplus:
+        retained = self.chosen - surplus
+        for node in retained.intersection(self.released_since):
             # An entry that was dropped stays released until it is selected
             # again, since its link may not have ended yet.
             self.released_since.pop(node)
