--- a/tests/test_processes/services.py
+++ b/tests/test_processes/services.py
@@ -204,7 +204,7 @@
             answers.append(
                 call(
                     address,
-                    f'{self.methods[0]}-{number}-{count}',
+                    f'caller-{self.methods[0]}-{number}-{count}',
                     self.methods[count % len(self.methods)],
                     seconds=self.seconds,
                 )
