Answer connections that wait for acceptance when a listener stops

Cause: a listener that stops closed its port and all connections at once. The system resets connections that it has established and the process has not accepted, and those whose request is not read. Shown by a script that connects five callers and stops the listener within one turn: five resets. Now the listener accepts what waits, closes the port, and closes connections after CLOSING_TIME, in which they are answered (as not run, where the process drains). A shutdown takes 0.05 s longer, within GRACE_MARGIN_TIME. Test: test_listeners.py (red before).

--- a/jackdawridge/operations/listeners.py
+++ b/jackdawridge/operations/listeners.py
@@ -26,7 +26,8 @@
 REQUEST_TIMEOUT = 15.0
 #: Time after which a connection without a request is closed, in seconds.
 IDLE_TIMEOUT = 60
-#: Time for sending the last answers when the listener stops, in seconds.
+#: Time for the last requests when the listener stops, and again for sending the
+#: last answers, in seconds.
 CLOSING_TIME = 0.05
 #: Highest number of open connections of a listener.
 MAX_CONNECTIONS = 1024
@@ -244,10 +245,29 @@
     def stop(self) -> Deferred[None]:
         """Close the port, and each connection once its answers are written.
 
+        Callers that have connected are accepted and have `CLOSING_TIME` to get
+        an answer: the system would reset connections that it has established
+        and this process has not accepted, or whose request is not read.
+
+        Returns a `Deferred` that fires when the last answers are sent, at once
+        if there are no connections.
+        """
+        accepted = -1
+        while accepted < self.connections:
+            accepted = self.connections
+            self.port.doRead()
+        self.port.stopListening()
+        answered = pause(
+            self.listen_reactor, CLOSING_TIME if self.channels else 0
+        )
+        return answered.addCallback(self.close_connections)
+
+    def close_connections(self, _: None) -> Deferred[None]:
+        """Close each connection once its answers are written.
+
         Returns a `Deferred` that fires after `CLOSING_TIME`, or at once if
         there are no connections.
         """
-        self.port.stopListening()
         for channel in tuple(self.channels):
             channel.loseConnection()
         return pause(self.listen_reactor, CLOSING_TIME if self.channels else 0)
