--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -11,7 +11,6 @@
 from jackdawridge.placement.placement_pass import (
     NO_PLACEMENT_LIMIT,
     PlacementPass,
-    RoomRequests,
 )
 from jackdawridge.placement.policies import POLICIES, Policy
 from jackdawridge.placement.queues import TeamLimits
@@ -22,6 +21,7 @@
     Overload,
     UnplaceableTask,
 )
+from jackdawridge.placement.room_requests import RoomRequests
 from jackdawridge.placement.tracking import AssignmentTracker
 
 if TYPE_CHECKING:
