--- a/jackdawridge/placement/placement_pass.py
+++ b/jackdawridge/placement/placement_pass.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from jackdawridge.placement.headroom import headroom_fraction
-from jackdawridge.placement.queued_jobs import Job
 from jackdawridge.placement.team_cursor import TeamCursor
 from jackdawridge.placement.tracking import Assignment
 from jackdawridge.placement.worker_speed import may_start, split_by_speed
@@ -15,7 +14,7 @@
     from collections.abc import Sequence
 
     from jackdawridge.placement.learning import Need
-    from jackdawridge.placement.queued_jobs import Group
+    from jackdawridge.placement.queued_jobs import Group, Job
     from jackdawridge.placement.request import Key, Placement, Request
     from jackdawridge.placement.side_view import Side
     from jackdawridge.placement.tracking import AssignmentTracker
