--- a/review/harness.py
+++ b/review/harness.py
@@ -641,13 +641,17 @@
             node.name: f'{self.store_host}{n + 1}'
             for n, node in enumerate((*self.entries, *self.sides))
         }
+        #: Entries that were added after the start.
+        self.added: list[Node] = []
+        #: Returns the hosts that the settings name as seeds at a start.
+        self.seed_hosts = lambda: [one.host for one in self.entries[:3]]
         self.job_ids = (
             f'{n:016x}' for n in itertools.count(0x5C0E7A21D94B0000)
         )
 
     def settings(self, node: Node) -> str:
         ports = self.ports
-        seeds = [f'{one.host}:{ports["control"]}' for one in self.entries[:3]]
+        seeds = [f'{host}:{ports["control"]}' for host in self.seed_hosts()]
         listen = [f'control = "{node.host}:{ports["control"]}"']
         lines = [
             f'nodeName = "{node.name}"',
@@ -672,6 +676,17 @@
         lines.extend(('[platform]', f'address = "{door}"', 'form = "log"'))
         return '\n'.join(lines) + '\n'
 
+    async def add_entry(self, zone: str) -> Node:
+        """Return an entry on a machine at a new address, not started yet."""
+        network = self.entries[0].host.rpartition('.')[0]
+        node = Node(self, f'{network}.{len(self.doors) + 100}', 'entry', zone)
+        self.doors[node.name] = f'{self.store_host}{len(self.doors) + 1}'
+        self.added.append(node)
+        await self.store.open_door(
+            node.name, self.doors[node.name], self.ports['store']
+        )
+        return node
+
     async def start(self) -> None:
         for name, host in self.doors.items():
             await self.store.open_door(name, host, self.ports['store'])
@@ -779,7 +794,7 @@
         ]
 
     async def close(self) -> None:
-        for node in (*self.entries, *self.sides):
+        for node in (*self.entries, *self.sides, *self.added):
             node.close()
         for minion in self.minions:
             if minion.is_up:
