--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -673,9 +673,21 @@
         raise CaseError(f'in vain: {text}')
 
     async def submit(
-        self, entry: Node, job: str, body: dict[str, Any], wait: float
+        self,
+        entry: Node,
+        job: str,
+        body: dict[str, Any],
+        wait: float,
+        leaves: float = 0,
     ) -> int:
-        """Send a job and return the status of the answer, 0 without one."""
+        """Send a job and return the status of the answer, 0 without one.
+
+        :param entry: entry that gets the job.
+        :param job: id of the job.
+        :param body: the job.
+        :param wait: time limit of the client, in seconds.
+        :param leaves: time after which the client leaves, if before that.
+        """
         self.record.write(f'POST {job} to {entry.name}')
         status, document = await ask(
             entry.front,
@@ -683,7 +695,7 @@
             f'/q1/{job}',
             body,
             {'Host': 'a.example', 'Deadline-Ms': str(int(wait * 1000))},
-            timeout=wait,
+            timeout=leaves or wait,
         )
         self.record.write(f'answer to {job}: {status or "none"} {document}')
         return status
