--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -112,6 +112,7 @@
     ) -> None:
         self.handle = handle
         self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def listen(self, address: str) -> None:
         """Listen at an address."""
@@ -122,6 +123,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer the requests of a connection one after the other."""
+        self.writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while message := await read_message(reader):
                 first, headers, body = message
@@ -135,8 +137,16 @@
                 status, content = answer
                 writer.write(encode_answer(status, content))
                 await writer.drain()
+        self.writers.discard(writer)
         writer.close()
 
+    async def close(self) -> None:
+        """Close the port and all connections."""
+        if self.server is not None:
+            self.server.close()
+        for writer in tuple(self.writers):
+            writer.close()
+
 
 def encode_answer(status: int, content: bytes) -> bytes:
     """Return the bytes of an answer."""
