--- a/review/7/case.py
+++ b/review/7/case.py
@@ -30,14 +30,14 @@
 
 #: Share of the orders that get no answer and are carried out late, and how
 #: late, in seconds.
-LATE_SHARE = 0.055
+LATE_SHARE = 0.066
 LATE_DELAYS = (2.0, 12.0)
 #: Time for which a minion leaves orders unanswered, in seconds.
-LATE_TIME = 3.0
+LATE_TIME = 2.0
 #: Time for which a minion is down, in seconds.
 DOWN_TIME = 0.3
 #: Time for which rounds begin and range of the pauses between them, in seconds.
-PLAY_TIME = 90
+PLAY_TIME = 95
 PAUSE_TIMES = (0.5, 2.0)
 #: Time limit of the clients, run time of a task, in seconds; tasks of a job,
 #: and thousandths of a core for each.
@@ -45,7 +45,7 @@
 RUN_TIME = 0.8
 TASKS = 30
 CPU = 100
-CLIENTS = 12
+CLIENTS = 16
 
 
 class LateMinion(Minion):
