Assume the longest lease at a target that a side joins

Cause: joining a worker set the time at which its lease has ended to the past (LeaseGrants.reset) but kept the runs, so that the third unanswered call reported all of them at once. The log of the side shows it: `target is being taken over` at 41:01.706, `target does not answer` at .936 with 89 tasks, which were at work until 42.37 by the record of the stand-in.

A side now assumes, from the moment at which it joins a worker, the longest lease that the worker grants. The worker's lease in the settings would be too short: an order that reaches a new incarnation names a time on the clock of the earlier one, and is shortened to the worker's own limit. The same cause on related paths: a true restart, and the first join of a new side.

Both new tests failed before. No message changes.

--- a/jackdawridge/execution/lease_grants.py
+++ b/jackdawridge/execution/lease_grants.py
@@ -23,6 +23,8 @@
     drift: float
     #: Time that the target needs to stop its runs after the lease has expired.
     stop: float
+    #: Longest lease that the target grants; it shortens longer ones.
+    target_limit: float
 
     def longest(self, lease: float) -> float:
         """Return the longest local time until runs under a lease have ended.
@@ -46,10 +48,6 @@
         #: Returns the local time by which some run must have ended, given the
         #: present one, in seconds.
         self.find_deadline: Callable[[float], float] = no_deadline
-        self.reset()
-
-    def reset(self) -> None:
-        """Forget the leases of an earlier incarnation of the target."""
         #: Local time at which a run was first reported that this side has not
         #: ordered, in seconds, by run. It gets no more time than the lease of
         #: then.
@@ -57,6 +55,21 @@
         #: Local time at which all runs have ended unless the lease is renewed.
         self.all_ended_at = float('-inf')
 
+    def target_joined(self, now: float) -> None:
+        """Assume the longest lease at a target that this side begins to use.
+
+        An earlier side may have granted it, or an order that this side sent
+        before it knew of the target's restart: the end of the lease in such an
+        order is a time on the clock of the earlier incarnation.
+
+        :param now: local time in seconds.
+        """
+        self.unknown_since = {}
+        self.all_ended_at = max(
+            self.all_ended_at,
+            now + self.timing.longest(self.timing.target_limit),
+        )
+
     def deadline(self, now: float) -> float:
         """Return the local time by which some run must have ended, in seconds.
 
--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -103,7 +103,7 @@
             1970.
         :param clock: time on the target's clock, in seconds since its start.
         """
-        self.table.reset(incarnation, clock)
+        self.table.target_joined(incarnation, clock, self.clock.seconds())
         self.is_present = True
         self.is_taken_over = False
         self.report_availability(TAKE_OVER_PENDING)
--- a/jackdawridge/execution/run_table.py
+++ b/jackdawridge/execution/run_table.py
@@ -62,6 +62,19 @@
         self.token = 0
         self.reset(0, 0)
 
+    def target_joined(self, incarnation: int, clock: float, now: float) -> None:
+        """Reset the table for a target that this side begins to use.
+
+        The runs stay live: orders of this side may have reached the target.
+
+        :param incarnation: start time of the target in milliseconds since
+            1970.
+        :param clock: time on the target's clock, in seconds since its start.
+        :param now: local time in seconds.
+        """
+        self.reset(incarnation, clock)
+        self.leases.target_joined(now)
+
     def reset(self, incarnation: int, clock: float) -> None:
         """Reset the table for a new incarnation of the target.
 
@@ -85,7 +98,6 @@
         self.clock_offset: float = 0
         #: Attempt number of the newest run.
         self.last_run_number = 0
-        self.leases.reset()
         self.reported_runs: frozenset[Run] = frozenset()
         #: Local time at which the newest report was requested, in seconds.
         self.report_requested_at = float('-inf')
--- a/jackdawridge/platform/settings.py
+++ b/jackdawridge/platform/settings.py
@@ -105,6 +105,8 @@
     #: Lease at the minion, in seconds: it stops its runs if its side is silent
     #: for that long.
     worker_lease: float
+    #: Longest lease that the minion grants, in seconds.
+    max_worker_lease: float
     #: Longest time that a minion needs to stop a task, in seconds.
     stop_time: float
     #: Time after the last sign of life of an entry, or after a stop was
@@ -157,9 +159,8 @@
 
     :param boot: the parsed file.
     """
-    worker_lease = min(
-        boot.bounds.hold_max_ms / _MILLISECONDS, MAX_WORKER_LEASE_TIME
-    )
+    max_worker_lease = boot.bounds.hold_max_ms / _MILLISECONDS
+    worker_lease = min(max_worker_lease, MAX_WORKER_LEASE_TIME)
     stop_time = boot.bounds.stop_timeout_ms / _MILLISECONDS
     document = common_document(boot)
     if boot.role == 'entry':
@@ -185,6 +186,7 @@
         boot.app,
         boot.platform.address,
         worker_lease,
+        max_worker_lease,
         stop_time,
         boot.bounds.resend_ms / _MILLISECONDS - RESEND_MARGIN_TIME,
     )
--- a/jackdawridge/platform/side.py
+++ b/jackdawridge/platform/side.py
@@ -49,6 +49,7 @@
         LEASE_RENEWAL_INTERVAL,
         CLOCK_DRIFT_FRACTION,
         node.stop_time,
+        node.max_worker_lease,
     )
     client = MinionClient(daemon.reactor, node.minion_address)
     keeper = LeaseKeeper(daemon.reactor, client, timing)
--- a/tests/test_execution/test_leased_worker.py
+++ b/tests/test_execution/test_leased_worker.py
@@ -14,7 +14,7 @@
 from jackdawridge.execution.messages import TaskKey
 from jackdawridge.execution.starter import format_task_id
 from jackdawridge.execution.worker import NotSentError, WorkerTask
-from tests.test_execution.fake_target import FakeTarget
+from tests.test_execution.fake_target import MAX_LEASE_TIME, FakeTarget
 
 if TYPE_CHECKING:
     from jackdawridge.execution.worker import (
@@ -26,7 +26,16 @@
 #: Time in seconds within which an end is reported although a report is lost.
 #: A job of short tasks can wait for about 0.13 s.
 MAX_REPORT_DELAY = 0.1
-TIMING = LeaseTiming(lease=0.7, renewal=0.15, drift=0.02, stop=0.05)
+#: Steps of 0.01 s within which the end of a task is reported, at the latest
+#: after a lease.
+MAX_OUTCOME_STEPS = 300
+TIMING = LeaseTiming(
+    lease=0.7,
+    renewal=0.15,
+    drift=0.02,
+    stop=0.05,
+    target_limit=MAX_LEASE_TIME,
+)
 
 
 class Listener:
@@ -74,6 +83,14 @@
         started.addCallback(self.answers.extend)
         return task_id
 
+    def advance_until_outcome(self) -> None:
+        """Advance the time until the end of a task is reported."""
+        for _ in range(MAX_OUTCOME_STEPS):
+            if self.listener.ended:
+                return
+            self.advance(0.01)
+        raise AssertionError('no end was reported')
+
     def outcomes(self) -> list[tuple[str, str]]:
         return [(status.id, status.state) for status in self.listener.ended]
 
@@ -322,6 +339,30 @@
         assert not harness.target.running
         assert keeper.table.token > 0
 
+    def test_runs_at_a_target_joined_again_are_not_lost_early(self) -> None:
+        """Living runs were reported as lost, and run again elsewhere."""
+        harness = Harness()
+        task = harness.start()
+        harness.advance(0.1)
+        harness.target.ignores_stops = True
+        harness.keeper.target_joined(*harness.target.incarnation_and_clock())
+        assert harness.target.running
+        harness.advance_until_outcome()
+        assert [ended for ended, _ in harness.outcomes()] == [task]
+        assert not harness.target.running
+
+    def test_run_at_a_restarted_target_is_not_lost_early(self) -> None:
+        """A start that reached the new incarnation was reported as lost."""
+        harness = Harness()
+        harness.advance(5)
+        harness.target.restart()
+        harness.target.ignores_stops = True
+        task = harness.start()
+        assert harness.target.running
+        harness.advance_until_outcome()
+        assert [ended for ended, _ in harness.outcomes()] == [task]
+        assert not harness.target.running
+
     def test_start_for_an_earlier_incarnation_is_refused(self) -> None:
         harness = Harness()
         harness.advance(20)
