Join an incarnation of a target once

Callers' jobs took longer or failed each time a worker restarted under its id: all tasks that had been started there since the restart were stopped with its first heartbeat.

Cause: a report shows a restart within 0.25 s, the first heartbeat comes up to 1.5 s later. TargetMonitor compared heartbeats with heartbeats and so took the same incarnation over again; the log of the side has `target has started` twice with one incarnation, 0.83 s apart, and 89 tasks running at the second. It asks the keeper now which incarnation is in use.

The new test failed before (`target is being taken over`, no task running). No message changes.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from twisted.internet.defer import Deferred, ensureDeferred, succeed
+from twisted.internet.defer import ensureDeferred
 
 from jackdawridge.errors import JackdawridgeError
 from jackdawridge.execution.hedged_call import HedgedCall
@@ -19,6 +19,7 @@
     ReportChanges,
     RunTable,
 )
+from jackdawridge.execution.target_binding import TargetBinding
 from jackdawridge.execution.worker import (
     AnswerLostError,
     NotSentError,
@@ -72,9 +73,7 @@
         self.table = RunTable(timing)
         self.stopper = RunStopper(clock, target, self.table, self.is_answering)
         self.listener: WorkerListener | None = None
-        #: Whether the target is present according to its heartbeats.
-        self.is_present = False
-        self.waiters: list[Deferred[None]] = []
+        self.binding = TargetBinding(target)
         #: Whether the runs that an earlier side left were stopped.
         self.is_taken_over = False
         self.unanswered_calls = 0
@@ -96,6 +95,19 @@
         self.listener = listener
         ensureDeferred(self.renew_forever())
 
+    def is_joined(self, target_id: str, incarnation: int) -> bool:
+        """Return whether an incarnation of a target is the one in use.
+
+        :param target_id: id of the target.
+        :param incarnation: start time of the target in milliseconds since
+            1970.
+        """
+        return (
+            self.binding.is_present
+            and self.binding.target_id == target_id
+            and self.table.incarnation == incarnation
+        )
+
     def target_joined(self, incarnation: int, clock: float) -> None:
         """Start to use a new incarnation of the target, after a take-over.
 
@@ -104,26 +116,14 @@
         :param clock: time on the target's clock, in seconds since its start.
         """
         self.table.target_joined(incarnation, clock, self.clock.seconds())
-        self.is_present = True
         self.is_taken_over = False
         self.report_availability(TAKE_OVER_PENDING)
-        waiters = self.waiters
-        self.waiters = []
-        for waiter in waiters:
-            waiter.callback(None)
-
-    def wait_until_present(self) -> Deferred[None]:
-        """Return a `Deferred` that fires once the target is present."""
-        if self.is_present:
-            return succeed(None)
-        waiter: Deferred[None] = Deferred()
-        self.waiters.append(waiter)
-        return waiter
+        self.binding.target_joined()
 
     async def renew_forever(self) -> None:
         """Renew the lease until `closed` is set."""
         while not self.closed:
-            if not self.is_present:
+            if not self.binding.is_present:
                 await pause(self.clock, RETRY_INTERVAL)
                 continue
             wait = await self.renew_safely()
@@ -282,7 +282,9 @@
         self.unanswered_calls += 1
         if isinstance(error, (NotSentError, OtherIncarnationError)):
             # Nothing listens at the address, so nothing runs there either.
-            self.is_present = not isinstance(error, OtherIncarnationError)
+            self.binding.is_present = not isinstance(
+                error, OtherIncarnationError
+            )
             self.is_taken_over = False
             self.report_availability(f'target is away: {error.message}')
             self.report_all_lost('target is away')
--- a/jackdawridge/execution/leased_worker.py
+++ b/jackdawridge/execution/leased_worker.py
@@ -211,7 +211,7 @@
         Their entries are told that the tasks were lost, so nothing is adopted
         and the returned list is empty.
         """
-        await self.keeper.wait_until_present()
+        await self.keeper.binding.wait_until_present()
         await self.keeper.take_over()
         return TaskList(0, ())
 
--- a/jackdawridge/execution/target_monitor.py
+++ b/jackdawridge/execution/target_monitor.py
@@ -50,18 +50,15 @@
     def heartbeat_received(self, heartbeat: TargetHeartbeat) -> None:
         """Handle a heartbeat of a target.
 
-        A new incarnation is taken over, and a changed size is applied.
+        A new incarnation is taken over, unless a report has shown it before its
+        first heartbeat, and a changed size is applied.
 
         :param heartbeat: heartbeat that arrived; a stale one is ignored.
         """
         previous = self.record.current
         if not self.record.update(heartbeat):
             return
-        is_new_incarnation = previous is None or (
-            (previous.id, previous.incarnation)
-            != (heartbeat.id, heartbeat.incarnation)
-        )
-        if is_new_incarnation or not self.keeper.is_present:
+        if not self.keeper.is_joined(heartbeat.id, heartbeat.incarnation):
             logger.notice(
                 'target has started',
                 target=heartbeat.id,
@@ -69,13 +66,9 @@
                 cores=heartbeat.room.cores,
                 memory=heartbeat.room.memory,
             )
-            self.keeper.target.bind(heartbeat.id)
+            self.keeper.binding.bind(heartbeat.id)
             self.keeper.target_joined(heartbeat.incarnation, heartbeat.clock)
-        if (
-            is_new_incarnation
-            or previous is None
-            or previous.room != heartbeat.room
-        ):
+        if previous is None or not is_same_size(previous, heartbeat):
             self.resize(heartbeat)
         if previous is None or previous.draining != heartbeat.draining:
             self.update_availability()
@@ -123,3 +116,16 @@
                 accelerators=heartbeat.room.accelerators,
             )
         )
+
+
+def is_same_size(earlier: TargetHeartbeat, later: TargetHeartbeat) -> bool:
+    """Return whether two heartbeats show the same incarnation and size.
+
+    :param earlier: heartbeat that arrived first.
+    :param later: heartbeat that arrived after it.
+    """
+    return (earlier.id, earlier.incarnation, earlier.room) == (
+        later.id,
+        later.incarnation,
+        later.room,
+    )
--- a/tests/test_execution/test_target_monitor.py
+++ b/tests/test_execution/test_target_monitor.py
@@ -54,6 +54,26 @@
         world.run(0.5)
         assert side.execution.state.closed_reason == ''
 
+    def test_incarnation_that_a_report_has_shown_is_not_joined_again(
+        self,
+    ) -> None:
+        """The first heartbeat after a restart stopped all tasks there."""
+        world = LeasedWorld()
+        target = world.targets[0]
+        side = world.sides[0]
+        target.restart()
+        world.run(0.5)
+        assert side.keeper.table.incarnation == target.incarnation
+        world.sides[1].monitor.target_left('target')
+        world.submit(0, 2)
+        world.run(0.1)
+        running = dict(target.running)
+        assert running
+        side.monitor.heartbeat_received(target.heartbeat())
+        world.run(0.1)
+        assert target.running == running
+        assert side.execution.state.closed_reason == ''
+
     def test_size_of_a_new_incarnation_is_applied(self) -> None:
         world = LeasedWorld()
         target = world.targets[0]
