Join a target only once it has confirmed a heartbeat

Cause: a side bound itself to the newest heartbeat, and took the refusal of its next order (421) as a proof that the runs there were over. It proves that the addressed worker isn't there; the runs had been ordered at the living one.

A heartbeat that names another id or incarnation now counts once the worker itself has answered under that id (TargetCheck), at the cost of one call on the same machine for each restart. So a 421 only comes from where the addressed worker has answered before. On related paths: a late heartbeat of an earlier incarnation made the side leave the present one; the outcome of a call that had begun before a join counted against the target joined; a heartbeat of the incarnation in use may not change its service.

No message changes.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -137,16 +137,18 @@
 
         :returns: wait before the next renewal, in seconds.
         """
+        joins = self.binding.joins
         try:
             await self.renew_once()
-        except AnswerLostError as error:
+        except JackdawridgeError as error:
+            if joins != self.binding.joins:
+                logger.info(error.message, step='hold at an earlier target')
+                return 0
             self.call_failed(error)
             # The remaining lease shrinks while there is no answer, so the call
             # is repeated at once.
-            return 0 if self.is_answering() else RETRY_INTERVAL
-        except JackdawridgeError as error:
-            self.call_failed(error)
-            return RETRY_INTERVAL
+            is_urgent = isinstance(error, AnswerLostError)
+            return 0 if is_urgent and self.is_answering() else RETRY_INTERVAL
         except Exception:
             logger.exception('lease was not renewed; trying again', step=_STEP)
             return RETRY_INTERVAL
@@ -202,20 +204,22 @@
         :param wait: longest time that the target delays the report until a run
             ends, in seconds.
         :param renews: whether the lease is renewed.
-        :raises AnswerLostError: if the fencing token was refused or the report
-            is of an earlier incarnation.
+        :raises AnswerLostError: if the fencing token was refused, or the report
+            is of an earlier target or incarnation.
         """
         lease = self.table.grant_lease(self.clock.seconds()) if renews else None
         self.log_withheld_lease(is_withheld=renews and lease is None)
         order = HoldOrder(
             self.table.token, self.table.last_end_position, lease, wait
         )
+        joins = self.binding.joins
         try:
             report = await self.target.hold(order)
         except FencedError as error:
             self.table.raise_token()
             raise AnswerLostError(error.message, step=_STEP) from error
-        if report.incarnation < self.table.incarnation:
+        is_earlier = report.incarnation < self.table.incarnation
+        if is_earlier or joins != self.binding.joins:
             raise AnswerLostError(
                 'report of an earlier incarnation', step=_STEP
             )
--- a/jackdawridge/execution/leased_target.py
+++ b/jackdawridge/execution/leased_target.py
@@ -79,7 +79,10 @@
 
 
 class OtherIncarnationError(JackdawridgeError):
-    """Another target than the one addressed answers at the address."""
+    """Another target than the one addressed answers at the address.
+
+    The runs of the addressed one are over if it has answered there before.
+    """
 
 
 class LeasedTarget(Protocol):
@@ -96,6 +99,11 @@
     def task_name(self, task_id: str) -> str:
         """Return the target's name of a task, given its id at the side."""
 
+    async def identify(
+        self, target_id: str, fencing_token: int
+    ) -> TargetReport:
+        """Return a report if the target has this id, without any lease."""
+
     async def hold(self, order: HoldOrder) -> TargetReport:
         """Renew the lease and return a report of the runs."""
 
--- a/jackdawridge/execution/run_table.py
+++ b/jackdawridge/execution/run_table.py
@@ -87,8 +87,7 @@
         :param clock: time on the target's clock, in seconds since its start.
         """
         self.incarnation = incarnation
-        minimum = incarnation + int(clock * _MILLISECONDS)
-        self.token = max(self.token + 1, minimum)
+        self.token = max(self.token + 1, first_token(incarnation, clock))
         #: Runs whose ends were received last. A report that was overtaken by
         #: another one may still list them as running.
         self.recent_ends: deque[Run] = deque(maxlen=MAX_ENDS)
@@ -269,3 +268,14 @@
         return (
             self.report_requested_at > since and run not in self.reported_runs
         )
+
+
+def first_token(incarnation: int, clock: float) -> int:
+    """Return the lowest fencing token of a side that begins to use a target.
+
+    It exceeds those of the sides before.
+
+    :param incarnation: start time of the target in milliseconds since 1970.
+    :param clock: time on the target's clock, in seconds since its start.
+    """
+    return incarnation + int(clock * _MILLISECONDS)
--- a/jackdawridge/execution/target_binding.py
+++ b/jackdawridge/execution/target_binding.py
@@ -23,6 +23,9 @@
         self.target_id = ''
         #: Whether the target is present, as far as is known.
         self.is_present = False
+        #: Number of targets and incarnations joined. A call that began with
+        #: a lower number says nothing about the present target.
+        self.joins = 0
         self.waiters: list[Deferred[None]] = []
 
     def bind(self, target_id: str) -> None:
@@ -36,6 +39,7 @@
     def target_joined(self) -> None:
         """Record that the target is present."""
         self.is_present = True
+        self.joins += 1
         waiters = self.waiters
         self.waiters = []
         for waiter in waiters:
--- a/jackdawridge/execution/target_monitor.py
+++ b/jackdawridge/execution/target_monitor.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from jackdawridge.execution.lease_keeper import TAKE_OVER_PENDING
+from jackdawridge.execution.target_check import TargetCheck, log_refusal
 from jackdawridge.execution.target_record import TargetRecord
 from jackdawridge.logs import get_logger
 
@@ -34,6 +35,9 @@
         self.keeper = keeper
         self.peers = peers
         self.record = TargetRecord()
+        self.check = TargetCheck(
+            keeper.clock, keeper.target, self.heartbeat_confirmed
+        )
         #: Reason why the target cannot be called, or empty.
         self.unavailable_reason = TAKE_OVER_PENDING
         keeper.availability_changed = self.target_availability_changed
@@ -50,13 +54,29 @@
     def heartbeat_received(self, heartbeat: TargetHeartbeat) -> None:
         """Handle a heartbeat of a target.
 
-        A new incarnation is taken over, unless a report has shown it before its
-        first heartbeat, and a changed size is applied.
+        What it says of the target in use is applied. One that names another
+        target or incarnation counts once the target has confirmed it.
 
         :param heartbeat: heartbeat that arrived; a stale one is ignored.
         """
-        previous = self.record.current
-        if not self.record.update(heartbeat):
+        if self.record.is_stale(heartbeat):
+            return
+        if not self.keeper.is_joined(heartbeat.id, heartbeat.incarnation):
+            self.check.begin(heartbeat)
+        elif is_consistent(heartbeat, self.record.current):
+            self.apply(heartbeat)
+        else:
+            log_refusal(heartbeat, 'target has another service')
+
+    def heartbeat_confirmed(
+        self, heartbeat: TargetHeartbeat, token: int
+    ) -> None:
+        """Join the target that has confirmed a heartbeat, and apply that.
+
+        :param heartbeat: heartbeat of the target, now perhaps stale.
+        :param token: fencing token that the target has accepted.
+        """
+        if self.record.is_stale(heartbeat):
             return
         if not self.keeper.is_joined(heartbeat.id, heartbeat.incarnation):
             logger.notice(
@@ -66,8 +86,19 @@
                 cores=heartbeat.room.cores,
                 memory=heartbeat.room.memory,
             )
+            table = self.keeper.table
+            table.token = max(table.token, token)
             self.keeper.binding.bind(heartbeat.id)
             self.keeper.target_joined(heartbeat.incarnation, heartbeat.clock)
+        self.apply(heartbeat)
+
+    def apply(self, heartbeat: TargetHeartbeat) -> None:
+        """Apply the size and the state of the target in use.
+
+        :param heartbeat: newest heartbeat of the target.
+        """
+        previous = self.record.current
+        self.record.update(heartbeat)
         if previous is None or not is_same_size(previous, heartbeat):
             self.resize(heartbeat)
         if previous is None or previous.draining != heartbeat.draining:
@@ -118,6 +149,21 @@
         )
 
 
+def is_consistent(
+    heartbeat: TargetHeartbeat, current: TargetHeartbeat | None
+) -> bool:
+    """Return whether a heartbeat names the service of the target in use.
+
+    An incarnation keeps its service.
+
+    :param heartbeat: heartbeat of the incarnation in use.
+    :param current: newest heartbeat so far, perhaps of an earlier incarnation.
+    """
+    if current is None or current.incarnation != heartbeat.incarnation:
+        return True
+    return current.service == heartbeat.service
+
+
 def is_same_size(earlier: TargetHeartbeat, later: TargetHeartbeat) -> bool:
     """Return whether two heartbeats show the same incarnation and size.
 
--- a/jackdawridge/execution/target_record.py
+++ b/jackdawridge/execution/target_record.py
@@ -43,14 +43,21 @@
         :param heartbeat: heartbeat that arrived.
         :returns: whether it was recorded.
         """
-        if (heartbeat.id, heartbeat.incarnation) in self.left_incarnations:
-            return False
-        current = self.current
-        if current is not None and not is_newer(heartbeat, current):
+        if self.is_stale(heartbeat):
             return False
         self.current = heartbeat
         return True
 
+    def is_stale(self, heartbeat: TargetHeartbeat) -> bool:
+        """Return whether a newer heartbeat was recorded or the target has left.
+
+        :param heartbeat: heartbeat that arrived.
+        """
+        if (heartbeat.id, heartbeat.incarnation) in self.left_incarnations:
+            return True
+        current = self.current
+        return current is not None and not is_newer(heartbeat, current)
+
     def mark_left(self, target_id: str) -> bool:
         """Record that a target has left.
 
--- a/jackdawridge/platform/minion.py
+++ b/jackdawridge/platform/minion.py
@@ -115,9 +115,39 @@
             document['deadlineMs'] = int(order.lease_until * _MILLISECONDS)
         if order.wait:
             document['waitMs'] = int(order.wait * _MILLISECONDS)
-        answer = await self.call(
-            'hold', document, order.wait + REPORT_TIMEOUT_MARGIN
+        return await self.request_report(
+            document, order.wait + REPORT_TIMEOUT_MARGIN, self.minion_id
+        )
+
+    async def identify(
+        self, target_id: str, fencing_token: int
+    ) -> TargetReport:
+        """Return the minion's report of its runs if it has an id.
+
+        :param target_id: id that the minion is expected to have.
+        :param fencing_token: fencing token of this side.
+        :raises NotSentError: if nothing listens at the address.
+        :raises AnswerLostError: if the outcome is not known.
+        :raises FencedError: if the minion refuses the fencing token.
+        :raises OtherIncarnationError: if another minion answers.
+        """
+        document: dict[str, object] = {'fence': fencing_token, 'lastSeen': 0}
+        return await self.request_report(
+            document, REPORT_TIMEOUT_MARGIN, target_id
         )
+
+    async def request_report(
+        self, document: dict[str, object], timeout: float, minion_id: str
+    ) -> TargetReport:
+        """Send an order to hold and return the minion's report of its runs.
+
+        :param document: content of the order, sent as JSON.
+        :param timeout: time within which the whole answer has to arrive, in
+            seconds.
+        :param minion_id: id of the only minion that may carry it out, empty for
+            any.
+        """
+        answer = await self.call('hold', document, minion_id, timeout)
         self.require_done(answer, 'hold')
         report = self.decode_body(answer.body, _Report, 'hold')
         return TargetReport(
@@ -145,6 +175,7 @@
                 'deadlineMs': int(order.lease_until * _MILLISECONDS),
                 'fence': order.fencing_token,
             },
+            self.minion_id,
         )
         if answer.status in _UNHEALTHY:
             return StartVerdict(
@@ -170,22 +201,29 @@
         answer = await self.call(
             'run-stop',
             {'task': run.name, 'run': run.number, 'fence': fencing_token},
+            self.minion_id,
         )
         self.require_done(answer, 'run-stop')
 
     async def call(
-        self, path: str, document: object, timeout: float = ORDER_TIMEOUT
+        self,
+        path: str,
+        document: object,
+        minion_id: str,
+        timeout: float = ORDER_TIMEOUT,
     ) -> HttpResponse:
         """Send an order and return the minion's answer, with any status.
 
         :param path: path of the order below `/v1`.
         :param document: content of the order, sent as JSON.
+        :param minion_id: id of the only minion that may carry it out, empty for
+            any.
         :param timeout: time within which the whole answer has to arrive, in
             seconds.
         :raises NotSentError: if nothing listens at the address.
         :raises AnswerLostError: if the order may have been carried out.
         """
-        headers = {INSTANCE_HEADER: self.minion_id} if self.minion_id else {}
+        headers = {INSTANCE_HEADER: minion_id} if minion_id else {}
         try:
             return await self.client.ask(
                 'POST',
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,10 @@
     from tests.soak.deployment import Deployment, Node
 
 
+#: Share of the soaks in which sides get heartbeats of other writers.
+FOREIGN_HEARTBEAT_SHARE = 0.5
+
+
 class FaultSeries:
     """Disrupts a deployment; each series runs in a thread of its own.
 
@@ -31,7 +35,7 @@
         self.errors: list[BaseException] = []
 
     def choose(self) -> list[Callable[[random.Random], None]]:
-        """Return two to four series."""
+        """Return two to four series, and perhaps foreign heartbeats."""
         series = (
             self.kill_entries,
             self.kill_sides,
@@ -44,7 +48,12 @@
             self.change_configuration,
             self.evacuate_zones,
         )
-        return self.random.sample(series, self.random.randint(2, 4))
+        chosen: list[Callable[[random.Random], None]] = self.random.sample(
+            series, self.random.randint(2, 4)
+        )
+        if self.random.random() < FOREIGN_HEARTBEAT_SHARE:
+            chosen.append(self.send_foreign_heartbeats)
+        return chosen
 
     def start(
         self, names: tuple[str, ...], is_over: Callable[[], bool]
@@ -132,6 +141,10 @@
         for side in choice.sample(self.deployment.sides, 2):
             self.deployment.order_minion(side, '/crash')
 
+    def send_foreign_heartbeats(self, choice: random.Random) -> None:
+        side = choice.choice(self.deployment.sides)
+        self.deployment.order_minion(side, '/foreign-heartbeat')
+
     def change_configuration(self, choice: random.Random) -> None:
         for _ in range(choice.randint(1, 4)):
             self.deployment.configure()
--- a/tests/test_execution/fake_target.py
+++ b/tests/test_execution/fake_target.py
@@ -11,6 +11,7 @@
 from jackdawridge.execution.leased_target import (
     FencedError,
     HoldOrder,
+    OtherIncarnationError,
     Run,
     RunEnd,
     StartOrder,
@@ -58,11 +59,14 @@
 
     def __init__(self, clock: Any = None) -> None:
         self.clock = clock or Clock()
+        self.id = 'target'
+        #: Id of the target that the side addresses, empty for any.
+        self.bound_id = ''
         self.incarnation = 0
         self.sequence = 0
         self.boot()
         #: Faults of the next orders, in order: ok, lost, late, vanished,
-        #: unseen, refused or silent.
+        #: unseen, refused, silent or replaced.
         self.faults: deque[str] = deque()
         self.is_up = True
         #: Whether stops are neither answered nor carried out.
@@ -95,7 +99,7 @@
         """Return the next heartbeat."""
         self.sequence += 1
         return TargetHeartbeat(
-            'target',
+            self.id,
             self.incarnation,
             self.now(),
             self.sequence,
@@ -151,15 +155,24 @@
         self.lease_until = max(self.lease_until, until)
 
     def bind(self, target_id: str) -> None:
-        """Ignore the id, as there is only one target."""
+        self.bound_id = target_id
 
     def task_name(self, task_id: str) -> str:
         key = parse_task_id(task_id)
         assert key is not None
         return f'{job_id_of(key.ticket) or key.ticket}.{key.task}'
 
+    async def identify(
+        self, target_id: str, fencing_token: int
+    ) -> TargetReport:
+        await self.apply_fault()
+        self.check_id(target_id)
+        self.check_token(fencing_token)
+        return self.report()
+
     async def hold(self, order: HoldOrder) -> TargetReport:
         await self.apply_fault()
+        self.check_id(self.bound_id)
         self.check_token(order.fencing_token)
         if order.lease_until is not None:
             self.extend_lease(order.lease_until)
@@ -167,6 +180,9 @@
         until = self.clock.seconds() + order.wait
         while not self.ends and self.clock.seconds() < until:
             await self.wait_seconds(TICK_INTERVAL)
+        return self.report()
+
+    def report(self) -> TargetReport:
         return TargetReport(
             self.incarnation,
             self.now(),
@@ -180,6 +196,7 @@
             raise NotSentError('refused')
         if fault in {'lost', 'late', 'vanished', 'unseen'}:
             await self.lose_answer(order, fault)
+        self.check_id(self.bound_id)
         self.check_token(order.fencing_token)
         return self.carry_out(order)
 
@@ -215,6 +232,7 @@
         if self.ignores_stops:
             await self.wait_seconds(START_TIMEOUT)
             raise AnswerLostError('stop was ignored')
+        self.check_id(self.bound_id)
         self.check_token(fencing_token)
         hidden_start = self.starts_before_stop.pop(run, None)
         if hidden_start is not None:
@@ -230,6 +248,15 @@
             self.faults.popleft()
             await self.wait_seconds(ANSWER_TIMEOUT)
             raise AnswerLostError('silent')
+        if self.faults and self.faults[0] == 'replaced':
+            self.faults.popleft()
+            await self.wait_seconds(ANSWER_TIMEOUT)
+            raise OtherIncarnationError('another target was there')
+
+    def check_id(self, target_id: str) -> None:
+        """Refuse an order for a target with another id."""
+        if target_id not in {'', self.id}:
+            raise OtherIncarnationError('another target is there')
 
     def check_token(self, token: int) -> None:
         """Refuse an order with a lower fencing token than the highest seen."""
--- a/tests/test_execution/test_leased_worker.py
+++ b/tests/test_execution/test_leased_worker.py
@@ -385,6 +385,17 @@
         harness.advance(1)
         assert not harness.keeper.unavailable_reason
 
+    def test_late_answer_of_an_earlier_target_is_ignored(self) -> None:
+        """It was taken for a sign that the present target had gone."""
+        harness = Harness()
+        harness.target.faults.append('replaced')
+        while harness.target.faults:
+            harness.advance(0.01)
+        harness.target.restart()
+        harness.keeper.target_joined(*harness.target.incarnation_and_clock())
+        harness.advance(0.5)
+        assert not harness.keeper.unavailable_reason
+
     def test_take_over_fences_earlier_orders(self) -> None:
         harness = Harness()
         harness.target.faults.append('late')
--- a/tests/test_execution/test_target_monitor.py
+++ b/tests/test_execution/test_target_monitor.py
@@ -74,6 +74,75 @@
         assert target.running == running
         assert side.execution.state.closed_reason == ''
 
+    def test_heartbeat_of_another_writer_changes_nothing(self) -> None:
+        """Its side reported living runs as lost, and used no target again."""
+        world = LeasedWorld()
+        target = world.targets[0]
+        side = world.sides[0]
+        world.sides[1].monitor.target_left('target')
+        world.submit(0, 2)
+        world.run(0.1)
+        running = dict(target.running)
+        assert running
+        own = target.heartbeat()
+        side.monitor.heartbeat_received(
+            own._replace(
+                id='foreign', service='unknown', incarnation=own.incarnation + 5
+            )
+        )
+        world.run(0.1)
+        assert target.running == running
+        world.run(1)
+        assert len(target.history) == 2
+        side.monitor.heartbeat_received(target.heartbeat(draining=True))
+        assert side.execution.state.closed_reason == 'target is leaving'
+
+    def test_heartbeat_with_a_foreign_service_changes_nothing(self) -> None:
+        """A side announced whatever service a heartbeat of its target named."""
+        world = LeasedWorld()
+        target = world.targets[0]
+        side = world.sides[0]
+        service = side.peers.introduction.service
+        side.monitor.heartbeat_received(
+            target.heartbeat()._replace(
+                service='unknown', room=Room(1, 1, 0, 0)
+            )
+        )
+        assert side.peers.introduction.service == service
+        assert side.execution.state.room.free.cores > 1
+
+    def test_late_heartbeat_of_an_earlier_incarnation_changes_nothing(
+        self,
+    ) -> None:
+        """It stopped all tasks of the incarnation that a report had shown."""
+        world = LeasedWorld()
+        target = world.targets[0]
+        side = world.sides[0]
+        late = target.heartbeat()
+        target.restart()
+        world.run(0.5)
+        world.sides[1].monitor.target_left('target')
+        world.submit(0, 2)
+        world.run(0.1)
+        running = dict(target.running)
+        assert running
+        side.monitor.heartbeat_received(late)
+        world.run(0.1)
+        assert target.running == running
+        assert side.keeper.table.incarnation == target.incarnation
+
+    def test_target_with_a_new_id_is_used_after_a_lost_answer(self) -> None:
+        world = LeasedWorld()
+        target = world.targets[0]
+        side = world.sides[0]
+        target.restart()
+        target.id = 'replacement'
+        target.faults.extend(('silent', 'silent'))
+        side.monitor.heartbeat_received(target.heartbeat())
+        world.run(1)
+        assert side.keeper.is_joined('replacement', target.incarnation)
+        assert side.execution.state.closed_reason == ''
+
     def test_size_of_a_new_incarnation_is_applied(self) -> None:
         world = LeasedWorld()
         target = world.targets[0]
--- a/tests/test_platform/leased_world.py
+++ b/tests/test_platform/leased_world.py
@@ -184,6 +184,14 @@
     def task_name(self, task_id: str) -> str:
         return self.target.task_name(task_id)
 
+    async def identify(
+        self, target_id: str, fencing_token: int
+    ) -> TargetReport:
+        report: TargetReport = await self.deliver(
+            self.target.identify(target_id, fencing_token)
+        )
+        return report
+
     async def hold(self, order: HoldOrder) -> TargetReport:
         report: TargetReport = await self.deliver(self.target.hold(order))
         return report
--- a/tests/test_platform/standin.py
+++ b/tests/test_platform/standin.py
@@ -119,7 +119,11 @@
 
     def send_heartbeat(self) -> None:
         self.sequence += 1
-        document = {
+        self.post_heartbeat(self.minion_id, self.heartbeat())
+
+    def heartbeat(self) -> dict[str, Any]:
+        """Return the body of a heartbeat."""
+        return {
             'service': 'ledger',
             'address': self.address,
             'zone': self.zone,
@@ -133,7 +137,9 @@
             'seq': self.sequence,
             'born': self.target.incarnation,
         }
-        url = f'http://{self.control}/v1/Instances.Heartbeat/{self.minion_id}'
+
+    def post_heartbeat(self, minion_id: str, document: dict[str, Any]) -> None:
+        url = f'http://{self.control}/v1/Instances.Heartbeat/{minion_id}'
         sent = ensureDeferred(self.client.ask('POST', url, document, 1))
         # The side may not run yet; the next heartbeat is sent regardless.
         sent.addErrback(lambda _: None)
@@ -144,6 +150,16 @@
         self.send_heartbeat()
         return b'{}'
 
+    @app.route('/foreign-heartbeat', methods=['PUT'])
+    def send_foreign_heartbeat(self, request: Any) -> bytes:
+        """Send a heartbeat of another writer to the side of this minion."""
+        document = self.heartbeat()
+        document.update(
+            service='unknown', seq=1, clockMs=1, born=int(time.time() * 1000)
+        )
+        self.post_heartbeat('i-foreign', document)
+        return b'{}'
+
     @app.route('/history')
     def history(self, request: Any) -> bytes:
         """Return name, start and end of every run.
@@ -159,6 +175,8 @@
 
     @app.route('/v1/hold', methods=['POST'])
     def hold(self, request: Any) -> Any:
+        if self.is_for_another(request):
+            return b''
         body = json.loads(request.content.read())
         lease = body.get('deadlineMs')
         order = HoldOrder(
@@ -173,6 +191,8 @@
 
     @app.route('/v1/run-start', methods=['POST'])
     def run_start(self, request: Any) -> Any:
+        if self.is_for_another(request):
+            return b''
         body = json.loads(request.content.read())
         order = StartOrder(
             Run(body['task'], body['run']),
@@ -197,12 +217,22 @@
 
     @app.route('/v1/run-stop', methods=['POST'])
     def run_stop(self, request: Any) -> Any:
+        if self.is_for_another(request):
+            return b''
         body = json.loads(request.content.read())
         stopped = self.target.stop(
             Run(body['task'], body['run']), body['fence']
         )
         return self.answer(request, stopped, lambda _: {})
 
+    def is_for_another(self, request: Any) -> bool:
+        """Refuse an order for another minion; return whether it is one."""
+        expected = request.getHeader('Expect-Instance') or self.minion_id
+        if expected == self.minion_id:
+            return False
+        request.setResponseCode(421)
+        return True
+
     def answer(self, request: Any, call: Any, write: Any) -> Any:
         """Answer an order when it has been carried out or refused as fenced."""
 
--- a/tests/test_platform/test_codecs.py
+++ b/tests/test_platform/test_codecs.py
@@ -15,7 +15,12 @@
 from jackdawridge.cmd.main import main
 from jackdawridge.deployment.state import DeploymentState, Queue
 from jackdawridge.errors import PeerUnavailableError, SettingsError
-from jackdawridge.execution.leased_target import HoldOrder, Run, StartOrder
+from jackdawridge.execution.leased_target import (
+    HoldOrder,
+    OtherIncarnationError,
+    Run,
+    StartOrder,
+)
 from jackdawridge.execution.messages import TaskKey
 from jackdawridge.execution.starter import format_task_id
 from jackdawridge.execution.worker import AnswerLostError
@@ -399,6 +404,22 @@
         }
         assert sent[4] == {'Expect-Instance': 'i-1'}
 
+    def test_identification_names_the_expected_minion(self) -> None:
+        """It grants no lease and leaves the addressed minion as it is."""
+        body = {'clockMs': 5, 'born': 77, 'running': [], 'endedRuns': []}
+        minion, http_client = self.client(200, json.dumps(body).encode())
+        report = self.outcome(minion.identify('i-2', 9))
+        assert report.incarnation == 77
+        sent = http_client.calls[0]
+        assert sent[2] == {'fence': 9, 'lastSeen': 0}
+        assert sent[4] == {'Expect-Instance': 'i-2'}
+        assert minion.minion_id == 'i-1'
+
+    def test_identification_by_another_minion_is_an_error(self) -> None:
+        minion, _ = self.client(421, b'')
+        failure = self.outcome(minion.identify('i-2', 9))
+        assert failure.check(OtherIncarnationError)
+
     @pytest.mark.parametrize(
         ('status', 'body', 'started'),
         [
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -330,6 +330,17 @@
         assert len(history) == 8
         assert not overlaps(history)
 
+    def test_foreign_heartbeat_ends_no_run(self, site: Site) -> None:
+        """Its side reported living runs as lost, which ran twice at once."""
+        with ThreadPoolExecutor(1) as caller:
+            job = (ENTRIES[0], '0123456789abcdef', 6, 1.5)
+            reply = caller.submit(site.submit, *job)
+            time.sleep(0.6)
+            for side in SIDES:
+                site.minion(side, 'PUT', '/foreign-heartbeat')
+        assert reply.result().status == 200
+        assert len(site.history()) == 6
+
     def test_job_completes_when_a_side_dies(self, site: Site) -> None:
         with ThreadPoolExecutor(1) as caller:
             job = (ENTRIES[0], '0123456789abcdef', 6, 1.5)
