Start nothing after a pause before its input is read

Cause: an entry takes a request for as new as the moment at which it reads it. It accepts what waits in the kernel, reads the requests in the next turn of the loop, starts the jobs, and reads that the callers have closed in the turn after that: in the record a job arrives at 5.349 s, starts at 5.378 and is abandoned at 5.405. Windows don't help, since the reports that renew them wait in the kernel as well.

Requests are taken to be as old as the pause, and a caller's patience is counted from there, so that a caller that is cut off, whose end never arrives, is covered: a job without any patience left is refused as not run. On related paths: jobs that a lead places during the pause, and requests that take long to arrive.

No message changes.

--- a/jackdawridge/coordination/component.py
+++ b/jackdawridge/coordination/component.py
@@ -74,6 +74,8 @@
         self.delegate = Delegate(engine.placer)
         self.selector = LeadSelector()
         engine.decider = JointDecider(self)
+        #: Decisions of the lead that wait until the input of a pause is read.
+        self.held_decisions: list[tuple[Peer, Decisions]] = []
         self.timer: DelayedCall | None = None
         self.checked_at = self.clock.seconds()
         application.on_message(Decisions, self.decisions_received)
@@ -84,6 +86,7 @@
         events.connect('peer_left', self.peer_left)
         events.connect('sides_changed', self.sides_changed)
         events.connect('draining', self.end_delegations)
+        events.connect('backlog_read', self.backlog_read)
 
     def start(self) -> None:
         """Do nothing: the check is scheduled as soon as there are tasks."""
@@ -222,11 +225,16 @@
     def decisions_received(self, peer: Peer, decisions: Decisions) -> None:
         """Carry out the decisions of the lead.
 
-        Starts the tasks that it has placed and sheds the jobs that it names.
+        Starts the tasks that it has placed and sheds the jobs that it names;
+        after a pause only once everything that had arrived was read, since the
+        callers may have left.
 
         :param peer: sender, which may be a former lead.
         :param decisions: decisions of the sender.
         """
+        if self.engine.backlog.is_pending():
+            self.held_decisions.append((peer, decisions))
+            return
         incarnation = peer.introduction.incarnation
         accepted = self.delegate.apply(
             incarnation, decisions, self.clock.seconds()
@@ -237,6 +245,13 @@
         if self.delegate.ended:
             self.engine.place_soon()
 
+    def backlog_read(self) -> None:
+        """Carry out the decisions of the lead that have waited."""
+        held = self.held_decisions
+        self.held_decisions = []
+        for peer, decisions in held:
+            self.decisions_received(peer, decisions)
+
     def delegation_ended(self, peer: Peer, ending: DelegationEnd) -> None:
         """Place tasks at this entry again if the sender is the lead.
 
--- a/jackdawridge/operations/listeners.py
+++ b/jackdawridge/operations/listeners.py
@@ -13,6 +13,8 @@
 from jackdawridge.wire.link import CONNECTION_DONE
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.internet.defer import Deferred
     from twisted.internet.interfaces import IAddress, IProtocol
     from twisted.python.failure import Failure
@@ -127,6 +129,8 @@
         """Start without a request, and so without a timer."""
         super().__init__()
         self.timer: Any = None
+        #: Local time after which the request was sent, in seconds.
+        self.received_after = float('-inf')
 
     def dataReceived(self, data: bytes) -> None:
         """Start the timer with the first bytes of a request.
@@ -134,7 +138,9 @@
         :param data: the received bytes.
         """
         if self.timer is None:
+            self.received_after = self.factory.sent_after()
             self.timer = self.callLater(REQUEST_TIMEOUT, self.request_timed_out)
+        self.factory.input_read()
         super().dataReceived(data)
 
     def allContentReceived(self) -> None:
@@ -145,6 +151,7 @@
     def connectionMade(self) -> None:
         """Add the connection to those of the listener."""
         self.factory.channels.add(self)
+        self.factory.input_read()
         super().connectionMade()
 
     def connectionLost(self, reason: Failure = CONNECTION_DONE) -> None:
@@ -153,6 +160,7 @@
         :param reason: why the connection was lost.
         """
         self.stop_timer()
+        self.factory.input_read()
         self.factory.connections -= 1
         self.factory.channels.discard(self)
         super().connectionLost(reason)
@@ -211,6 +219,11 @@
         #: Open connections, of which `stop` closes all.
         self.channels: set[BoundedChannel] = set()
         self.body_memory = BodyMemory(body_memory)
+        #: Returns a local time after which input was sent that is read now, in
+        #: seconds.
+        self.sent_after: Callable[[], float] = reactor.seconds
+        #: Called whenever input was read or a connection was made or lost.
+        self.input_read: Callable[[], None] = ignore_input
         self.port: Any = None
 
     def buildProtocol(self, addr: IAddress | None) -> IProtocol | None:
@@ -271,3 +284,16 @@
         for channel in tuple(self.channels):
             channel.loseConnection()
         return pause(self.listen_reactor, CLOSING_TIME if self.channels else 0)
+
+
+def ignore_input() -> None:
+    """Ignore that input was read."""
+
+
+def age_of(request: Any, now: float) -> float:
+    """Return for how long a request may have been under way, in seconds.
+
+    :param request: request of a caller at an `HttpListener`.
+    :param now: local time in seconds.
+    """
+    return max(now - float(request.channel.received_after), 0)
--- a/jackdawridge/platform/callers.py
+++ b/jackdawridge/platform/callers.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from jackdawridge.logs import get_logger
+from jackdawridge.operations.listeners import age_of
 from jackdawridge.operations.routes import ANY, GET, Route, Routes
 from jackdawridge.platform.jobs import UnsupportedJob, read_job
 from jackdawridge.submission.attended import RETRY_AFTER, Outcome, Verdict
@@ -158,14 +159,17 @@
                 'job rejected: not supported', job=job_id, reason=spec.reason
             )
             return refuse(request, _UNAVAILABLE, spec.reason)
-        wait_time = read_wait_time(request)
+        # The caller has waited since it sent the request.
+        age = age_of(request, self.application.clock.seconds())
+        wait_time = max(read_wait_time(request) - age, 0)
         logger.info(
             'job arrives',
             job=job_id,
             queue=queue.name,
             version=self.state.version,
             tasks=len(spec.tasks),
-            patience=wait_time,
+            patience=round(wait_time, 3),
+            age=round(age, 3),
         )
         submitted = self.jobs.submit(
             job_id.lower(), spec, digest_of(content), wait_time
--- a/jackdawridge/platform/entry.py
+++ b/jackdawridge/platform/entry.py
@@ -18,6 +18,7 @@
 from jackdawridge.platform.callers import CallerResource, ReadinessResource
 from jackdawridge.platform.operators import make_record_follower
 from jackdawridge.submission.attended import AttendedJobs
+from jackdawridge.submission.backlog import InputBacklog
 from jackdawridge.submission.component import EntrySubmission
 from jackdawridge.submission.status import engine_status
 from jackdawridge.wire.peers import Listener
@@ -25,6 +26,7 @@
 if TYPE_CHECKING:
     from jackdawridge.application import Application
     from jackdawridge.platform.settings import NodeSettings
+    from jackdawridge.submission.engine import JobEngine
 
 #: Slices whose messages an entry sends and receives on the platform. Loading a
 #: schema delays the start, so the others are left out.
@@ -45,6 +47,8 @@
     engine.orders.configuration = EntryDeployment(
         application, engine, state, daemon.peers
     )
+    backlog = InputBacklog(application)
+    engine.backlog = backlog
     jobs = AttendedJobs(application, engine, daemon.peers.introduction.address)
     register_job_metrics(application.events, daemon.registry, engine)
     application.events.connect(
@@ -60,16 +64,18 @@
         )
 
     daemon.resource.is_ready = is_ready
-    add_listeners(daemon, node, CallerResource(application, state, jobs))
+    callers = make_caller_listener(
+        node, CallerResource(application, state, jobs), backlog
+    )
+    add_listeners(daemon, node, callers)
     members = Membership.from_application(
         application, daemon.peers, daemon.connector
     )
     submission.relay.entries = members
     daemon.resource.sections['membership'] = members.status
-    coordinator = Coordination(application, daemon.peers, engine, members)
-    daemon.resource.sections['coordination'] = coordinator.status
+    application.add(backlog)
     application.add(members)
-    application.add(coordinator)
+    add_coordination(daemon, engine, members)
     application.add(submission)
     application.add(
         make_record_follower(reactor, node.store_address, application, state)
@@ -80,8 +86,44 @@
     return application
 
 
+def add_coordination(
+    daemon: Daemon, engine: JobEngine, members: Membership
+) -> None:
+    """Add the component that delegates decisions, with its status section.
+
+    :param daemon: the process.
+    :param engine: owns the jobs.
+    :param members: lists the other entries.
+    """
+    coordination_component = Coordination(
+        daemon.application, daemon.peers, engine, members
+    )
+    daemon.resource.sections['coordination'] = coordination_component.status
+    daemon.application.add(coordination_component)
+
+
+def make_caller_listener(
+    node: NodeSettings, callers: CallerResource, backlog: InputBacklog
+) -> HttpListener:
+    """Return the listener for callers, which knows how old requests may be.
+
+    :param node: settings of the process, with the addresses.
+    :param callers: resource that serves the callers.
+    :param backlog: watches for pauses of the process.
+    """
+    listener = HttpListener(
+        backlog.clock,
+        node.caller_address,
+        callers.routes,
+        node.settings.memory_bytes('body_memory'),
+    )
+    listener.sent_after = backlog.sent_after
+    listener.input_read = backlog.input_read
+    return listener
+
+
 def add_listeners(
-    daemon: Daemon, node: NodeSettings, callers: CallerResource
+    daemon: Daemon, node: NodeSettings, callers: HttpListener
 ) -> None:
     """Add the listeners for operators, the platform, callers and peers.
 
@@ -90,7 +132,7 @@
 
     :param daemon: the process.
     :param node: settings of the process, with the addresses.
-    :param callers: resource that serves the callers.
+    :param callers: listener for the callers.
     """
     application = daemon.application
     readiness = ReadinessResource(daemon.resource.is_ready)
@@ -98,14 +140,7 @@
     application.add(
         HttpListener(daemon.reactor, node.readiness_address, readiness.routes)
     )
-    application.add(
-        HttpListener(
-            daemon.reactor,
-            node.caller_address,
-            callers.routes,
-            node.settings.memory_bytes('body_memory'),
-        )
-    )
+    application.add(callers)
     application.add(
         Listener(
             daemon.reactor, daemon.peers, node.settings.text('peer_address')
--- a/jackdawridge/submission/attended.py
+++ b/jackdawridge/submission/attended.py
@@ -210,8 +210,9 @@
         kept = self.engine.answers.find(ticket, now)
         if kept is not None and kept.state == 'complete':
             return succeed(to_outcome(kept))
-        if now >= self.accepts_until:
-            refusal = Overload(RETRY_AFTER, 'entry is leaving')
+        reason = refusal_reason(self.accepts_until - now, patience)
+        if reason:
+            refusal = Overload(RETRY_AFTER, reason)
             return succeed(refusal_outcome(ticket, refusal))
         objective = spec.objective._replace(patience=patience)
         if spec.objective != NO_OBJECTIVE:
@@ -319,6 +320,17 @@
         )
 
 
+def refusal_reason(accepting_time: float, patience: float) -> str:
+    """Return why a new job is refused, or an empty string.
+
+    :param accepting_time: time for which jobs are still accepted, in seconds.
+    :param patience: time for which the caller waits, in seconds.
+    """
+    if accepting_time <= 0:
+        return 'entry is leaving'
+    return '' if patience > 0 else 'caller may have left'
+
+
 def refusal_outcome(ticket: str, overload: Overload) -> Outcome:
     """Return the outcome of a job that was not queued, and log it.
 
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -13,6 +13,7 @@
 from jackdawridge.placement.learning import NO_USAGE, Usage
 from jackdawridge.placement.request import Request
 from jackdawridge.submission.answers import AnswerStore
+from jackdawridge.submission.backlog import NoBacklog
 from jackdawridge.submission.decider import LocalDecider
 from jackdawridge.submission.jobs import Job
 from jackdawridge.submission.orders import SideOrders
@@ -33,6 +34,7 @@
         UnplaceableTask,
     )
     from jackdawridge.submission.answers import KeptAnswer
+    from jackdawridge.submission.backlog import Backlog
     from jackdawridge.submission.decider import Decider
     from jackdawridge.submission.jobs import JobAnswer, JobSpec
     from jackdawridge.submission.sides import SideRecord
@@ -70,6 +72,9 @@
         self.orders = SideOrders(self.jobs, placer)
         #: Shares placement decisions with other entries.
         self.decider: Decider = LocalDecider()
+        #: Nothing is placed while input of a pause may not have been read.
+        self.backlog: Backlog = NoBacklog()
+        application.events.connect('backlog_read', self.place_soon)
         self.is_turn_scheduled = False
         self.cancelled_tickets: list[str] = []
         #: Fires when the last open job has finished.
@@ -198,7 +203,11 @@
         """Send pending cancellations, then place queued tasks."""
         self.is_turn_scheduled = False
         now = self.clock.seconds()
-        if self.decider.is_delegated():
+        if self.backlog.is_pending():
+            # The callers of queued jobs may have left during the pause. This is
+            # called again once that has been read.
+            self.send_cancellations()
+        elif self.decider.is_delegated():
             self.send_cancellations()
             self.placer.check_running_if_due(now)
         else:
--- a/tests/test_coordination/test_coordination.py
+++ b/tests/test_coordination/test_coordination.py
@@ -14,9 +14,9 @@
     LeadSelector,
     can_reach_sides,
 )
-from jackdawridge.submission.jobs import JobSpec, TaskSpec
+from jackdawridge.submission.jobs import JobSpec, Started, TaskSpec
 from tests.test_coordination.joint_world import JointWorld, make_record
-from tests.test_submission.world import CORES
+from tests.test_submission.world import CORES, PendingBacklog
 
 TASK = TaskSpec('kind', 1, 16, 0, 0.1, b'')
 #: Time in seconds within which an entry places tasks after its lead fails.
@@ -251,6 +251,26 @@
         assert len(world.started()) == 2
         assert world.answers[ticket][0].state == 'complete'
 
+    def test_grants_are_carried_out_once_the_input_of_a_pause_is_read(
+        self,
+    ) -> None:
+        """An entry that woke up started jobs whose callers had left."""
+        world = make_world()
+        backlog = PendingBacklog()
+        world.engine(1).backlog = backlog
+        left = submit(world, 1, 2)
+        waiting = submit(world, 1, 2)
+        world.settle()
+        assert not world.started()
+        world.engine(1).fail(left, 'caller has gone')
+        backlog.is_over = True
+        world.entries[1].application.events.emit('backlog_read')
+        world.settle()
+        assert len(world.started()) == 2
+        finish_all(world)
+        assert world.answers[left][0].started is Started.nothing
+        assert world.answers[waiting][0].state == 'complete'
+
     @pytest.mark.parametrize('tasks', [2, 3 * CORES])
     def test_jobs_complete_after_the_lead_is_killed(self, tasks: int) -> None:
         """Granted tasks keep running, and the entry places the rest itself."""
--- a/tests/test_submission/world.py
+++ b/tests/test_submission/world.py
@@ -235,6 +235,15 @@
         return [peer for peer in self.peers if peer.introduction.role == role]
 
 
+class PendingBacklog:
+    """Input of a pause that counts as unread until a test says otherwise."""
+
+    is_over = False
+
+    def is_pending(self) -> bool:
+        return not self.is_over
+
+
 class FakeProcess:
     """A run of an entry or a side with its own clock."""
 
