Count a start as carried out if its target was joined anew since

A task that had run could be called not run: its start is carried out, the answer is lost, and the worker restarts under its id.

Cause: a start without an answer is settled by a stop and a later report. The next incarnation answers both, and knows nothing of the run. The take-over that follows each join now reports such a run as lost.

No message changes.

--- a/jackdawridge/execution/leased_worker.py
+++ b/jackdawridge/execution/leased_worker.py
@@ -133,13 +133,14 @@
         if lease is None:
             return self.not_started(run, task, reason or RUNS_MUST_END)
         order = StartOrder(run, task.payload, lease, self.table.token)
+        joins = self.keeper.binding.joins
         try:
             verdict = await self.target.start(order)
         except AnswerLostError as error:
             logger.warning(
                 error.message, step='start', run=run.name, number=run.number
             )
-            return await self.resolve_start(run, task)
+            return await self.resolve_start(run, task, joins)
         except FencedError as error:
             self.table.raise_token()
             return self.not_started(run, task, error.message)
@@ -162,14 +163,19 @@
         self.table.remove_run(run)
         return StartAnswer(task.id, False, reason)
 
-    async def resolve_start(self, run: Run, task: WorkerTask) -> StartAnswer:
+    async def resolve_start(
+        self, run: Run, task: WorkerTask, joins: int
+    ) -> StartAnswer:
         """Find out whether a start without an answer was carried out.
 
         If a report shows the run, it was. Otherwise the run is stopped, which
-        also prevents it from starting later.
+        also prevents it from starting later. If another target or incarnation
+        was joined meanwhile, its reports don't tell what the one before has
+        done: the run counts as started, and is lost with the take-over.
 
         :param run: attempt that was ordered.
         :param task: task to start.
+        :param joins: number of targets joined when it was ordered.
         """
         await self.refresh()
         if run in self.table.reported_runs:
@@ -183,9 +189,10 @@
             # Only a report that was requested after the stop is conclusive.
             await pause(self.clock, STOP_CHECK_INTERVAL)
             await self.refresh()
-        if run not in self.table.runs:
-            # The run had started and its end was reported. A refusal would
-            # tell the entry that no part of the task was run.
+        if run not in self.table.runs or joins != self.keeper.binding.joins:
+            # The run had started and its end was reported, or it may have been
+            # at work until the target's end. A refusal would tell the entry
+            # that no part of the task was run.
             return StartAnswer(task.id, True, '')
         return self.not_started(run, task, UNANSWERED)
 
--- a/tests/test_execution/test_leased_worker.py
+++ b/tests/test_execution/test_leased_worker.py
@@ -5,6 +5,7 @@
 from itertools import repeat
 from typing import TYPE_CHECKING
 
+import pytest
 from twisted.internet.defer import ensureDeferred
 
 from jackdawridge.execution.lease_grants import LeaseTiming
@@ -351,6 +352,19 @@
         assert [ended for ended, _ in harness.outcomes()] == [task]
         assert not harness.target.running
 
+    @pytest.mark.parametrize('delay', [0, 0.04, 0.08, 0.12])
+    def test_start_before_a_restart_is_not_refused(self, delay: float) -> None:
+        """It was said not to have run by a report of the next incarnation."""
+        harness = Harness()
+        harness.advance(delay)
+        harness.target.faults.append('lost')
+        task = harness.start()
+        assert harness.target.history
+        harness.target.restart()
+        harness.advance(3)
+        assert [answer.started for answer in harness.answers] == [True]
+        assert harness.outcomes() == [(task, 'lost')]
+
     def test_run_at_a_restarted_target_is_not_lost_early(self) -> None:
         """A start that reached the new incarnation was reported as lost."""
         harness = Harness()
