--- a/tests/test_platform/test_paused_entry.py
+++ b/tests/test_platform/test_paused_entry.py
@@ -11,7 +11,7 @@
 import pytest
 
 from tests.processes.http import Reply, request
-from tests.test_platform.test_processes import ENTRIES, Site
+from tests.test_platform.test_processes import ENTRIES, START_TIME, Site
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -45,6 +45,22 @@
     return bool(status['coordination']['lead'])
 
 
+def wait_for_lead(site: Site) -> str:
+    """Return the entry for which the other one decides.
+
+    An entry selects a lead when it gets a job.
+    """
+    until = time.monotonic() + START_TIME
+    number = 0
+    while time.monotonic() < until:
+        for host in ENTRIES:
+            number += 1
+            site.submit(host, f'f{number:015x}')
+            if has_lead(site, host):
+                return host
+    raise AssertionError('no entry has a lead')
+
+
 class PausedEntry:
     """One of two entries, paused in a `with` block.
 
@@ -52,10 +68,8 @@
     """
 
     def __init__(self, site: Site, *, decides: bool = True) -> None:
-        for number, host in enumerate(ENTRIES):
-            site.submit(host, f'f{number:015x}')
-        hosts = [host for host in ENTRIES if has_lead(site, host) != decides]
-        self.host = hosts[0]
+        led = wait_for_lead(site)
+        self.host = ENTRIES[1 - ENTRIES.index(led)] if decides else led
         self.other = ENTRIES[1 - ENTRIES.index(self.host)]
         self.process = site.nodes[self.host]
         self.address = f'{self.host}:{site.ports["front"]}'
