--- a/jackdawridge/execution/target_check.py
+++ b/jackdawridge/execution/target_check.py
@@ -57,6 +57,9 @@
         self.confirmed = confirmed
         #: Heartbeat that was received last; earlier ones are not checked again.
         self.newest: TargetHeartbeat | None = None
+        #: Lowest fencing token of the next call: the target has refused all
+        #: lower ones.
+        self.token = 0
 
     def begin(self, heartbeat: TargetHeartbeat) -> None:
         """Check a heartbeat, in place of earlier ones.
@@ -71,14 +74,16 @@
 
         :param heartbeat: heartbeat that arrived.
         """
-        token = first_token(heartbeat.incarnation, heartbeat.clock)
+        self.token = max(
+            self.token, first_token(heartbeat.incarnation, heartbeat.clock)
+        )
         for _ in range(MAX_CALLS):
             if self.newest is not heartbeat:
                 return
             try:
-                await self.check_once(heartbeat, token)
+                await self.check_once(heartbeat)
             except FencedError:
-                token += TOKEN_STEP
+                self.token += TOKEN_STEP
             except OtherIncarnationError as error:
                 log_refusal(heartbeat, error.message)
                 return
@@ -88,12 +93,12 @@
             else:
                 return
 
-    async def check_once(self, heartbeat: TargetHeartbeat, token: int) -> None:
+    async def check_once(self, heartbeat: TargetHeartbeat) -> None:
         """Ask the target once.
 
         :param heartbeat: heartbeat that arrived.
-        :param token: fencing token of the call.
         """
+        token = self.token
         report = await self.target.identify(heartbeat.id, token)
         if report.incarnation == heartbeat.incarnation:
             self.confirmed(heartbeat, token)
--- a/tests/test_execution/test_target_monitor.py
+++ b/tests/test_execution/test_target_monitor.py
@@ -4,6 +4,7 @@
 
 from jackdawridge.execution.leased_target import OtherIncarnationError
 from jackdawridge.execution.messages import Room
+from jackdawridge.execution.run_table import TOKEN_STEP
 from tests.test_platform.leased_world import LeasedWorld
 
 
@@ -143,6 +144,21 @@
         assert side.keeper.is_joined('replacement', target.incarnation)
         assert side.execution.state.closed_reason == ''
 
+    def test_target_that_has_seen_higher_fencing_tokens_is_joined(
+        self,
+    ) -> None:
+        """A side that starts anew doesn't know the tokens of those before."""
+        world = LeasedWorld()
+        world.kill(world.sides[0])
+        target = world.targets[0]
+        target.token += 40 * TOKEN_STEP
+        world.sides[0] = world.make_side(0)
+        for _ in range(3):
+            world.run(0.5)
+            world.sides[0].monitor.heartbeat_received(target.heartbeat())
+        world.run(2)
+        assert world.sides[0].execution.state.closed_reason == ''
+
     def test_size_of_a_new_incarnation_is_applied(self) -> None:
         world = LeasedWorld()
         target = world.targets[0]
