Start a node of the soak only after its leaving process has ended

The logs show why: its sixth process got SIGTERM at 25:14.239 and served until 25:17.442, as it should; at 25:16.982 another series of faults, which found no process to kill, started the seventh, which could not listen on the address in use and ended. No supervisor starts a machine's process while the one before it runs. A start now waits for the process that leaves.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -64,14 +64,16 @@
         self.zone = machine.zone
         self.role = machine.role
         self.lock = threading.Lock()
+        #: Held while a process leaves; its successor is started after it.
+        self.leaving = threading.Lock()
         self.process: Process | None = None
         self.starts = 0
         #: Processes that have ended although the soak did not end them.
         self.own_ends: list[int] = []
 
     def start(self) -> None:
-        """Start the process unless it is running."""
-        with self.lock:
+        """Start the process unless it is running, after one that leaves."""
+        with self.leaving, self.lock:
             if self.process is None:
                 self.starts += 1
                 self.process = self.deployment.run(self)
@@ -84,12 +86,13 @@
 
     def terminate(self) -> None:
         """Send SIGTERM and wait until the process has left."""
-        with self.lock:
-            process = self.take_process()
-        if process is not None:
-            process.terminate()
-            process.wait(LEAVE_TIME)
-            process.close()
+        with self.leaving:
+            with self.lock:
+                process = self.take_process()
+            if process is not None:
+                process.terminate()
+                process.wait(LEAVE_TIME)
+                process.close()
 
     def take_process(self) -> Process | None:
         """Return the process, of which the node keeps none any more."""
