--- a/tests/test_execution/fake_target.py
+++ b/tests/test_execution/fake_target.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from jackdawridge.execution.lease_grants import LeaseTiming
 from jackdawridge.execution.leased_target import (
     FencedError,
     HoldOrder,
@@ -26,6 +27,14 @@
 
 #: Longest lease that the target grants, in seconds.
 MAX_LEASE_TIME = 1.0
+#: Leases of the sides beside such targets.
+TIMING = LeaseTiming(
+    lease=0.7,
+    renewal=0.15,
+    drift=0.02,
+    stop=0.05,
+    target_limit=MAX_LEASE_TIME,
+)
 #: Timeouts of the side's calls that stay unanswered, in seconds.
 ANSWER_TIMEOUT = 0.25
 START_TIMEOUT = 0.06
--- a/tests/test_execution/test_leased_worker.py
+++ b/tests/test_execution/test_leased_worker.py
@@ -8,14 +8,13 @@
 import pytest
 from twisted.internet.defer import ensureDeferred
 
-from jackdawridge.execution.lease_grants import LeaseTiming
 from jackdawridge.execution.lease_keeper import LeaseKeeper
 from jackdawridge.execution.leased_target import Run, TargetReport
 from jackdawridge.execution.leased_worker import LeasedWorker
 from jackdawridge.execution.messages import TaskKey
 from jackdawridge.execution.starter import format_task_id
 from jackdawridge.execution.worker import NotSentError, WorkerTask
-from tests.test_execution.fake_target import MAX_LEASE_TIME, FakeTarget
+from tests.test_execution.fake_target import TIMING, FakeTarget
 
 if TYPE_CHECKING:
     from jackdawridge.execution.worker import (
@@ -30,13 +29,6 @@
 #: Steps of 0.01 s within which the end of a task is reported, at the latest
 #: after a lease.
 MAX_OUTCOME_STEPS = 300
-TIMING = LeaseTiming(
-    lease=0.7,
-    renewal=0.15,
-    drift=0.02,
-    stop=0.05,
-    target_limit=MAX_LEASE_TIME,
-)
 
 
 class Listener:
--- a/tests/test_platform/leased_world.py
+++ b/tests/test_platform/leased_world.py
@@ -12,7 +12,6 @@
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
 from jackdawridge.execution.component import SideExecution
-from jackdawridge.execution.lease_grants import LeaseTiming
 from jackdawridge.execution.lease_keeper import LeaseKeeper
 from jackdawridge.execution.leased_worker import LeasedWorker
 from jackdawridge.execution.run_deadlines import RunDeadlines
@@ -21,7 +20,7 @@
 from jackdawridge.submission.attended import AttendedJobs, Outcome, Verdict
 from jackdawridge.submission.component import EntrySubmission
 from jackdawridge.submission.jobs import JobSpec, TaskSpec
-from tests.test_execution.fake_target import MAX_LEASE_TIME, FakeTarget
+from tests.test_execution.fake_target import TIMING, FakeTarget
 from tests.test_submission.world import CORES, FakeLink, FakeProcess
 
 if TYPE_CHECKING:
@@ -37,13 +36,6 @@
 
 ADDRESS = '127.0.0.1:1'
 LEASE_TIME = 0.702
-TIMING = LeaseTiming(
-    lease=0.7,
-    renewal=0.15,
-    drift=0.02,
-    stop=0.05,
-    target_limit=MAX_LEASE_TIME,
-)
 #: Settings that the platform adapter derives if callers resend after 1.3 s.
 SIDE_SETTINGS = {
     'heartbeat': 0.25,
