Share the site fixture and its status request between the process tests

test_paused_entry.py had a copy of the fixture of test_processes.py and of the request that Site.sides_of makes. Both files take the fixture from conftest.py and the status from Site.status now.

--- a/tests/test_platform/test_paused_entry.py
+++ b/tests/test_platform/test_paused_entry.py
@@ -6,17 +6,13 @@
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import pytest
 
 from tests.processes.http import Reply, request
 from tests.test_platform.test_processes import ENTRIES, START_TIME, Site
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-    from pathlib import Path
-
 pytestmark = pytest.mark.processes
 
 #: Time for which the entry is paused, in seconds. Its links last that long.
@@ -30,21 +26,6 @@
 JOB_IDS = {f'{number:016x}' for number in range(20)}
 
 
-@pytest.fixture
-def site(tmp_path: Path) -> Iterator[Site]:
-    """Return a running site; it is stopped after the test."""
-    running = Site(tmp_path)
-    yield running
-    running.close()
-
-
-def has_lead(site: Site, host: str) -> bool:
-    """Return whether another entry decides for an entry."""
-    address = f'{host}:{site.ports["operator"]}'
-    status = request(address, 'GET', '/v1/status').body
-    return bool(status['coordination']['lead'])
-
-
 def wait_for_lead(site: Site) -> str:
     """Return the entry for which the other one decides.
 
@@ -56,7 +37,7 @@
         for host in ENTRIES:
             number += 1
             site.submit(host, f'f{number:015x}')
-            if has_lead(site, host):
+            if site.status(host)['coordination']['lead']:
                 return host
     raise AssertionError('no entry has a lead')
 
--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -20,8 +20,6 @@
 from tests.processes.runs import find_overlaps, parse_run
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from tests.processes.process import Process
 
 pytestmark = pytest.mark.processes
@@ -85,10 +83,13 @@
             return False
         return reply.status == 200
 
-    def sides_of(self, host: str) -> list[Any]:
+    def status(self, host: str) -> Any:
+        """Return the status of an entry that operators see."""
         address = f'{host}:{self.ports["operator"]}'
-        status = request(address, 'GET', '/v1/status').body
-        sides: list[Any] = status['jobs']['sides']
+        return request(address, 'GET', '/v1/status').body
+
+    def sides_of(self, host: str) -> list[Any]:
+        sides: list[Any] = self.status(host)['jobs']['sides']
         return sides
 
     def ask(
@@ -132,14 +133,6 @@
             process.close()
 
 
-@pytest.fixture
-def site(tmp_path: Path) -> Iterator[Site]:
-    """Return a running site; it is stopped after the test."""
-    running = Site(tmp_path)
-    yield running
-    running.close()
-
-
 def ignores_hangup(pid: int) -> bool:
     """Return whether SIGHUP doesn't end a process: it is ignored or handled."""
     status = Path(f'/proc/{pid}/status').read_text()
