End the processes of a soak whose deployment does not link

Change: start is apart from construction, and both users close what they have constructed. Same starts, same checks.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -119,7 +119,7 @@
 
 
 class Deployment:
-    """The processes of a soak.
+    """The processes of a soak, which `start` starts and `close` ends.
 
     :param folder: receives settings and logs.
     :param seed: seed of the faults of the minions.
@@ -140,6 +140,12 @@
         self.ports = self.platform.ports
         self.store = self.platform.store
         self.version = 0
+
+    def start(self) -> None:
+        """Start all processes and wait until they are linked.
+
+        The processes that have started until an error are ended by `close`.
+        """
         self.configure()
         for node in self.nodes():
             node.start()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from contextlib import closing
 from typing import TYPE_CHECKING, NamedTuple
 
 from tests.processes.background import Background
@@ -58,13 +59,11 @@
 
     :param folder: receives settings and logs.
     """
-    deployment = Deployment(
-        folder, plan.seed, plan.size, Builds(plan.seed, plan.older)
-    )
-    try:
+    builds = Builds(plan.seed, plan.older)
+    parts = Deployment(folder, plan.seed, plan.size, builds)
+    with closing(parts) as deployment:
+        deployment.start()
         return disturb(deployment, plan)
-    finally:
-        deployment.close()
 
 
 def disturb(deployment: Deployment, plan: Plan) -> Report:
--- a/tests/test_platform/test_late_stops.py
+++ b/tests/test_platform/test_late_stops.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from contextlib import closing
 from typing import TYPE_CHECKING
 
 import pytest
@@ -27,9 +28,10 @@
 @pytest.fixture
 def deployment(tmp_path: Path) -> Iterator[Deployment]:
     """Return two entries and three sides with minions."""
-    running = Deployment(tmp_path, 1, Size(2, 3), Builds(1, None))
-    yield running
-    running.close()
+    parts = Deployment(tmp_path, 1, Size(2, 3), Builds(1, None))
+    with closing(parts) as running:
+        running.start()
+        yield running
 
 
 class TestLateStops:
