Carry the kind of a worker from its target to the entries

Callers with unequal workers were answered late although half the room was free. Cause: a worker's kind stands in the labels of its target's heartbeats, and nobody read them; each entry had to find each side slow by itself.

The first label becomes 'worker_kind' of the heartbeat, of the introduction (a field appended; empty from a process that does not send it) and of the description of the side. Nothing decides by it yet.

--- a/jackdawridge/execution/target_monitor.py
+++ b/jackdawridge/execution/target_monitor.py
@@ -99,7 +99,7 @@
         """
         previous = self.record.current
         self.record.update(heartbeat)
-        if previous is None or not is_same_size(previous, heartbeat):
+        if previous is None or not is_same_worker(previous, heartbeat):
             self.resize(heartbeat)
         if previous is None or previous.draining != heartbeat.draining:
             self.update_availability()
@@ -133,9 +133,9 @@
                 self.execution.heartbeats.send_all()
 
     def resize(self, heartbeat: TargetHeartbeat) -> None:
-        """Apply the size of the target and announce it to the peers.
+        """Apply the size of the target; announce it and its kind to the peers.
 
-        :param heartbeat: heartbeat with the size.
+        :param heartbeat: heartbeat with the size and the kind.
         """
         self.execution.state.room.resize(heartbeat.room)
         peers = self.peers
@@ -145,6 +145,7 @@
                 cores=heartbeat.room.cores,
                 memory=heartbeat.room.memory,
                 accelerators=heartbeat.room.accelerators,
+                worker_kind=heartbeat.worker_kind,
             )
         )
 
@@ -164,14 +165,20 @@
     return current.service == heartbeat.service
 
 
-def is_same_size(earlier: TargetHeartbeat, later: TargetHeartbeat) -> bool:
-    """Return whether two heartbeats show the same incarnation and size.
+def is_same_worker(earlier: TargetHeartbeat, later: TargetHeartbeat) -> bool:
+    """Return whether two heartbeats show the same target, size and kind.
 
     :param earlier: heartbeat that arrived first.
     :param later: heartbeat that arrived after it.
     """
-    return (earlier.id, earlier.incarnation, earlier.room) == (
+    return (
+        earlier.id,
+        earlier.incarnation,
+        earlier.room,
+        earlier.worker_kind,
+    ) == (
         later.id,
         later.incarnation,
         later.room,
+        later.worker_kind,
     )
--- a/jackdawridge/execution/target_record.py
+++ b/jackdawridge/execution/target_record.py
@@ -23,6 +23,8 @@
     #: Whether the target refuses new work because it is leaving.
     draining: bool
     room: Room
+    #: Kind of the worker; workers of one kind are alike. Empty if unknown.
+    worker_kind: str = ''
 
 
 class TargetRecord:
--- a/jackdawridge/membership/messages.capnp
+++ b/jackdawridge/membership/messages.capnp
@@ -14,6 +14,7 @@
   generation @10 :Int64;
   version @11 :UInt32;
   leaving @12 :Bool;
+  workerKind @13 :Text;
 }
 
 struct Member {
--- a/jackdawridge/membership/messages.py
+++ b/jackdawridge/membership/messages.py
@@ -49,6 +49,9 @@
     version: int = 0
     #: Whether the process is leaving and takes no new work.
     leaving: bool = False
+    #: Kind of the worker beside a side, as its target announces it; empty if
+    #: unknown, and from processes that do not send it.
+    worker_kind: str = ''
 
 
 class Precedence(NamedTuple):
--- a/jackdawridge/placement/fleet.py
+++ b/jackdawridge/placement/fleet.py
@@ -71,7 +71,7 @@
         side.ramp.begin(now)
         self.last_joined_at = now
         self.sides[side_id] = side
-        if all(info[1:] != shape[1:] for shape in self.known_workers):
+        if not any(is_same_shape(info, shape) for shape in self.known_workers):
             self.known_workers.append(info)
         self.refresh_open_sides()
 
@@ -265,6 +265,18 @@
     return side.is_open
 
 
+def is_same_shape(info: SideInfo, other: SideInfo) -> bool:
+    """Return whether two workers have the same size and service.
+
+    :param info: description of a side and its worker.
+    :param other: description of another side.
+    """
+    neutral = info._replace(
+        failure_domain=other.failure_domain, worker_kind=other.worker_kind
+    )
+    return neutral == other
+
+
 def total_resources(infos: Iterable[SideInfo]) -> Resources:
     """Return the total resources of workers.
 
--- a/jackdawridge/placement/side_view.py
+++ b/jackdawridge/placement/side_view.py
@@ -30,6 +30,8 @@
     accelerators: int
     #: Service of the target beside the side; empty if there is none.
     service: str = ''
+    #: Kind of the worker, as its target announces it; empty if unknown.
+    worker_kind: str = ''
 
     def serves(self, need: Need) -> bool:
         """Return whether the worker belongs to the service of a task.
--- a/jackdawridge/platform/heartbeats.py
+++ b/jackdawridge/platform/heartbeats.py
@@ -27,6 +27,8 @@
 _BAD_REQUEST = 400
 _MILLICORES = 1000
 _MILLISECONDS = 1000
+#: Number of characters of a minion's kind that are used.
+_MAX_KIND_LENGTH = 64
 _STATES = frozenset(('ready', 'draining'))
 
 
@@ -50,6 +52,8 @@
     clock_ms: float
     #: Unix time of the minion's start, in milliseconds.
     born: int
+    #: The minion's kind and its rack; absent at minions that send none.
+    labels: tuple[str, ...] | None = ()
 
 
 class HeartbeatResource:
@@ -116,4 +120,5 @@
         document.service,
         document.state == 'draining',
         room,
+        next(iter(document.labels or ()), '')[:_MAX_KIND_LENGTH],
     )
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -142,6 +142,7 @@
             introduction.memory,
             introduction.accelerators,
             introduction.service,
+            introduction.worker_kind,
         )
         record.ready = True
         self.engine.placer.side_joined(record.node, info, self.clock.seconds())
--- a/tests/test_execution/test_target_monitor.py
+++ b/tests/test_execution/test_target_monitor.py
@@ -170,3 +170,11 @@
         assert side.execution.state.closed_reason == ''
         assert side.execution.state.room.free.cores == 2
         assert side.peers.introduction.cores == 2
+
+    def test_kind_of_the_worker_is_announced(self) -> None:
+        world = LeasedWorld()
+        news = world.targets[0].heartbeat()._replace(worker_kind='b')
+        side = world.sides[0]
+        side.monitor.heartbeat_received(news)
+        world.run(0.5)
+        assert side.peers.introduction.worker_kind == 'b'
--- a/tests/test_platform/test_codecs.py
+++ b/tests/test_platform/test_codecs.py
@@ -335,10 +335,21 @@
         assert heartbeat.room.cores == 16
         assert not heartbeat.draining
 
+    @pytest.mark.parametrize(
+        ('labels', 'worker_kind'),
+        [(['b', 'r1-3'], 'b'), ([], ''), (None, ''), (['k' * 999], 'k' * 64)],
+    )
+    def test_first_label_is_the_kind_of_the_worker(
+        self, labels: list[str] | None, worker_kind: str
+    ) -> None:
+        content = json.dumps(HEARTBEAT | {'labels': labels}).encode()
+        assert read_heartbeat('i-1', content).worker_kind == worker_kind
+
     @pytest.mark.parametrize(
         'changes',
         [
             {'state': 'dancing'},
+            {'labels': [7]},
             {'seq': 'four'},
             {'capacity': None},
             {'born': None},
