Tell kinds of workers apart that objectives do not cover

Targets were counted from the run time at the fast pace, so that jobs were late earlier than their callers say.

Where targets announce kinds, one factor for each kind is learned from all of its workers: the median ratio of run times to estimates, one task of a job. It takes effect where a kind is slower than the stretch of the objectives covers. A side is then judged against its kind, run times are learned again, and targets refer to the work as stated. The setting 'worker_kinds' switches it on; the platform's settings do. A late task counts once.

--- a/jackdawridge/operations/metrics.py
+++ b/jackdawridge/operations/metrics.py
@@ -107,6 +107,13 @@
         'Sides in touch',
         lambda: sum(record.ready for record in engine.orders.sides.values()),
     )
+    add_gauge(
+        registry,
+        'slowest_worker_kind_factor',
+        'Run times at the slowest kind of worker over those at the fastest; 1'
+        ' while kinds are not told apart',
+        lambda: max(engine.placer.worker_kinds.factors.values(), default=1),
+    )
 
 
 def add_gauge(
--- a/jackdawridge/placement/fleet.py
+++ b/jackdawridge/placement/fleet.py
@@ -12,6 +12,7 @@
     Side,
     SideInfo,
 )
+from jackdawridge.placement.worker_kinds import WorkerKinds
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -51,6 +52,7 @@
         #: Whether this entry is a lead, which also decides for other entries.
         self.is_lead = False
         self.health = FleetHealth()
+        self.worker_kinds = WorkerKinds()
         #: Moving average of the expected run times of placed tasks, in
         #: seconds; 0 before the first.
         self.typical_run_time: float = 0
@@ -217,10 +219,17 @@
         side.close_until(verdict.closed_until)
 
     def update_run_time_factors(self) -> None:
-        """Update the run time factor of each side."""
-        run_time_factors = self.health.run_time_factors()
+        """Update the run time factor of each side.
+
+        A side has the factor of its kind where the kinds are far apart, and
+        otherwise the one that was learned for the side.
+        """
+        kind_factors = self.worker_kinds.factors
+        side_factors = {} if kind_factors else self.health.run_time_factors()
         for side_id, side in self.sides.items():
-            side.run_time_factor = run_time_factors.get(side_id, 1)
+            side.run_time_factor = kind_factors.get(
+                side.info.worker_kind, side_factors.get(side_id, 1)
+            )
 
     def fits_known_worker(self, need: Need) -> bool:
         """Return whether a task fits any worker that has ever been known.
--- a/jackdawridge/placement/health.py
+++ b/jackdawridge/placement/health.py
@@ -199,6 +199,15 @@
             for side_id, log2_excess in known.items()
         }
 
+    def restart_run_times(self) -> None:
+        """Forget the run times at all sides; failures are kept.
+
+        Call this after a change of what run times are compared with.
+        """
+        self.log2_excess = 0
+        for health in self.sides.values():
+            health.restart_run_times()
+
     def record_probe(
         self, health: SideHealth, number: int, log2_excess: float, now: float
     ) -> None:
--- a/jackdawridge/placement/learning.py
+++ b/jackdawridge/placement/learning.py
@@ -8,6 +8,8 @@
 from jackdawridge.placement.sketch import MIN_VALUE, Sketch
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from jackdawridge.placement.request import Request
 
 #: Maximum number of kinds; the one known longest is discarded first.
@@ -271,6 +273,19 @@
                 self.kinds.pop(next(iter(self.kinds)))
         kind.observe(request, usage)
 
+    def relearn_run_times(
+        self, observations: Iterable[tuple[Request, float]]
+    ) -> None:
+        """Replace what was learned of run times.
+
+        :param observations: requests of ended tasks with their run times in
+            seconds.
+        """
+        for kind in self.kinds.values():
+            kind.run_time = QuantityEstimator(LATE_QUANTILE)
+        for request, run_time in observations:
+            self.observe(request, Usage(0, 0, run_time))
+
     def need(self, request: Request) -> Need:
         """Return the estimated need of a task, or the declared one.
 
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -69,6 +69,9 @@
         policy = POLICIES[settings.text('policy')](seed)
         placer = cls(policy, QueueBounds(settings.integer('queue_limit')))
         placer.ramp_time = settings.number('ramp_time')
+        placer.worker_kinds.is_enabled = (
+            settings.text('worker_kinds') == 'announced'
+        )
         return placer
 
     def set_limits(self, team: str, limits: TeamLimits) -> None:
--- a/jackdawridge/placement/side_health.py
+++ b/jackdawridge/placement/side_health.py
@@ -64,6 +64,17 @@
         weight = max(LONG_TERM_WEIGHT, 1 / self.long_term_tasks)
         self.long_term_excess += weight * (log2_excess - self.long_term_excess)
 
+    def restart_run_times(self) -> None:
+        """Forget the run times and that the side was slow or late."""
+        self.log2_excess = 0
+        self.long_term_excess = 0
+        self.long_term_tasks = 0
+        self.tasks = 0
+        self.late_jobs.clear()
+        self.is_late = False
+        self.is_slow = False
+        self.slow_until = float('-inf')
+
     def clear_failures(self) -> None:
         """Forget the failures, and allow a probe at once."""
         self.failures = 0
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -8,6 +8,7 @@
 from jackdawridge.placement.admission import QueueBounds
 from jackdawridge.placement.fleet import REFUSAL_WAIT, Fleet
 from jackdawridge.placement.headroom import MIN_LARGE_JOB_TASKS
+from jackdawridge.placement.kind_adjustment import KindAdjustment
 from jackdawridge.placement.lateness import MAX_USEFUL_FACTOR
 from jackdawridge.placement.learning import Learner, Need, Usage
 from jackdawridge.placement.queued_jobs import Standing
@@ -110,9 +111,13 @@
         self.queues = Queues()
         self.learner = Learner()
         self.assignments: dict[Key, Assignment] = {}
+        #: Keys of running tasks that were found late, each of which counts
+        #: once: a very long task says no more of its side each time.
+        self.late_keys: set[Key] = set()
         #: Sides of the last runs of retried tasks, by ticket and position.
         self.avoided: dict[str, dict[int, str]] = defaultdict(dict)
         self.stall_detector = StallDetector()
+        self.kind_adjustment = KindAdjustment(self)
         #: Assignments of stalled tasks that have to be stopped.
         self.stalled: list[Assignment] = []
         #: Number of placements.
@@ -160,7 +165,9 @@
         headroom_work = work if job.size >= MIN_LARGE_JOB_TASKS else 0
         if objective == NO_OBJECTIVE:
             return Standing(now + TARGET_SLOWDOWN * ideal, now, headroom_work)
-        target = objective.stretch * ideal + objective.allowance
+        self.worker_kinds.stretch = objective.stretch
+        owed = max(longest_run_time * self.worker_kinds.owed_factor, work)
+        target = objective.stretch * owed + objective.allowance
         useful_time = min(MAX_USEFUL_FACTOR * target, objective.patience)
         # Jobs are ordered by the latest start that meets the target.
         latest_start = min(
@@ -221,6 +228,7 @@
         :param key: key of the task.
         """
         assignment = self.assignments.pop(key, None)
+        self.late_keys.discard(key)
         if assignment is None:
             return None
         team = self.queues.team(assignment.request.team)
@@ -308,8 +316,12 @@
                 usage.run_time / assignment.run_time_factor if is_typical else 0
             )
             self.learner.observe(request, usage._replace(run_time=run_time))
+            self.kind_adjustment.observe(assignment, usage.run_time)
             measured_run_time = usage.run_time or now - assignment.placed_at
-            factor = measured_run_time / max(need.run_time, MIN_RUN_TIME)
+            factor = measured_run_time / max(
+                self.kind_adjustment.expected_run_time(assignment),
+                MIN_RUN_TIME,
+            )
             self.health.record_success(
                 side_id, request.kind, assignment.number, factor, now
             )
@@ -371,17 +383,19 @@
         self.stalled.extend(
             self.stall_detector.find(retryable, reported_at_by_side)
         )
-        for assignment in self.assignments.values():
+        for key, assignment in self.assignments.items():
             side_id = assignment.side_id
             limit = assignment.latest_end(LATE_FACTOR, MIN_LATE_TIME)
             if (
-                side_id in reported_at_by_side
+                key not in self.late_keys
+                and side_id in reported_at_by_side
                 and reported_at_by_side[side_id] > limit
             ):
+                self.late_keys.add(key)
                 self.health.record_late(
                     side_id, assignment.request.ticket, self.placed
                 )
                 self.apply_health(side_id)
         for limited in tuple(self.health.limited):
             self.apply_health(limited)
-        self.update_run_time_factors()
+        self.kind_adjustment.update()
--- a/jackdawridge/platform/settings.py
+++ b/jackdawridge/platform/settings.py
@@ -170,6 +170,7 @@
             log_service=boot.platform.address,
             # Newly started minions run at full speed on this platform.
             ramp_time=0,
+            worker_kinds='announced',
             orphan_time=worker_lease * (1 + CLOCK_DRIFT_FRACTION) + stop_time,
         )
     else:
--- a/jackdawridge/submission/tracking.py
+++ b/jackdawridge/submission/tracking.py
@@ -15,6 +15,7 @@
     Resolution,
     Resolve,
 )
+from jackdawridge.logs import get_logger
 from jackdawridge.placement.side_view import SideInfo
 from jackdawridge.submission.sides import SideRecord
 from jackdawridge.util.clock import make_loop
@@ -27,6 +28,8 @@
     from jackdawridge.submission.engine import JobEngine
     from jackdawridge.wire.peers import Peer
 
+logger = get_logger('submission')
+
 #: Interval of the sweep for silent sides as a fraction of the heartbeat
 #: interval.
 SWEEP_FRACTION = 0.25
@@ -274,6 +277,8 @@
     def sweep(self) -> None:
         """Drop silent sides, and fail jobs whose tasks can never run.
 
+        Logs it if kinds of workers came to be told apart, or ceased to be.
+
         After a pause of this process it does nothing, so that messages that
         arrived during the pause are processed first.
         """
@@ -288,6 +293,9 @@
                 self.suspend(record)
             if silence > self.loss_timeout:
                 self.forget_side(record)
+        change = self.engine.placer.worker_kinds.pop_change()
+        if change is not None:
+            logger.notice('factors of worker kinds', step='place', **change)
         for impossible in self.engine.placer.reject_impossible(now):
             self.engine.fail(
                 impossible.request.ticket, impossible.reason, is_final=True
--- a/tests/test_placement/overload.py
+++ b/tests/test_placement/overload.py
@@ -43,7 +43,7 @@
 RUN_TIME_RATIOS = (0.85, 1.15)
 #: Step of the simulated time, in seconds.
 TIME_STEP = 0.01
-#: Time after the last arrival until all tasks have ended, in seconds.
+#: Usual time after the last arrival until all tasks have ended, in seconds.
 DRAIN_TIME = 12.0
 #: Interval at which sides report their room to all entries, in seconds.
 HEARTBEAT = 0.25
@@ -193,6 +193,8 @@
 NO_FAILURES = Failing((), 0, 0)
 #: Run time factors of permanently slower workers by side: none.
 NO_SLOWER_KINDS: Mapping[str, float] = MappingProxyType({})
+#: Announced kinds of workers by side: none.
+NO_WORKER_KINDS: Mapping[str, str] = MappingProxyType({})
 
 
 class Replay:
@@ -209,6 +211,10 @@
     :param run_time_factors: run time factors of permanently slow workers.
     :param kinds: kinds of jobs by name.
     :param failing: temporary failure of some workers.
+    :param worker_kinds: announced kinds of workers by side.
+    :param cores: cores of workers by side, where they differ from the usual.
+    :param drain_time: time after the last arrival until all tasks have ended,
+        in seconds.
     """
 
     def __init__(
@@ -222,6 +228,9 @@
         run_time_factors: Mapping[str, float] = NO_SLOWER_KINDS,
         kinds: Mapping[str, Kind] = KINDS,
         failing: Failing = NO_FAILURES,
+        worker_kinds: Mapping[str, str] = NO_WORKER_KINDS,
+        cores: Mapping[str, float] = NO_SLOWER_KINDS,
+        drain_time: float = DRAIN_TIME,
     ) -> None:
         """Add the sides long before the first job, past their ramp-up."""
         self.jobs = jobs
@@ -230,6 +239,7 @@
         self.run_time_factors = run_time_factors
         self.kinds = kinds
         self.failing = failing
+        self.drain_time = drain_time
         #: Number of tasks by side that have failed although their entry knew of
         #: an earlier failure there when it sent them.
         self.failures: dict[str, int] = defaultdict(int)
@@ -244,7 +254,10 @@
             for number in range(entries)
         ]
         self.placer = self.placers[0]
-        self.free = {f's{number}': float(CORES) for number in range(sides)}
+        self.free = {
+            f's{number}': float(cores.get(f's{number}', CORES))
+            for number in range(sides)
+        }
         #: Number of the last batch of each entry to each side.
         self.batches: dict[tuple[Placer, str], int] = defaultdict(int)
         self.ends: list[tuple[float, str, int, int]] = []
@@ -254,10 +267,16 @@
         self.outcomes: dict[int, Outcome] = {}
         self.refusals = 0
         for placer in self.placers:
-            for side_id in self.free:
-                placer.side_joined(
-                    side_id, SideInfo('d', CORES, MEMORY, 0), -10
+            placer.worker_kinds.is_enabled = bool(worker_kinds)
+            for side_id, free in self.free.items():
+                info = SideInfo(
+                    'd',
+                    free,
+                    MEMORY,
+                    0,
+                    worker_kind=worker_kinds.get(side_id, ''),
                 )
+                placer.side_joined(side_id, info, -10)
                 self.report(placer, side_id, -10)
             placer.entries_changed(entries, {})
 
@@ -270,7 +289,7 @@
         arrived = 0
         now: float = 0
         next_heartbeat: float = 0
-        while now < self.jobs[-1].at + DRAIN_TIME:
+        while now < self.jobs[-1].at + self.drain_time:
             while arrived < len(self.jobs) and self.jobs[arrived].at <= now:
                 self.arrive(arrived)
                 arrived += 1
