--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -111,8 +111,7 @@
         self.queues = Queues()
         self.learner = Learner()
         self.assignments: dict[Key, Assignment] = {}
-        #: Keys of running tasks that were found late, each of which counts
-        #: once: a very long task says no more of its side each time.
+        #: Keys of running tasks that were found late; each counts once.
         self.late_keys: set[Key] = set()
         #: Sides of the last runs of retried tasks, by ticket and position.
         self.avoided: dict[str, dict[int, str]] = defaultdict(dict)
--- a/jackdawridge/placement/worker_kinds.py
+++ b/jackdawridge/placement/worker_kinds.py
@@ -21,7 +21,7 @@
 from jackdawridge.placement.worker_speed import START_MARGIN
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from jackdawridge.placement.request import Request
 
@@ -30,10 +30,11 @@
 MIN_JOBS = 8
 #: Number of jobs that are remembered, so that each counts once.
 MAX_COUNTED_JOBS = 1024
-#: Maximum numbers of kinds of tasks and of workers that are compared; further
-#: ones are left out.
-MAX_TASK_KINDS = 200
-MAX_WORKER_KINDS = 32
+#: Maximum number of kinds of tasks that are compared by themselves; further
+#: ones are taken together.
+MAX_TASK_KINDS = 16
+#: Maximum number of kinds of workers; further ones are left out.
+MAX_WORKER_KINDS = 8
 #: Number of ended tasks that are remembered until the factors are known, from
 #: which the run times are then learned again.
 MAX_EARLY_TASKS = 512
@@ -106,9 +107,8 @@
             self.observe_declared(request, run_time)
         if self.is_counted(worker_kind, request.ticket):
             return
-        if len(self.ratios) < MAX_TASK_KINDS:
-            self.ratios.setdefault(request.kind, {})
-        sketches = self.ratios.get(request.kind, {})
+        task_kind = limited_key(request.kind, self.ratios)
+        sketches = self.ratios.setdefault(task_kind, {})
         if len(sketches) < MAX_WORKER_KINDS:
             sketches.setdefault(worker_kind, Sketch())
         sketch = sketches.get(worker_kind)
@@ -137,11 +137,9 @@
         :param request: request of the task.
         :param run_time: measured run time in seconds.
         """
-        if len(self.declared_ratios) < MAX_TASK_KINDS:
-            self.declared_ratios.setdefault(request.kind, Sketch())
-        sketch = self.declared_ratios.get(request.kind)
-        if sketch is not None:
-            sketch.observe(run_time / max(request.run_time, MIN_VALUE))
+        task_kind = limited_key(request.kind, self.declared_ratios)
+        sketch = self.declared_ratios.setdefault(task_kind, Sketch())
+        sketch.observe(run_time / max(request.run_time, MIN_VALUE))
 
     def update(self) -> bool:
         """Update the factors.
@@ -264,3 +262,15 @@
         self.early_tasks.clear()
         for request, run_time, worker_kind in early:
             yield request, run_time / self.factors.get(worker_kind, 1)
+
+
+def limited_key(task_kind: str, known: Collection[str]) -> str:
+    """Return the key by which a kind of task is counted.
+
+    :param task_kind: kind of the task.
+    :param known: kinds that are counted by themselves.
+    :returns: the kind, or an empty string if there are too many.
+    """
+    if task_kind in known or len(known) < MAX_TASK_KINDS:
+        return task_kind
+    return ''
--- a/tests/test_placement/test_worker_kinds.py
+++ b/tests/test_placement/test_worker_kinds.py
@@ -15,7 +15,12 @@
 
 from jackdawridge.placement.request import Request
 from jackdawridge.placement.side_view import SideInfo
-from jackdawridge.placement.worker_kinds import WorkerKinds
+from jackdawridge.placement.worker_kinds import (
+    MAX_COUNTED_JOBS,
+    MAX_TASK_KINDS,
+    MAX_WORKER_KINDS,
+    WorkerKinds,
+)
 from tests.test_placement.overload import (
     CORES,
     MEMORY,
@@ -239,6 +244,18 @@
         assert change['jobs'] == {'a': 30, 'b': 30}
         assert kinds.pop_change() is None
 
+    def test_memory_is_bounded(self) -> None:
+        kinds = self.learn()
+        for number in range(3000):
+            name = str(number)
+            request = Request(name, 0, 'team', name, 1, 1, 0, 1)
+            kinds.observe(name, request, 1, 1)
+            kinds.observe('a', request, 1, 1)
+        assert len(kinds.ratios) <= MAX_TASK_KINDS + 1
+        assert len(kinds.declared_ratios) <= MAX_TASK_KINDS + 1
+        assert len(kinds.counted_jobs) <= MAX_COUNTED_JOBS
+        assert max(map(len, kinds.ratios.values())) <= MAX_WORKER_KINDS
+
     def test_unknown_kinds_are_not_compared(self) -> None:
         kinds = WorkerKinds()
         kinds.is_enabled = True
