Compare worker kinds with the strictest objective, not the newest

Where jobs name objectives of different stretch, the factors would have come and gone with the job that came last before a check. The lowest stretch of any objective counts now. Found by reading; tests of placement pass.

--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -164,7 +164,7 @@
         headroom_work = work if job.size >= MIN_LARGE_JOB_TASKS else 0
         if objective == NO_OBJECTIVE:
             return Standing(now + TARGET_SLOWDOWN * ideal, now, headroom_work)
-        self.worker_kinds.stretch = objective.stretch
+        self.worker_kinds.observe_stretch(objective.stretch)
         owed = max(longest_run_time * self.worker_kinds.owed_factor, work)
         target = objective.stretch * owed + objective.allowance
         useful_time = min(MAX_USEFUL_FACTOR * target, objective.patience)
--- a/jackdawridge/placement/worker_kinds.py
+++ b/jackdawridge/placement/worker_kinds.py
@@ -75,7 +75,7 @@
         #: Run times that the objectives refer to, over those at the fastest
         #: kind of worker; at least 1.
         self.owed_factor: float = 1
-        #: Stretch of the newest objective.
+        #: Lowest stretch of any objective so far.
         self.stretch = float('inf')
         #: Tickets of jobs with a task that was counted, each with the kind of
         #: its worker; the oldest first.
@@ -84,6 +84,16 @@
         self.change: Mapping[str, object] | None = None
         self.early_tasks: deque[EarlyTask] = deque(maxlen=MAX_EARLY_TASKS)
 
+    def observe_stretch(self, stretch: float) -> None:
+        """Add the stretch of the objective of a job.
+
+        The strictest objective counts, so that jobs with different ones do
+        not make the factors come and go.
+
+        :param stretch: time for an answer over the work of the job.
+        """
+        self.stretch = min(self.stretch, stretch)
+
     def observe(
         self,
         worker_kind: str,
--- a/tests/test_placement/test_worker_kinds.py
+++ b/tests/test_placement/test_worker_kinds.py
@@ -218,7 +218,7 @@
         source = random.Random(1)
         kinds = WorkerKinds()
         kinds.is_enabled = True
-        kinds.stretch = 1.6
+        kinds.observe_stretch(1.6)
         for number in range(60):
             request = Request(str(number), 0, 'team', 'pick', 1, 1, 0, declared)
             worker_kind = 'ab'[number % 2]
@@ -244,6 +244,12 @@
         assert change['jobs'] == {'a': 30, 'b': 30}
         assert kinds.pop_change() is None
 
+    def test_laxer_objectives_do_not_end_the_effect(self) -> None:
+        kinds = self.learn()
+        kinds.observe_stretch(8)
+        assert not kinds.update()
+        assert kinds.factors
+
     def test_memory_is_bounded(self) -> None:
         kinds = self.learn()
         for number in range(3000):
