Limit what connections hold, and release it when they close

A crowd of 64 clients with endless trailers took a process from 60 to 450 MB. A debugging run showed what held it: 4.2 million bytearrays, one for each trailer line of 4 bytes (16,300 a connection), on 259 connections of which one was open. Twisted keeps trailers one by one, and its chunked decoder and its connection refer to each other; byte buffers do not count for the garbage collector, so closed connections stayed until 50,000 other objects had been made. Chunk extensions: 1,659 connections in memory, 15 open, 64 KB in each buffer. Pipelined requests: 326,055 pieces of unread answers on 64 open connections, and a turn of the reactor that took 4.6 s.

Trailers are dropped as they arrive, within Twisted's limit of 64 KB. A connection begins one pipelined request a turn, and none before its answers have been sent. A connection that is closing is aborted after the idle timeout also when its client does not read. ConnectionMemory counts what all connections of a process hold beside bodies, which body_memory limits; beyond connection_memory (24 MB) those that hold most are closed, with 503 not-run where no request has begun. Refusals are counted by kind, with one log line a second of each kind at most.

--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -385,6 +385,7 @@
     number_row('request_answer_memory', _ENTRY, 4, (2, 1048576), 'MB'),
     number_row('payload_memory', _ENTRY, 8, (4, 1048576), 'MB'),
     number_row('body_memory', _ENTRY, 8, (4, 1048576), 'MB'),
+    number_row('connection_memory', _BOTH, 24, (4, 1048576), 'MB'),
     number_row('job_limit', _ENTRY, 20000, (1, 10000000), 'open jobs'),
     number_row('job_tasks', _ENTRY, 710, (1, 100000), 'tasks a job'),
     number_row('ticket_limit', _ENTRY, 20000, (1, 10000000), 'unused tickets'),
--- a/jackdawridge/daemon.py
+++ b/jackdawridge/daemon.py
@@ -7,6 +7,7 @@
 
 from jackdawridge.application import Application
 from jackdawridge.membership import messages as membership_messages
+from jackdawridge.operations.input_limits import InputLimits
 from jackdawridge.operations.listeners import HttpListener
 from jackdawridge.operations.metrics import make_registry
 from jackdawridge.operations.operator_resource import OperatorResource
@@ -60,6 +61,8 @@
     registry: CollectorRegistry
     #: Serves the health, the metrics and the status of the process.
     resource: OperatorResource
+    #: Limits that the listeners share.
+    input_limits: InputLimits
 
     @classmethod
     def from_config(
@@ -98,13 +101,19 @@
             operators,
             registry,
             resource,
+            InputLimits.from_config(settings, registry),
         )
 
     def add_operator_listener(self) -> None:
         """Add a listener for operators at `operator_address`."""
         address = self.application.settings.text('operator_address')
         self.application.add(
-            HttpListener(self.reactor, address, self.operators)
+            HttpListener(
+                self.reactor,
+                address,
+                self.operators,
+                limits=self.input_limits,
+            )
         )
 
 
--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -63,6 +63,7 @@
             settings.text('caller_address'),
             callers,
             settings.memory_bytes('body_memory'),
+            daemon.input_limits,
         )
     )
     application.add(
--- /dev/null
+++ b/jackdawridge/operations/chunked.py
@@ -0,0 +1,49 @@
+"""Decoder of chunked bodies that keeps no trailers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.web.http import _ChunkedTransferDecoder  # noqa: WPS450
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_LINE_END = b'\r\n'
+_LAST_LINE_END = b'\r\n\r\n'
+
+
+class ChunkedDecoder(_ChunkedTransferDecoder):
+    """Decodes a chunked body; drops trailers up to Twisted's limit.
+
+    Twisted keeps each trailer as an object of its own, which takes many times
+    the size of a short one.
+
+    :param on_data: called with each part of the body.
+    :param on_end: called at the end with the bytes behind the body.
+    """
+
+    def __init__(
+        self, on_data: Callable[[bytes], None], on_end: Callable[[bytes], None]
+    ) -> None:
+        """Start in front of the first chunk."""
+        super().__init__(on_data, on_end)
+        # Read by Twisted's parent class, too.
+        self._start = 0
+
+    @property
+    def buffered(self) -> int:
+        """Number of received bytes that are not decoded yet."""
+        return len(self._buffer)
+
+    def _dataReceived_TRAILER(self) -> bool:  # noqa: N802
+        """Drop complete trailers, then let Twisted look for the end."""
+        if not self._buffer.startswith(_LINE_END):
+            end = self._buffer.find(_LAST_LINE_END)
+            if end < 0:
+                end = self._buffer.rfind(_LINE_END)
+            if end >= 0:
+                dropped = end + len(_LINE_END)
+                self._receivedTrailerHeadersSize += dropped
+                del self._buffer[:dropped]  # noqa: WPS420
+        return super()._dataReceived_TRAILER()
--- /dev/null
+++ b/jackdawridge/operations/http_channel.py
@@ -0,0 +1,268 @@
+"""HTTP connections that limit the size and duration of requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.web.server import Request
+
+from jackdawridge.operations.bodies import BodyReservation
+from jackdawridge.operations.chunked import ChunkedDecoder
+from jackdawridge.operations.paced_channel import PacedChannel
+from jackdawridge.operations.refusals import Refusal
+from jackdawridge.wire.link import CONNECTION_DONE
+
+if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
+#: Longest body of a request, in bytes.
+MAX_BODY_BYTES = 2097152
+#: Time within which a complete request has to arrive, in seconds.
+REQUEST_TIMEOUT = 15.0
+#: Memory that a header takes beside its bytes, in bytes.
+HEADER_OVERHEAD = 256
+
+_TOO_LARGE = b'HTTP/1.1 413 Content Too Large\r\n'
+_TIMED_OUT = b'HTTP/1.1 408 Request Timeout\r\n'
+_NO_MEMORY = b'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n'
+_CLOSING_HEADERS = (
+    b'X-Jackdawridge-Outcome: not-run\r\n'
+    b'Content-Length: 0\r\n'
+    b'Connection: close\r\n'
+    b'\r\n'
+)
+
+
+class BoundedRequest(Request):
+    """A request whose body is limited by `MAX_BODY_BYTES` and `BodyMemory`."""
+
+    def __init__(self, channel: Any, *args: Any, **options: Any) -> None:
+        """Start with an empty body."""
+        super().__init__(channel, *args, **options)
+        self.reservation = BodyReservation(channel.factory.body_memory)
+        self.refused = False
+
+    def gotLength(self, length: int | None) -> None:
+        """Refuse a request whose `Content-Length` is over `MAX_BODY_BYTES`.
+
+        :param length: the announced length in bytes, None for a chunked body.
+        """
+        # Twisted would keep a long body in a file, but there is no disk. With a
+        # length of 0 it keeps any body in memory.
+        super().gotLength(0)
+        if length is not None and length > MAX_BODY_BYTES:
+            self.refuse(Refusal.body_size, _TOO_LARGE)
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Append a chunk to the body, or refuse the request if it is too long.
+
+        :param data: the received chunk.
+        """
+        if self.refused:
+            return
+        fits = self.reservation.reserve(len(data))
+        if self.reservation.length > MAX_BODY_BYTES:
+            self.refuse(Refusal.body_size, _TOO_LARGE)
+        elif fits:
+            super().handleContentChunk(data)
+        else:
+            self.refuse(Refusal.body_memory, _NO_MEMORY)
+
+    def process(self) -> None:
+        """Serve the request unless it was refused."""
+        if not self.refused:
+            super().process()
+
+    def finish(self) -> None:
+        """End the answer and release the memory of the body."""
+        self.reservation.release()
+        super().finish()
+
+    def connectionLost(self, reason: Failure) -> None:
+        """Release the memory of the body.
+
+        :param reason: why the connection was lost.
+        """
+        self.reservation.release()
+        super().connectionLost(reason)
+
+    def refuse(self, kind: Refusal, status: bytes) -> None:
+        """Answer with an error and close the connection.
+
+        :param kind: why the request is refused.
+        :param status: the first lines of the answer, from the status line on.
+        """
+        if not self.refused:
+            self.refused = True
+            self.reservation.release()
+            channel: Any = self.channel
+            channel.reject(kind, status)
+
+
+class BoundedChannel(PacedChannel):
+    """A connection on which requests have to arrive in `REQUEST_TIMEOUT`.
+
+    What it holds is counted by the `ConnectionMemory` of its listener.
+    """
+
+    def __init__(self) -> None:
+        """Start without a request, and so without a timer."""
+        super().__init__()
+        self.timer: Any = None
+        #: Local time after which the request was sent, in seconds.
+        self.received_after = float('-inf')
+        #: Memory of the head of the request that is being answered, in bytes.
+        self.head_size = 0
+
+    def dataReceived(self, data: bytes) -> None:
+        """Start the timer with the first bytes of a request.
+
+        :param data: the received bytes.
+        """
+        if not self.is_closed:
+            if data and self.timer is None:
+                self.received_after = self.factory.sent_after()
+            self.start_timer()
+            self.factory.input_read()
+            super().dataReceived(data)
+            self.count_memory()
+
+    def allHeadersReceived(self) -> None:
+        """Replace the decoder of a chunked body by one without trailers."""
+        super().allHeadersReceived()
+        if self.length is None and self._transferDecoder is not None:
+            self._transferDecoder = ChunkedDecoder(
+                self.requests[-1].handleContentChunk, self._finishRequestBody
+            )
+
+    def allContentReceived(self) -> None:
+        """Stop the timer of a request that has arrived completely."""
+        self.stop_timer()
+        self.head_size = measure_head(self)
+        super().allContentReceived()
+
+    def requestDone(self, request: Any) -> None:
+        """Release the memory of the head of an answered request.
+
+        :param request: the request whose answer is written.
+        """
+        self.head_size = 0
+        super().requestDone(request)
+        self.count_memory()
+
+    def connectionMade(self) -> None:
+        """Add the connection to those of the listener."""
+        self.factory.channels.add(self)
+        self.factory.input_read()
+        super().connectionMade()
+
+    def connectionLost(self, reason: Failure = CONNECTION_DONE) -> None:
+        """Stop the timers and remove the connection from the listener.
+
+        :param reason: why the connection was lost.
+        """
+        self.stop_timer()
+        self.factory.input_read()
+        self.factory.connections -= 1
+        self.factory.channels.discard(self)
+        super().connectionLost(reason)
+        self.discard_input()
+
+    def discard_input(self) -> None:
+        """Release what has been received and is not part of a request."""
+        self.factory.limits.memory.release(self)
+        super().discard_input()
+
+    def start_timer(self) -> None:
+        """Start the timer of a request unless it runs."""
+        if self.timer is None:
+            self.timer = self.callLater(REQUEST_TIMEOUT, self.request_timed_out)
+
+    def stop_timer(self) -> None:
+        """Cancel the timer if it is running."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
+
+    def request_timed_out(self) -> None:
+        """Close a connection whose request has not arrived in time."""
+        self.timer = None
+        self.reject(Refusal.request_time, _TIMED_OUT)
+
+    def count_memory(self) -> None:
+        """Count what the connection holds; it may be evicted for it."""
+        if not self.is_closed:
+            self.factory.limits.memory.count(self)
+
+    def measure(self) -> int:
+        """Return the memory of all but the body of a request, in bytes."""
+        size = self.head_size + measure_head(self) + len(self._buffer)
+        if self._dataBuffer:
+            size += sum(map(len, self._dataBuffer))
+        if isinstance(self._transferDecoder, ChunkedDecoder):
+            size += self._transferDecoder.buffered
+        return size + count_unsent(self.transport)
+
+    def evict(self) -> None:
+        """Close the connection, which holds most of all."""
+        transport: Any = self.transport
+        is_unsent = count_unsent(transport) > 0
+        if self._handlingRequest or is_unsent:
+            self.count_refusal(Refusal.connection_memory)
+            transport.abortConnection()
+        else:
+            self.reject(Refusal.connection_memory, _NO_MEMORY)
+        self.discard_input()
+
+    def reject(self, kind: Refusal, status: bytes) -> None:
+        """Answer with an error and close the connection.
+
+        :param kind: why the connection is closed.
+        :param status: the first lines of the answer, from the status line on.
+        """
+        self.count_refusal(kind)
+        transport: Any = self.transport
+        if transport is not None:
+            transport.write(status + _CLOSING_HEADERS)
+            self.loseConnection()
+
+    def count_refusal(self, kind: Refusal) -> None:
+        """Count a refusal of a request on this connection.
+
+        :param kind: why it is refused.
+        """
+        self.factory.count_refusal(kind, str(self.getPeer()))
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Count a line that is too long, and close the connection.
+
+        :param line: what has been received of it.
+        """
+        self.count_refusal(Refusal.malformed)
+        self.loseConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        """Count a malformed request, which Twisted answers with 400."""
+        self.count_refusal(Refusal.malformed)
+        super()._respondToBadRequestAndDisconnect()
+
+
+def count_unsent(transport: Any) -> int:
+    """Return the number of written bytes that the system has not taken.
+
+    :param transport: Twisted's transport of a connection, None without one.
+    """
+    if transport is None:
+        return 0
+    unsent: int = transport._tempDataLen  # noqa: WPS437
+    return unsent + len(transport.dataBuffer) - int(transport.offset)
+
+
+def measure_head(channel: Any) -> int:
+    """Return the memory of the head that is being received, in bytes.
+
+    :param channel: a connection, with Twisted's counts of what it received.
+    """
+    headers: int = channel._receivedHeaderCount  # noqa: WPS437
+    size: int = channel._receivedHeaderSize  # noqa: WPS437
+    return headers * HEADER_OVERHEAD + size
--- /dev/null
+++ b/jackdawridge/operations/input_limits.py
@@ -0,0 +1,44 @@
+"""Limits on the input of a process that its listeners share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from jackdawridge.operations.connection_memory import ConnectionMemory
+from jackdawridge.operations.metrics import add_gauge
+from jackdawridge.operations.refusals import Refusals
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+
+    from jackdawridge.config import Settings
+
+
+class InputLimits(NamedTuple):
+    """What all listeners of a process have in common."""
+
+    memory: ConnectionMemory
+    refusals: Refusals
+
+    @classmethod
+    def from_config(
+        cls, settings: Settings, registry: CollectorRegistry
+    ) -> InputLimits:
+        """Return the limits of a process and register their metrics.
+
+        :param settings: settings of the process.
+        :param registry: registry for the metrics of the process.
+        """
+        memory = ConnectionMemory(settings.memory_bytes('connection_memory'))
+        add_gauge(
+            registry,
+            'connection_memory_bytes',
+            'Memory that requests and unread answers of connections take',
+            lambda: memory.used,
+        )
+        return cls(memory, Refusals(registry))
+
+    @classmethod
+    def default(cls) -> InputLimits:
+        """Return limits that no other listener shares, without metrics."""
+        return cls(ConnectionMemory(), Refusals())
--- a/jackdawridge/platform/entry.py
+++ b/jackdawridge/platform/entry.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
+    from jackdawridge.operations.input_limits import InputLimits
     from jackdawridge.platform.settings import NodeSettings
     from jackdawridge.submission.engine import JobEngine
 
@@ -65,7 +66,10 @@
 
     daemon.resource.is_ready = is_ready
     callers = make_caller_listener(
-        node, CallerResource(application, state, jobs), backlog
+        node,
+        CallerResource(application, state, jobs),
+        backlog,
+        daemon.input_limits,
     )
     add_listeners(daemon, node, callers)
     members = Membership.from_application(
@@ -103,19 +107,24 @@
 
 
 def make_caller_listener(
-    node: NodeSettings, callers: CallerResource, backlog: InputBacklog
+    node: NodeSettings,
+    callers: CallerResource,
+    backlog: InputBacklog,
+    limits: InputLimits,
 ) -> HttpListener:
     """Return the listener for callers, which knows how old requests may be.
 
     :param node: settings of the process, with the addresses.
     :param callers: resource that serves the callers.
     :param backlog: watches for pauses of the process.
+    :param limits: limits that the listeners share.
     """
     listener = HttpListener(
         backlog.clock,
         node.caller_address,
         callers.routes,
         node.settings.memory_bytes('body_memory'),
+        limits,
     )
     listener.sent_after = backlog.sent_after
     listener.input_read = backlog.input_read
@@ -138,7 +147,12 @@
     readiness = ReadinessResource(daemon.resource.is_ready)
     daemon.add_operator_listener()
     application.add(
-        HttpListener(daemon.reactor, node.readiness_address, readiness.routes)
+        HttpListener(
+            daemon.reactor,
+            node.readiness_address,
+            readiness.routes,
+            limits=daemon.input_limits,
+        )
     )
     application.add(callers)
     application.add(
--- a/jackdawridge/platform/side.py
+++ b/jackdawridge/platform/side.py
@@ -84,7 +84,12 @@
     )
     daemon.add_operator_listener()
     application.add(
-        HttpListener(reactor, node.heartbeat_address, heartbeats.routes)
+        HttpListener(
+            reactor,
+            node.heartbeat_address,
+            heartbeats.routes,
+            limits=daemon.input_limits,
+        )
     )
     application.add(daemon.connector)
     application.add(members)
--- /dev/null
+++ b/tests/test_operations/test_http_channel.py
@@ -0,0 +1,149 @@
+"""Tests of the connections of a listener, without a network."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.address import IPv4Address
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from jackdawridge.operations.connection_memory import ConnectionMemory
+from jackdawridge.operations.input_limits import InputLimits
+from jackdawridge.operations.listeners import HttpListener
+from jackdawridge.operations.refusals import Refusal, Refusals
+from jackdawridge.operations.routes import ANY, Route, Routes
+
+CHUNKED = b'POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n'
+GET = b'GET / HTTP/1.1\r\nHost: test\r\n\r\n'
+OK = b'HTTP/1.1 200 OK'
+
+
+class Transport(StringTransport):
+    """Keeps what is written, and has the buffers of Twisted's transport."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.dataBuffer = b''
+        self.offset = 0
+        self._tempDataLen = 0
+        self.is_aborted = False
+
+    def unregisterProducer(self) -> None:
+        self.producer = None
+
+    def abortConnection(self) -> None:
+        self.is_aborted = True
+
+
+class Listener:
+    """A listener whose handler keeps the bodies that it gets."""
+
+    def __init__(self, limit: int = 1000000) -> None:
+        self.clock: Any = Clock()
+        self.bodies: list[bytes] = []
+        self.limits = InputLimits(ConnectionMemory(limit), Refusals())
+        self.site = HttpListener(
+            self.clock,
+            '127.0.0.1:0',
+            Routes(Route('/', ANY, self.serve)),
+            limits=self.limits,
+        )
+
+    def serve(self, request: Any, _: str) -> bytes:
+        self.bodies.append(request.content.read())
+        return b''
+
+    def connect(self) -> Any:
+        """Return the protocol of a new connection."""
+        peer: Any = IPv4Address('TCP', 'test', 1)
+        channel: Any = self.site.buildProtocol(peer)
+        channel.makeConnection(Transport())
+        return channel
+
+
+class TestTrailers:
+    def test_trailers_are_dropped_however_they_are_cut(self) -> None:
+        message = (
+            b'%b1;x=y\r\na\r\n2\r\nbc\r\n0\r\nT: 1\r\nU: 2\r\n\r\n' % CHUNKED
+        )
+        for size in range(1, len(message) + 1):
+            listener = Listener()
+            channel = listener.connect()
+            sent = message + GET
+            for start in range(0, len(sent), size):
+                channel.dataReceived(sent[start : start + size])
+            listener.clock.advance(0)
+            assert listener.bodies == [b'abc', b''], size
+
+    def test_too_many_trailers_are_refused(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        channel.dataReceived(b'%b0\r\n' % CHUNKED)
+        for _ in range(64):
+            assert not channel.transport.disconnecting
+            channel.dataReceived(b'a:\r\n' * 256)
+        assert channel.transport.value().startswith(b'HTTP/1.1 400')
+        assert channel.transport.disconnecting
+        assert not listener.bodies
+
+
+class TestPipelinedRequests:
+    def test_only_one_request_begins_in_a_turn(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        channel.dataReceived(GET * 3)
+        assert len(listener.bodies) == 1
+        listener.clock.advance(0)
+        assert len(listener.bodies) == 3
+        assert channel.transport.value().count(OK) == 3
+
+    def test_none_begins_while_answers_are_not_read(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        channel.dataReceived(GET * 3)
+        channel.pauseProducing()
+        listener.clock.advance(0)
+        assert len(listener.bodies) == 1
+        channel.resumeProducing()
+        listener.clock.advance(0)
+        assert len(listener.bodies) == 3
+
+
+class TestEviction:
+    def test_largest_connection_gets_a_refusal(self) -> None:
+        listener = Listener(limit=10000)
+        crowd = [listener.connect() for _ in range(4)]
+        for channel in crowd:
+            channel.dataReceived(GET[:-2] + b'X: %b' % (b'x' * 3000))
+        caller = listener.connect()
+        caller.dataReceived(GET)
+        assert caller.transport.value().startswith(OK)
+        evicted = [
+            channel for channel in crowd if channel.transport.disconnecting
+        ]
+        assert len(evicted) == 1
+        answer = evicted[0].transport.value()
+        assert answer.startswith(b'HTTP/1.1 503')
+        assert b'X-Jackdawridge-Outcome: not-run' in answer
+        assert listener.limits.memory.used <= 10000
+
+    def test_refusals_are_all_counted_and_some_logged(self) -> None:
+        refusals = Refusals()
+        for step in range(1000):
+            refusals.count(Refusal.malformed, 'test', step / 1000)
+        assert refusals.unlogged == {Refusal.malformed: 999}
+        counter = refusals.counter.labels('malformed')
+        assert counter._value.get() == 1000
+
+
+class TestUnreadAnswers:
+    def test_closing_does_not_wait_for_ever(self) -> None:
+        """Twisted stops the timer of a connection that answers a request."""
+        listener = Listener()
+        channel = listener.connect()
+        channel.dataReceived(GET.replace(b'1.1', b'1.0'))
+        assert channel.transport.disconnecting
+        listener.clock.advance(60)
+        listener.clock.advance(15)
+        assert channel.transport.is_aborted
--- a/tests/test_platform/test_crowd.py
+++ b/tests/test_platform/test_crowd.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import socket
 import time
 from typing import TYPE_CHECKING
 
@@ -39,6 +41,9 @@
 )
 PENDING = b'GET /fills/ HTTP/1.1\r\nHost: a.example\r\n\r\n'
 MIB = 1024**2
+#: Largest head and body of a request, in bytes.
+MAX_HEADER_BYTES = 16384
+MAX_BODY_BYTES = 262144
 
 
 def host_of(listener: str) -> str:
@@ -94,3 +99,26 @@
     def test_header_lines_byte_by_byte(self, site: Site) -> None:
         crowd = Crowd(PENDING[:-2], b'a', 64, 4096, 1)
         bear(site, 'front', crowd)
+
+
+class TestLargestRequest:
+    def test_request_at_all_limits_is_served(self, site: Site) -> None:
+        """16 KB of headers, a body of 256 KB, and trailers of 16 KB."""
+        job = {
+            'spec': '0.1',
+            'bestEffort': True,
+            'steps': [{'count': 1, 'cpu': 1000, 'memMb': 10}],
+        }
+        body = json.dumps(job).encode().ljust(MAX_BODY_BYTES)
+        head = b'%bConnection: close\r\n' % CHUNKED.removesuffix(b'\r\n')
+        filler = b'x' * (MAX_HEADER_BYTES - len(head) - len(b'X: \r\n\r\n'))
+        message = (
+            b'%bX: %b\r\n\r\n' % (head, filler),
+            b'%x\r\n%b\r\n0\r\n' % (len(body), body),
+            b'T: %b\r\n\r\n' % (b'x' * MAX_HEADER_BYTES),
+        )
+        address = ENTRIES[0], site.platform.ports['front']
+        with socket.create_connection(address, TIMEOUT) as connection:
+            connection.sendall(b''.join(message))
+            answer = connection.makefile('rb').read()
+        assert answer.startswith(b'HTTP/1.1 200 OK'), answer
