Notice the end of a connection while a later request is answered

Between two pipelined requests the connection isn't read. It stayed so while the second was answered, so that its caller's leaving would have gone unnoticed until the answer. It is read again now, and isn't read while an answer is unsent.

--- a/jackdawridge/operations/paced_channel.py
+++ b/jackdawridge/operations/paced_channel.py
@@ -42,12 +42,12 @@
         """
         self.paused = True
         super().requestDone(request)
-        if self._buffer and self.persistent:
+        self.paused = bool(self._buffer and self.persistent)
+        if self.paused:
+            self.schedule_continuation()
+        if self.paused or self._waitingForTransport:
             transport: Any = self.transport
             transport.pauseProducing()
-            self.schedule_continuation()
-        else:
-            self.paused = False
 
     def loseConnection(self) -> None:
         """Close the connection even if its client does not read.
@@ -72,13 +72,16 @@
             self.continuation = self.callLater(0, self.continue_input)
 
     def continue_input(self) -> None:
-        """Begin the next pipelined request; read on if it is incomplete."""
+        """Begin the next pipelined request, and read on.
+
+        While it is being answered the end of the connection must be noticed.
+        """
         self.continuation = None
         if self._waitingForTransport:
             return
         self.paused = False
         self.dataReceived(b'')
-        if not (self.paused or self._handlingRequest or self.is_closed):
+        if not (self.paused or self._waitingForTransport or self.is_closed):
             transport: Any = self.transport
             transport.resumeProducing()
 
--- a/tests/test_operations/test_http_channel.py
+++ b/tests/test_operations/test_http_channel.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from twisted.internet.address import IPv4Address
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
@@ -42,6 +43,8 @@
     def __init__(self, limit: int = 1000000) -> None:
         self.clock: Any = Clock()
         self.bodies: list[bytes] = []
+        #: Answers to the next requests; they are answered at once without.
+        self.answers: list[Deferred[bytes]] = []
         self.limits = InputLimits(ConnectionMemory(limit), Refusals())
         self.site = HttpListener(
             self.clock,
@@ -50,9 +53,9 @@
             limits=self.limits,
         )
 
-    def serve(self, request: Any, _: str) -> bytes:
+    def serve(self, request: Any, _: str) -> bytes | Deferred[bytes]:
         self.bodies.append(request.content.read())
-        return b''
+        return self.answers.pop() if self.answers else b''
 
     def connect(self) -> Any:
         """Return the protocol of a new connection."""
@@ -109,6 +112,28 @@
         listener.clock.advance(0)
         assert len(listener.bodies) == 3
 
+    def test_end_is_noticed_while_a_later_request_is_answered(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        slow: Deferred[bytes] = Deferred()
+        channel.dataReceived(GET * 2)
+        listener.answers.append(slow)
+        listener.clock.advance(0)
+        assert len(listener.bodies) == 2
+        assert channel.transport.producerState == 'producing'
+
+    def test_nothing_is_read_while_an_answer_is_unsent(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        slow: Deferred[bytes] = Deferred()
+        listener.answers.append(slow)
+        channel.dataReceived(GET)
+        channel.pauseProducing()
+        slow.callback(b'')
+        assert channel.transport.producerState == 'paused'
+        channel.resumeProducing()
+        assert channel.transport.producerState == 'producing'
+
 
 class TestEviction:
     def test_largest_connection_gets_a_refusal(self) -> None:
