Check a configuration before it is sent

Operators learned of a queue that no request reaches, or of limits that contradict each other, only once the version was in force: the store and the entries accept whatever can be decoded.

--- a/jackdawridge/cmd/config.py
+++ b/jackdawridge/cmd/config.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from jackdawridge.cmd import config_actions as actions
+from jackdawridge.cmd import config_check
 from jackdawridge.cmd.process_client import add_entry_option, run_command
 
 if TYPE_CHECKING:
@@ -31,6 +32,7 @@
     )
     commands = parser.add_subparsers(dest='action', required=True)
     _add_apply(commands)
+    config_check.add_parser(commands)
     _add_diff(commands)
     get = _add_action(commands, 'get', 'print current records', actions.get)
     get.add_argument('record', nargs='?', default='', metavar='KIND[/NAME]')
