Correct the findings and lines of the check of a configuration

What callers saw: errors about sound files, lines of other entries, and tracebacks.

Change: findings carry the position of their entry and LineIndex finds its line; the checks of records move to operations, beside the interface whose limits they share.

--- a/jackdawridge/cmd/config_check.py
+++ b/jackdawridge/cmd/config_check.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -9,19 +10,22 @@
 from jackdawridge.cmd.config_actions import read_records
 from jackdawridge.cmd.exits import Exit
 from jackdawridge.configuration.findings import (
-    Finding,
-    Severity,
+    LineIndex,
     encode_findings,
     format_findings,
     has_errors,
 )
-from jackdawridge.configuration.record_checks import compare, find_problems
 from jackdawridge.configuration.records import Key
+from jackdawridge.operations.record_checks import (
+    Entry,
+    compare,
+    find_problems,
+)
 
 if TYPE_CHECKING:
     import argparse
 
-    from jackdawridge.cmd.config_actions import DesiredRecord
+    from jackdawridge.configuration.findings import Finding
 
 _EPILOG = 'Exit codes: 0 no errors, 1 errors were found, 2 wrong input.'
 
@@ -59,66 +63,58 @@
 
     :param arguments: the parsed command line.
     """
-    desired = read_records(arguments.file)
+    desired = read_entries(arguments.file)
     if desired is None:
         return Exit.invalid
-    findings = [*find_repeated(desired), *find_problems(values_by_key(desired))]
+    findings = find_problems(desired)
     if arguments.against is not None:
-        in_force = read_records(arguments.against)
+        in_force = read_entries(arguments.against)
         if in_force is None:
             return Exit.invalid
-        findings.extend(
-            compare(values_by_key(in_force), values_by_key(desired))
-        )
-    return print_report(arguments, findings)
+        findings.extend(compare(in_force, desired))
+    return print_report(arguments, findings, 'records')
+
 
+def read_entries(path: Path) -> list[Entry] | None:
+    """Return the records of a file, None if the file is invalid.
 
-def values_by_key(desired: list[DesiredRecord]) -> dict[Key, object]:
-    """Return the values of records by key; of equal keys the last one.
+    The reason is printed on standard error.
 
-    :param desired: records of a file.
+    :param path: the file, JSON with comments.
     """
-    return {
-        Key(record['kind'], record['name']): record['value']
+    try:
+        desired = read_records(path)
+        # Lone surrogates, NaN and infinity can't be sent.
+        json.dumps(desired, ensure_ascii=False, allow_nan=False).encode()
+    except (RecursionError, ValueError) as error:
+        reject_input(path, error)
+        return None
+    if desired is None:
+        return None
+    return [
+        Entry(Key(record['kind'], record['name']), record['value'])
         for record in desired
-    }
-
+    ]
 
-def find_repeated(desired: list[DesiredRecord]) -> list[Finding]:
-    """Return the records that a later one of the same file replaces.
 
-    :param desired: records of a file.
-    """
-    found: list[Finding] = []
-    seen: set[Key] = set()
-    for record in desired:
-        key = Key(record['kind'], record['name'])
-        if key in seen:
-            found.append(
-                Finding(
-                    Severity.error,
-                    f'{key.kind} {key.name}',
-                    'stands twice; the last one would remain in force',
-                )
-            )
-        seen.add(key)
-    return found
-
-
-def print_report(arguments: argparse.Namespace, findings: list[Finding]) -> int:
+def print_report(
+    arguments: argparse.Namespace, findings: list[Finding], entries_key: str
+) -> int:
     """Print the findings about a file and return the exit code.
 
     :param arguments: the parsed command line, with `file` and `json`.
     :param findings: findings of all checks.
+    :param entries_key: top-level key of the list of entries in the file.
     """
     try:
-        text = arguments.file.read_text()
-    except OSError as error:
+        text = arguments.file.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
         return reject_input(arguments.file, error)
+    lines = LineIndex(text, entries_key)
     if arguments.json:
-        print(encode_findings(text, findings))
+        print(encode_findings(lines, findings))
     else:
-        for line in format_findings(str(arguments.file), text, findings):
+        for line in format_findings(str(arguments.file), lines, findings):
             print(line)
     return Exit.failed if has_errors(findings) else Exit.ok
 
--- a/jackdawridge/configuration/findings.py
+++ b/jackdawridge/configuration/findings.py
@@ -3,10 +3,21 @@
 from __future__ import annotations
 
 import enum
+import re
+from types import MappingProxyType
 from typing import NamedTuple
 
 import msgspec
 
+#: What decides about the structure of a document, JSON with comments.
+_TOKEN = re.compile(
+    r'"(?:[^"\\]|\\.)*"|[\[\]{}:]|//[^\n]*|/\*.*?\*/', re.DOTALL
+)
+#: Change of the nesting by a bracket.
+_NESTING = MappingProxyType({'{': 1, '[': 1, '}': -1, ']': -1})
+#: Nesting of the keys of an entry in a list at the top level.
+_ENTRY_DEPTH = 3
+
 
 class Severity(enum.StrEnum):
     """How serious a finding is."""
@@ -26,28 +37,81 @@
     #: Entry of the configuration, such as `queue payroll`.
     subject: str
     message: str
+    #: Number of the entry in its list in the file, from 0; -1 if the finding
+    #: is about a top-level key, its subject, or the entry isn't in the file.
+    position: int = -1
 
 
-def quoted_name(name: str) -> str:
-    """Return a name as it stands in a JSON document.
+class LineIndex:
+    """Lines of the entries and top-level keys of a document.
 
-    :param name: name of an entry.
+    :param text: the document, a valid JSON object, perhaps with comments.
+    :param entries_key: top-level key of the list of entries.
     """
-    return msgspec.json.encode(name).decode()
-
 
-def line_number(text: str, name: str) -> int:
-    """Return the first line of a document that has a name, 0 if none has.
-
-    :param text: the document, as JSON.
-    :param name: name of an entry.
-    :returns: number of the line, counted from 1.
-    """
-    quoted = quoted_name(name)
-    for number, line in enumerate(text.splitlines(), start=1):
-        if quoted in line:
-            return number
-    return 0
+    def __init__(self, text: str, entries_key: str) -> None:
+        """Scan the document."""
+        #: Line of each top-level key, counted from 1.
+        self.keys: dict[str, int] = {}
+        #: Line of the name of each entry; where it begins if it has none.
+        self.entries: list[int] = []
+        self.entries_key = entries_key
+        self.depth = 0
+        self.current_key = ''
+        self.scan(text)
+
+    def scan(self, text: str) -> None:
+        """Follow the structure of the document.
+
+        :param text: the document.
+        """
+        line, offset, previous = 1, 0, ''
+        for match in _TOKEN.finditer(text):
+            line += text.count('\n', offset, match.start())
+            offset = match.start()
+            token = match.group()
+            if token == ':':
+                self.add_key(previous, line)
+            elif token in _NESTING:
+                self.add_bracket(token, line)
+            elif token.startswith('"'):
+                previous = token
+
+    def add_bracket(self, bracket: str, line: int) -> None:
+        """Enter or leave an object or array.
+
+        :param bracket: what begins or ends it.
+        :param line: line of the bracket.
+        """
+        self.depth += _NESTING[bracket]
+        if bracket == '{' and self.is_in_entry():
+            self.entries.append(line)
+
+    def add_key(self, quoted: str, line: int) -> None:
+        """Store the line of a key if findings refer to it.
+
+        :param quoted: the key with its quotes.
+        :param line: line of the key.
+        """
+        if self.depth == 1:
+            self.current_key = quoted[1:-1]
+            self.keys[self.current_key] = line
+        elif quoted == '"name"' and self.is_in_entry():
+            self.entries[-1] = line
+
+    def is_in_entry(self) -> bool:
+        """Return whether the scan is at the keys of an entry."""
+        is_listed = self.current_key == self.entries_key
+        return is_listed and self.depth == _ENTRY_DEPTH
+
+    def line(self, finding: Finding) -> int:
+        """Return the line of what a finding is about, 0 if it has none.
+
+        :param finding: finding about the document.
+        """
+        if 0 <= finding.position < len(self.entries):
+            return self.entries[finding.position]
+        return self.keys.get(finding.subject, 0)
 
 
 def has_errors(findings: list[Finding]) -> bool:
@@ -58,36 +122,40 @@
     return any(finding.severity == Severity.error for finding in findings)
 
 
-def format_findings(path: str, text: str, findings: list[Finding]) -> list[str]:
+def format_findings(
+    path: str, lines: LineIndex, findings: list[Finding]
+) -> list[str]:
     """Return the findings as lines of text, one each.
 
     :param path: file that was checked.
-    :param text: its content.
+    :param lines: lines of its entries.
     :param findings: findings of the check.
     """
-    lines: list[str] = []
+    texts: list[str] = []
     for finding in findings:
-        number = line_number(text, finding.subject.partition(' ')[2])
+        number = lines.line(finding)
         place = f'{path}:{number}' if number else path
-        lines.append(
+        texts.append(
             f'{place}: {finding.severity}: {finding.subject}: {finding.message}'
         )
-    return lines
+    return texts
 
 
-def encode_findings(text: str, findings: list[Finding]) -> str:
+def encode_findings(lines: LineIndex, findings: list[Finding]) -> str:
     """Return the findings as a JSON array.
 
     Each object has `severity`, `subject`, `message` and `line`, which is 0 if
     the entry doesn't stand in the file.
 
-    :param text: content of the file that was checked.
+    :param lines: lines of the entries of the file that was checked.
     :param findings: findings of the check.
     """
     rows = [
         {
-            **finding._asdict(),
-            'line': line_number(text, finding.subject.partition(' ')[2]),
+            'severity': finding.severity,
+            'subject': finding.subject,
+            'message': finding.message,
+            'line': lines.line(finding),
         }
         for finding in findings
     ]
--- a/jackdawridge/deployment/checks.py
+++ b/jackdawridge/deployment/checks.py
@@ -22,35 +22,41 @@
 JOB_ID_BYTES = 16
 
 _LIMITS = 'limits'
+_VERSION = 'version'
 
 
 def find_problems(
-    deployment: Deployment, services: Collection[str]
+    deployment: Deployment, services: Collection[str] | None
 ) -> list[Finding]:
     """Return the errors of a deployment and what is probably not meant.
 
     :param deployment: deployment to check.
-    :param services: names of the services that it defines.
+    :param services: names of the services that it defines, None if it doesn't
+        list them.
     """
     findings: list[Finding] = []
-    for queue in deployment.queues:
-        findings.extend(_error(queue, text) for text in _queue_errors(queue))
-        findings.extend(
-            _warning(queue, text) for text in _queue_warnings(queue)
-        )
-        if queue.service not in services:
-            findings.append(
-                _error(queue, f'service {queue.service!r} is not defined')
+    if deployment.version < 1:
+        findings.append(
+            Finding(
+                Severity.error,
+                _VERSION,
+                f'{deployment.version} is never in force: it has to be above 0',
             )
+        )
+    for index, queue in enumerate(deployment.queues):
+        errors = _queue_errors(queue)
+        if services is not None and queue.service not in services:
+            errors.append(f'service {queue.service!r} is not defined')
         if head_bytes(queue) > deployment.limits.max_header_bytes:
-            findings.append(
-                _error(
-                    queue,
-                    f'never matches: the head of a request has at least'
-                    f' {head_bytes(queue)} bytes, the limit is'
-                    f' {deployment.limits.max_header_bytes}',
-                )
+            errors.append(
+                'never matches: the head of a request has at least'
+                f' {head_bytes(queue)} bytes, the limit is'
+                f' {deployment.limits.max_header_bytes}'
             )
+        findings.extend(_error(queue, text, index) for text in errors)
+        findings.extend(
+            _warning(queue, text, index) for text in _queue_warnings(queue)
+        )
     findings.extend(find_duplicates(deployment.queues))
     findings.extend(find_contradictions(deployment.limits))
     return findings
@@ -76,19 +82,21 @@
     findings: list[Finding] = []
     names: set[str] = set()
     addresses: dict[tuple[str, str], str] = {}
-    for queue in queues:
+    for index, queue in enumerate(queues):
         if queue.name in names:
-            findings.append(_error(queue, 'the name is used twice'))
+            findings.append(_error(queue, 'the name is used twice', index))
         names.add(queue.name)
-        first = addresses.setdefault(
-            (queue.host.lower(), queue.prefix), queue.name
-        )
-        if first != queue.name:
+        address = (queue.host.lower(), queue.prefix)
+        first = addresses.get(address)
+        if first is None:
+            addresses[address] = queue.name
+        else:
             findings.append(
                 _error(
                     queue,
                     f'never matches: queue {first!r} has the same host and'
                     ' prefix and comes first',
+                    index,
                 )
             )
     return findings
@@ -102,9 +110,7 @@
     findings: list[Finding] = []
     if min(limits) <= 0:
         findings.append(
-            Finding(
-                Severity.error, _LIMITS, 'a limit of 0 lets no request pass'
-            )
+            Finding(Severity.error, _LIMITS, 'limits have to be above 0')
         )
     if limits.header_timeout > limits.idle_timeout:
         findings.append(
@@ -130,19 +136,26 @@
         findings.append(
             Finding(
                 Severity.error,
-                'version',
+                _VERSION,
                 f'{new.version} is not above {old.version}, which is in force',
             )
         )
     before = {queue.name: queue for queue in old.queues}
     after = {queue.name: queue for queue in new.queues}
-    for name in before.keys() - after.keys():
-        findings.append(_change(before[name], 'is removed'))
+    index_by_name = {queue.name: row for row, queue in enumerate(new.queues)}
+    findings.extend(
+        _change(queue, 'is removed', -1)
+        for name, queue in before.items()
+        if name not in after
+    )
     for name, queue in after.items():
+        index = index_by_name[name]
         if name not in before:
-            findings.append(_change(queue, 'is added'))
+            findings.append(_change(queue, 'is added', index))
         elif queue != before[name]:
-            findings.append(_change(queue, _differences(before[name], queue)))
+            findings.append(
+                _change(queue, _differences(before[name], queue), index)
+            )
     if old.limits != new.limits:
         findings.append(
             Finding(
@@ -163,25 +176,29 @@
 
 
 def _queue_errors(queue: Queue) -> list[str]:
-    """Return why a queue would be reached by no request or run no task."""
+    """Return why a queue would be reached by no request."""
     errors: list[str] = []
     if not queue.host or set(queue.host) & set(':/ '):
         errors.append(f'never matches: {queue.host!r} is not a host name')
-    if not (queue.prefix.startswith('/') and queue.prefix.endswith('/')):
+    if not queue.prefix.startswith('/'):
         errors.append(
-            f'never matches: prefix {queue.prefix!r} has to begin and end'
-            " with '/'"
+            f"never matches: prefix {queue.prefix!r} has to begin with '/'"
         )
     elif set(queue.prefix) & set('?# '):
         errors.append(f'never matches: prefix {queue.prefix!r} is not a path')
-    if queue.attempts < 1:
-        errors.append(f'attempts are {queue.attempts}: no task would run')
     return errors
 
 
 def _queue_warnings(queue: Queue) -> list[str]:
     """Return what is valid in a queue and probably not meant."""
     warnings: list[str] = []
+    if not queue.prefix.endswith('/'):
+        warnings.append(
+            f"prefix {queue.prefix!r} doesn't end with '/': only paths where"
+            ' the id of a job follows at once are served'
+        )
+    if queue.attempts < 1:
+        warnings.append(f'attempts are {queue.attempts}: treated as 1')
     if queue.stretch < 1:
         warnings.append(
             f'stretch {queue.stretch:g} is below 1: a job would have to end'
@@ -194,16 +211,16 @@
     return warnings
 
 
-def _error(queue: Queue, message: str) -> Finding:
+def _error(queue: Queue, message: str, index: int) -> Finding:
     """Return an error of a queue."""
-    return Finding(Severity.error, f'queue {queue.name}', message)
+    return Finding(Severity.error, f'queue {queue.name}', message, index)
 
 
-def _warning(queue: Queue, message: str) -> Finding:
+def _warning(queue: Queue, message: str, index: int) -> Finding:
     """Return a warning about a queue."""
-    return Finding(Severity.warning, f'queue {queue.name}', message)
+    return Finding(Severity.warning, f'queue {queue.name}', message, index)
 
 
-def _change(queue: Queue, message: str) -> Finding:
+def _change(queue: Queue, message: str, index: int) -> Finding:
     """Return a difference of a queue."""
-    return Finding(Severity.change, f'queue {queue.name}', message)
+    return Finding(Severity.change, f'queue {queue.name}', message, index)
--- a/jackdawridge/platform/check.py
+++ b/jackdawridge/platform/check.py
@@ -8,7 +8,7 @@
 import argparse
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 import msgspec
 
@@ -17,12 +17,18 @@
     print_report,
     reject_input,
 )
+from jackdawridge.cmd.exits import Exit
 from jackdawridge.deployment.checks import compare, find_problems
 from jackdawridge.deployment.state import Deployment
 from jackdawridge.platform.operators import read_configuration
 
-if TYPE_CHECKING:
-    from jackdawridge.configuration.findings import Finding
+#: Errors of a file that can't be read or decoded.
+_UNREADABLE = (
+    OSError,
+    msgspec.MsgspecError,
+    UnicodeDecodeError,
+    RecursionError,
+)
 
 
 class _Service(msgspec.Struct):
@@ -34,15 +40,15 @@
 class _Services(msgspec.Struct):
     """The services of a configuration."""
 
-    services: list[_Service] = []
+    services: list[_Service] | None = None
 
 
 class CheckedFile(NamedTuple):
     """A configuration that could be decoded."""
 
     deployment: Deployment
-    #: Names of the services that it defines.
-    services: frozenset[str]
+    #: Names of the services that it defines, None if it lists none.
+    services: frozenset[str] | None
 
 
 def read_file(path: Path) -> CheckedFile:
@@ -54,26 +60,24 @@
     """
     content = path.read_bytes()
     services = msgspec.json.decode(content, type=_Services).services
-    return CheckedFile(
-        read_configuration(content),
-        frozenset(service.name for service in services),
-    )
+    names = None
+    if services is not None:
+        names = frozenset(service.name for service in services)
+    return CheckedFile(read_configuration(content), names)
 
 
-def find_all(path: Path, against: Path | None) -> list[Finding]:
-    """Return the findings about a configuration.
+def read_or_reject(path: Path) -> CheckedFile | None:
+    """Return the configuration in a file, None if the file is invalid.
 
-    :param path: file to check.
-    :param against: file with the configuration in force, None for none.
-    :raises OSError: if a file can't be read.
-    :raises msgspec.MsgspecError: if one is no valid configuration.
+    The reason is printed on standard error.
+
+    :param path: file with the value of the record.
     """
-    checked = read_file(path)
-    findings = find_problems(checked.deployment, checked.services)
-    if against is None:
-        return findings
-    in_force = read_file(against).deployment
-    return [*findings, *compare(in_force, checked.deployment)]
+    try:
+        return read_file(path)
+    except _UNREADABLE as error:
+        reject_input(path, error)
+        return None
 
 
 def main(words: list[str] | None = None) -> int:
@@ -89,11 +93,16 @@
     parser.add_argument('file', type=Path, help='the configuration, as JSON')
     add_report_options(parser, 'the configuration in force, as JSON')
     arguments = parser.parse_args(words)
-    try:
-        findings = find_all(arguments.file, arguments.against)
-    except (OSError, msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return reject_input(arguments.file, error)
-    return print_report(arguments, findings)
+    checked = read_or_reject(arguments.file)
+    if checked is None:
+        return Exit.invalid
+    findings = find_problems(checked.deployment, checked.services)
+    if arguments.against is not None:
+        in_force = read_or_reject(arguments.against)
+        if in_force is None:
+            return Exit.invalid
+        findings.extend(compare(in_force.deployment, checked.deployment))
+    return print_report(arguments, findings, 'routes')
 
 
 if __name__ == '__main__':
