Let one entry decide for fleets whose sides link to some of the entries

Cause: with ten entries and five links a side no entry reaches the sides of another, so every entry decides alone and each refuses and orders by its own queue.

Change: with `lead_links` (default 0: off) a side uses that many of its links for the lead candidates. These are the same for all sides: entries of at least half the greatest `entry_capacity`, of different failure domains, by a hash of their nodes, so that a restart moves nothing. The longest running candidate is the lead; the mechanism of terms, silence and reach is as before, and an entry without a lead decides alone. Above 16 entries there are no candidates. Member records and introductions carry the capacity of an entry, appended; a record that an earlier version passed on without it is completed. The platform's settings use two links a side.

--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -23,6 +23,7 @@
 _MAX_PORT = 65535
 _MIN_KEY_LENGTH = 16
 _ZERO_SECONDS = float(0)
+_UNKNOWN = float(0)
 _SECONDS = 'seconds'
 _BYTES_PER_MB = 1048576
 
@@ -400,5 +401,7 @@
     number_row('snapshot_interval', _ENTRY, 600.0, (1, 86400), _SECONDS),
     number_row('drain', _BOTH, 20.0, (0.1, 3600), _SECONDS),
     number_row('entries_per_side', _BOTH, 5, (1, 64), 'entries'),
+    number_row('lead_links', _BOTH, 0, (0, 8), 'entries'),
+    number_row('entry_capacity', _ENTRY, _UNKNOWN, (0, 4096), 'cores'),
     number_row('seed_discovery', _BOTH, 1.5, (0, 60), _SECONDS),
 )
--- a/jackdawridge/coordination/component.py
+++ b/jackdawridge/coordination/component.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from jackdawridge.coordination.candidates import CandidateFinder
 from jackdawridge.coordination.decider import JointDecider
 from jackdawridge.coordination.delegate import Delegate
 from jackdawridge.coordination.delegation_handler import (
@@ -12,11 +13,7 @@
 )
 from jackdawridge.coordination.links import EntryLinks
 from jackdawridge.coordination.messages import Decisions, DelegationEnd
-from jackdawridge.coordination.selection import (
-    EXCLUSION_TIME,
-    LeadSelector,
-    can_reach_sides,
-)
+from jackdawridge.coordination.selection import EXCLUSION_TIME, LeadSelector
 from jackdawridge.logs import get_logger
 
 if TYPE_CHECKING:
@@ -67,9 +64,11 @@
     ) -> None:
         """Register the handlers of messages and events."""
         self.clock = application.clock
-        self.entries_per_side = application.settings.integer('entries_per_side')
         self.engine = engine
         self.links = EntryLinks(application.incarnation, peers, directory)
+        self.candidates = CandidateFinder.from_config(
+            application.settings, self.links
+        )
         self.delegations = DelegationHandler(application, engine, self.links)
         self.delegate = Delegate(engine.placer)
         self.selector = LeadSelector()
@@ -164,12 +163,9 @@
     def select_lead(self) -> None:
         """Select the lead again, and delegate to it if it has changed."""
         selected = None
-        if self.engine.placer.sides and can_reach_sides(
-            self.links.count_entries(), self.entries_per_side
-        ):
-            selected = self.selector.select(
-                self.links.candidates(), self.clock.seconds()
-            )
+        if self.engine.placer.sides:
+            now = self.clock.seconds()
+            selected = self.selector.select(self.candidates.find(now), now)
         if (
             selected is None
             or selected.incarnation == self.links.own_incarnation
--- a/jackdawridge/coordination/links.py
+++ b/jackdawridge/coordination/links.py
@@ -4,12 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from jackdawridge.coordination.selection import Candidate
-from jackdawridge.membership.messages import State
-
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from jackdawridge.membership.directory import Directory
     from jackdawridge.wire.peers import Peer, Peers
 
@@ -56,24 +51,10 @@
         if peer is not None:
             peer.send(message)
 
-    def count_entries(self) -> int:
-        """Return the number of entries that may run, including this one."""
-        return len(self.directory.entries())
-
-    def candidates(self) -> Iterator[Candidate]:
-        """Yield this entry and the linked entries that can be the lead.
-
-        Entries that are leaving or not known to be alive can't.
-        """
+    def incarnations(self) -> set[str]:
+        """Return the incarnations of this entry and of the linked ones."""
         linked = {
             peer.introduction.incarnation
             for peer in self.peers.of_role('entry')
         }
-        for member in self.directory.entries():
-            if member.leaving or member.state != State.alive:
-                continue
-            if (
-                member.incarnation in linked
-                or member.incarnation == self.own_incarnation
-            ):
-                yield Candidate(member.generation, member.incarnation)
+        return linked | {self.own_incarnation}
--- a/jackdawridge/daemon.py
+++ b/jackdawridge/daemon.py
@@ -128,4 +128,5 @@
         0 if is_entry else settings.number('memory'),
         0 if is_entry else settings.integer('accelerators'),
         0 if is_entry else settings.integer('minion_slots'),
+        capacity=settings.number('entry_capacity') if is_entry else 0,
     )
--- a/jackdawridge/membership/component.py
+++ b/jackdawridge/membership/component.py
@@ -325,7 +325,8 @@
         offset = zlib.crc32(own.node.encode()) % SEED_REDIAL_PERIOD
         return EntryDialPolicy(seed_map, offset)
     count = settings.integer('entries_per_side')
-    return SideDialPolicy(seed_map, EntrySubset(own.node, count))
+    lead_links = settings.integer('lead_links')
+    return SideDialPolicy(seed_map, EntrySubset(own.node, count, lead_links))
 
 
 def format_members(members: list[Member]) -> str:
--- a/jackdawridge/membership/entry_protocol.py
+++ b/jackdawridge/membership/entry_protocol.py
@@ -42,6 +42,7 @@
             own.node,
             application.settings.integer('entries_per_side'),
             membership.period,
+            application.settings.integer('lead_links'),
         )
         self.exchange = TableExchange(
             application, self.table, membership.merge_table_part
--- a/jackdawridge/membership/entry_subset.py
+++ b/jackdawridge/membership/entry_subset.py
@@ -7,6 +7,7 @@
 
 import xxhash
 
+from jackdawridge.membership.lead_candidates import choose_lead_candidates
 from jackdawridge.membership.messages import State
 
 if TYPE_CHECKING:
@@ -20,6 +21,9 @@
 LAST_LINK_HOLD_TIME = 2.0
 #: Time over which the sides spread their move to a new entry, in seconds.
 MIGRATION_TIME = 30.0
+#: The same for an entry that all sides link to, in seconds: until then it
+#: reaches too few of them to be a lead.
+LEAD_MIGRATION_TIME = 3.0
 #: Time from the first selection in which a side moves to new entries without
 #: that delay, in seconds. When all processes start at once, it learns of the
 #: entries one after the other.
@@ -43,9 +47,12 @@
 
 
 def choose_entries(
-    side: str, entries: Iterable[Member], count: int
+    side: str,
+    entries: Iterable[Member],
+    count: int,
+    lead_candidates: Iterable[Member] = (),
 ) -> list[Member]:
-    """Return the entries of a side by rendezvous hashing, best first.
+    """Return the lead candidates, and others by rendezvous hashing, best first.
 
     At most half of them, rounded up, are in one failure domain, unless the
     other failure domains have too few entries.
@@ -53,15 +60,17 @@
     :param side: node of the side.
     :param entries: the candidates.
     :param count: the number of entries wanted.
+    :param lead_candidates: the entries that all sides link to.
     """
+    preferred = list(lead_candidates)
+    taken = {entry.node for entry in preferred}
     ranked = sorted(
-        entries,
+        (entry for entry in entries if entry.node not in taken),
         key=lambda entry: rendezvous_weight(side, entry.node),
         reverse=True,
     )
     limit = (count + 1) // 2
-    used: Counter[str] = Counter()
-    preferred: list[Member] = []
+    used = Counter(entry.failure_domain for entry in preferred)
     spare: list[Member] = []
     for entry in ranked:
         used[entry.failure_domain] += 1
@@ -117,12 +126,17 @@
 
     :param side: node of the side.
     :param count: the number of entries wanted.
+    :param lead_links: how many of them are lead candidates, if the fleet has
+        more entries.
     """
 
-    def __init__(self, side: str, count: int) -> None:
+    def __init__(self, side: str, count: int, lead_links: int = 0) -> None:
         """Start without entries."""
         self.side = side
         self.count = count
+        self.lead_links = min(lead_links, count - 1)
+        #: Nodes of the entries that all sides link to.
+        self.lead_candidates: set[str] = set()
         #: Nodes of the selected entries.
         self.chosen: set[str] = set()
         #: Tells which entries the side still works for.
@@ -157,8 +171,10 @@
             and (entry.is_present() or entry.node in self.chosen)
         ]
         wanted_count = self.count + len(self.find_unreachable(now))
+        candidates = choose_lead_candidates(usable, self.lead_links)
+        self.lead_candidates = {entry.node for entry in candidates}
         desired = choose_entries(
-            self.side, usable, min(wanted_count, 2 * self.count)
+            self.side, usable, min(wanted_count, 2 * self.count), candidates
         )
         retained = sum(entry.node in self.chosen for entry in usable)
         self.add_entries(desired, len(desired) - retained, now)
@@ -249,9 +265,9 @@
         """
         if self.started_at is None or now - self.started_at < SETTLING_TIME:
             return 0
-        return (
-            MIGRATION_TIME * rendezvous_weight(entry, self.side) / _HASH_RANGE
-        )
+        is_candidate = entry in self.lead_candidates
+        longest = LEAD_MIGRATION_TIME if is_candidate else MIGRATION_TIME
+        return longest * rendezvous_weight(entry, self.side) / _HASH_RANGE
 
     def find_surplus(
         self,
--- a/jackdawridge/membership/messages.capnp
+++ b/jackdawridge/membership/messages.capnp
@@ -14,6 +14,7 @@
   generation @10 :Int64;
   version @11 :UInt32;
   leaving @12 :Bool;
+  capacity @13 :Float64;
 }
 
 struct Member {
@@ -27,6 +28,7 @@
   failureDomain @7 :Text;
   address @8 :Text;
   service @9 :Text;
+  capacity @10 :Float64;
 }
 
 struct Gossip {
--- a/jackdawridge/membership/messages.py
+++ b/jackdawridge/membership/messages.py
@@ -49,6 +49,8 @@
     version: int = 0
     #: Whether the process is leaving and takes no new work.
     leaving: bool = False
+    #: Processor cores of an entry; 0 if unknown, and for a side.
+    capacity: float = 0
 
 
 class Precedence(NamedTuple):
@@ -84,6 +86,8 @@
     address: str
     #: Service of the minion beside a side; empty for an entry.
     service: str
+    #: Processor cores of an entry; 0 if unknown, and for a side.
+    capacity: float = 0
 
     def precedence(self) -> Precedence:
         """Return the key that orders this record among those of its node."""
--- a/jackdawridge/membership/side_monitor.py
+++ b/jackdawridge/membership/side_monitor.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from jackdawridge.membership.entry_subset import MIGRATION_TIME, choose_entries
+from jackdawridge.membership.lead_candidates import choose_lead_candidates
 from jackdawridge.membership.messages import State
 
 if TYPE_CHECKING:
@@ -30,14 +31,20 @@
     :param own_node: node of this entry.
     :param entries_per_side: how many entries a side links to.
     :param period: the heartbeat period, in seconds.
+    :param lead_links: how many of them are lead candidates.
     """
 
     def __init__(
-        self, own_node: str, entries_per_side: int, period: float
+        self,
+        own_node: str,
+        entries_per_side: int,
+        period: float,
+        lead_links: int = 0,
     ) -> None:
         """Start without sides."""
         self.own_node = own_node
         self.entries_per_side = entries_per_side
+        self.lead_links = min(lead_links, entries_per_side - 1)
         self.period = period
         #: Time at which the link to a side was closed.
         self.link_lost_at: dict[str, float] = {}
@@ -104,7 +111,10 @@
         if side is None or side.state != State.alive:
             return False
         entries = usable_entries(table)
-        chosen = choose_entries(node, entries, self.entries_per_side)
+        candidates = choose_lead_candidates(entries, self.lead_links)
+        chosen = choose_entries(
+            node, entries, self.entries_per_side, candidates
+        )
         return any(entry.node == self.own_node for entry in chosen)
 
 
--- a/jackdawridge/membership/table.py
+++ b/jackdawridge/membership/table.py
@@ -106,10 +106,25 @@
         if known is None and len(self.members) >= MAX_MEMBERS:
             return None
         if known and known.precedence() >= member.precedence():
+            self.learn_capacity(known, member)
             return None
         self.store(member, now)
         return member
 
+    def learn_capacity(self, known: Member, member: Member) -> None:
+        """Complete a record that lacks the capacity of its entry.
+
+        A process of an earlier version passes records on without it.
+
+        :param known: the known record of a node.
+        :param member: a record of the node that isn't newer.
+        """
+        if known.incarnation == member.incarnation and not known.capacity:
+            complete = known._replace(capacity=member.capacity)
+            self.members[known.node] = complete
+            if known.role == 'entry':
+                self.entries[known.node] = complete
+
     def merge_own(self, member: Member, now: float) -> Member | None:
         """Merge a record of this node that came from a peer.
 
@@ -280,6 +295,7 @@
         introduction.failure_domain,
         introduction.address,
         introduction.service,
+        introduction.capacity,
     )
 
 
--- a/jackdawridge/platform/settings.py
+++ b/jackdawridge/platform/settings.py
@@ -21,6 +21,8 @@
 SHARED_KEY = 'shared-by-all-processes'
 DEPLOYMENT = 'jackdawridge'
 
+#: Number of a side's links that are for the lead and its substitutes.
+LEAD_LINKS = 2
 #: Interval of the heartbeats between entries and sides, in seconds. The lease
 #: of an entry's tasks outlasts the loss of two heartbeats.
 HEARTBEAT_INTERVAL = 0.25
@@ -63,6 +65,14 @@
     resend_ms: float = 1300
 
 
+class _Limits(msgspec.Struct, rename='camel'):
+    """Resources of the machine."""
+
+    #: Part of each processor core that the process gets.
+    cpu_share: float = 0
+    cores: float = 0
+
+
 class _Store(msgspec.Struct):
     """Address of the metadata store."""
 
@@ -83,6 +93,7 @@
     platform: _Store
     listen: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     #: Address of the minion on a side's machine.
     app: str = ''
     service: str = ''
@@ -168,6 +179,7 @@
             caller_address=boot.listen.front,
             peer_address=f'{boot.ip}:{boot.internal_ports[0]}',
             log_service=boot.platform.address,
+            entry_capacity=boot.limits.cpu_share * boot.limits.cores,
             # Newly started minions run at full speed on this platform.
             ramp_time=0,
             orphan_time=worker_lease * (1 + CLOCK_DRIFT_FRACTION) + stop_time,
@@ -210,6 +222,7 @@
         'entries': [f'{host}:{peer_port}' for host in hosts],
         # Seeds are the addresses that their entries announce.
         'seed_discovery': 0,
+        'lead_links': LEAD_LINKS,
         'heartbeat': HEARTBEAT_INTERVAL,
         'send_window': lease,
         'task_lease': lease,
--- a/tests/test_coordination/joint_world.py
+++ b/tests/test_coordination/joint_world.py
@@ -18,6 +18,9 @@
     {'core_oversubscription': 1}
 )
 
+#: Processor cores of an entry.
+ENTRY_CAPACITY = 4
+
 
 class FakeDirectory:
     """Lists all entries of a world, including paused ones."""
@@ -48,9 +51,21 @@
         'Soweto',
         '',
         '',
+        ENTRY_CAPACITY,
     )
 
 
+def make_small_records(introduction: Introduction) -> list[Member]:
+    """Return the records of further entries, which are smaller."""
+    own = make_record(introduction)
+    return [
+        own._replace(
+            node=f'other-{other}', incarnation=f'run9{other}', capacity=1
+        )
+        for other in range(8)
+    ]
+
+
 class JointWorld(World):
     """Two entries, of which the longer running one is the lead."""
 
@@ -88,3 +103,17 @@
             for link in self.links
             if link.processes == {'entry': first, 'side': second}
         )
+
+
+class LinkedLeadWorld(JointWorld):
+    """The same among ten entries, of which a side links to five."""
+
+    entry_changes: Mapping[str, object] = MappingProxyType({'lead_links': 2})
+
+    def make_entry(self, number: int) -> FakeProcess:
+        process = super().make_entry(number)
+        component: Any = process.application.components[1]
+        component.links.directory.unlinked = make_small_records(
+            process.introduction
+        )
+        return process
--- a/tests/test_coordination/test_coordination.py
+++ b/tests/test_coordination/test_coordination.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from jackdawridge.coordination.candidates import CANDIDATE_HOLD_TIME
 from jackdawridge.coordination.delegate import LEAD_TIMEOUT
 from jackdawridge.coordination.lead import DELEGATOR_TIMEOUT
 from jackdawridge.coordination.selection import (
@@ -15,7 +16,11 @@
     can_reach_sides,
 )
 from jackdawridge.submission.jobs import JobSpec, Started, TaskSpec
-from tests.test_coordination.joint_world import JointWorld, make_record
+from tests.test_coordination.joint_world import (
+    JointWorld,
+    LinkedLeadWorld,
+    make_small_records,
+)
 from tests.test_submission.world import CORES, PendingBacklog
 
 TASK = TaskSpec('kind', 1, 16, 0, 0.1, b'')
@@ -82,11 +87,9 @@
         for number in (0, 1):
             coordination = world.coordination(number)
             directory: Any = coordination.links.directory
-            own = make_record(world.entries[number].introduction)
-            directory.unlinked = [
-                own._replace(node=f'other-{other}', incarnation=f'run9{other}')
-                for other in range(8)
-            ]
+            directory.unlinked = make_small_records(
+                world.entries[number].introduction
+            )
             coordination.entries_changed(None)
         world.settle()
         term = world.coordination(1).delegate.term
@@ -98,6 +101,54 @@
         assert world.coordination(1).delegate.term == term
 
 
+class TestLinkedLead:
+    """All sides link to two of ten entries, one of which is the lead."""
+
+    def make_world(self) -> LinkedLeadWorld:
+        world = LinkedLeadWorld()
+        for _ in range(3):
+            world.settle()
+            world.advance(1)
+        return world
+
+    def test_lead_places_jobs_of_both(self) -> None:
+        world = self.make_world()
+        submit(world, 0, 1)
+        ticket = submit(world, 1, 3)
+        world.settle()
+        first = world.entries[0].introduction.incarnation
+        assert world.coordination(1).delegate.lead == first
+        finish_all(world)
+        assert world.answers[ticket][0].state == 'complete'
+
+    def test_entry_decides_alone_once_no_candidate_is_left(self) -> None:
+        """The other entries reach too few of its sides."""
+        world = self.make_world()
+        directory: Any = world.coordination(1).links.directory
+        directory.world = LinkedLeadWorld()
+        directory.world.entries.clear()
+        world.kill(world.entries[0])
+        world.advance(CANDIDATE_HOLD_TIME + 1)
+        ticket = submit(world, 1, 2)
+        world.settle()
+        assert not world.coordination(1).delegate.has_lead()
+        finish_all(world)
+        assert world.answers[ticket][0].state == 'complete'
+
+    def test_candidate_that_reaches_too_few_sides_is_not_the_lead(
+        self,
+    ) -> None:
+        """Sides of an earlier version don't link to it."""
+        world = self.make_world()
+        world.engine(0).placer.side_left('side-0')
+        world.coordination(1).sides_changed()
+        world.settle()
+        assert not world.coordination(1).delegate.has_lead()
+        ticket = submit(world, 1, 2)
+        finish_all(world)
+        assert world.answers[ticket][0].state == 'complete'
+
+
 class TestLead:
     """The older entry places the tasks of the younger one."""
 
--- a/tests/test_coordination/test_interleavings.py
+++ b/tests/test_coordination/test_interleavings.py
@@ -4,7 +4,7 @@
 
 from hypothesis import settings
 
-from tests.test_coordination.joint_world import JointWorld
+from tests.test_coordination.joint_world import JointWorld, LinkedLeadWorld
 from tests.test_submission.test_interleavings import JobInterleavings
 
 
@@ -14,7 +14,17 @@
     make_world = JointWorld
 
 
+class LinkedLeadInterleavings(JobInterleavings):
+    """The same among more entries than a side links to."""
+
+    make_world = LinkedLeadWorld
+
+
 JointInterleavings.TestCase.settings = settings(
     max_examples=80, stateful_step_count=60, deadline=None
 )
 TestJointInterleavings = JointInterleavings.TestCase
+LinkedLeadInterleavings.TestCase.settings = settings(
+    max_examples=40, stateful_step_count=60, deadline=None
+)
+TestLinkedLeadInterleavings = LinkedLeadInterleavings.TestCase
--- a/tests/test_membership/test_component.py
+++ b/tests/test_membership/test_component.py
@@ -41,6 +41,7 @@
             'heartbeat': 1.0,
             'entries': [SEED],
             'entries_per_side': 2,
+            'lead_links': 0,
             'seed_discovery': 1.5,
         }
         self.application = Application(
--- /dev/null
+++ b/tests/test_membership/test_lead_candidates.py
@@ -0,0 +1,118 @@
+"""Tests for the selection of the entries that can decide for a fleet."""
+
+from __future__ import annotations
+
+from jackdawridge.membership.entry_subset import (
+    HOLD_TIME,
+    LEAD_MIGRATION_TIME,
+    MIGRATION_TIME,
+    SETTLING_TIME,
+    EntrySubset,
+)
+from jackdawridge.membership.lead_candidates import (
+    MAX_ENTRIES_PER_LEAD,
+    PresentCandidates,
+    choose_lead_candidates,
+)
+from jackdawridge.membership.messages import Member, State
+from jackdawridge.membership.table import MemberTable, Timing
+from tests.test_membership.members import make_entries, make_member
+
+COUNT = 2
+ENTRIES_PER_SIDE = 5
+
+
+def make_fleet() -> list[Member]:
+    """Return ten entries in three failure domains, four of them small."""
+    return [
+        entry._replace(capacity=0.5 if number >= 6 else 2.15)
+        for number, entry in enumerate(make_entries(10, 3))
+    ]
+
+
+def nodes_of(entries: list[Member]) -> set[str]:
+    """Return the nodes of entries."""
+    return {entry.node for entry in entries}
+
+
+class TestChooseLeadCandidates:
+    def test_large_entries_of_several_failure_domains_are_chosen(self) -> None:
+        chosen = choose_lead_candidates(make_fleet(), COUNT)
+        assert {entry.capacity for entry in chosen} == {2.15}
+        assert len({entry.failure_domain for entry in chosen}) == COUNT
+
+    def test_only_large_entry_has_no_small_substitute(self) -> None:
+        entries = make_fleet()[5:]
+        assert choose_lead_candidates(entries, COUNT) == entries[:1]
+
+    def test_entries_of_unknown_capacity_are_chosen(self) -> None:
+        """Entries of an earlier version don't tell it."""
+        assert len(choose_lead_candidates(make_entries(10), COUNT)) == COUNT
+
+    def test_large_fleet_has_none(self) -> None:
+        entries = make_entries(MAX_ENTRIES_PER_LEAD + 1)
+        assert not choose_lead_candidates(entries, COUNT)
+
+    def test_none_are_wanted(self) -> None:
+        assert not choose_lead_candidates(make_fleet(), 0)
+
+
+class TestPresentCandidates:
+    def test_absent_entry_has_no_substitute_at_first(self) -> None:
+        """Sides link to the substitute after they have given it up."""
+        candidates = PresentCandidates(COUNT, HOLD_TIME)
+        before = candidates.update(make_fleet(), 0)
+        rest = [entry for entry in make_fleet() if entry.node != min(before)]
+        assert candidates.update(rest, HOLD_TIME) == before
+        after = candidates.update(rest, HOLD_TIME + 1)
+        assert after == nodes_of(choose_lead_candidates(rest, COUNT))
+
+
+class TestSidesOfLead:
+    """All sides link to the same candidates."""
+
+    def make_subset(self, side: str, lead_links: int = COUNT) -> EntrySubset:
+        subset = EntrySubset(side, ENTRIES_PER_SIDE, lead_links)
+        subset.update(make_fleet(), set(), 0)
+        return subset
+
+    def test_all_sides_link_to_the_candidates(self) -> None:
+        wanted = nodes_of(choose_lead_candidates(make_fleet(), COUNT))
+        linked: set[str] = set()
+        for number in range(40):
+            chosen = self.make_subset(f's{number}').chosen
+            assert wanted <= chosen
+            assert len(chosen) == ENTRIES_PER_SIDE
+            linked |= chosen
+        assert linked == nodes_of(make_fleet())
+
+    def test_some_links_are_to_other_entries(self) -> None:
+        """An entry without sides could place nothing."""
+        subset = self.make_subset('s1', ENTRIES_PER_SIDE)
+        assert len(subset.lead_candidates) < ENTRIES_PER_SIDE
+
+    def test_sides_soon_link_to_a_new_candidate(self) -> None:
+        larger = make_member('e99', capacity=8)
+        for number in range(20):
+            subset = self.make_subset(f's{number}')
+            now = SETTLING_TIME + 1
+            subset.update([*make_fleet(), larger], subset.chosen, now)
+            now += LEAD_MIGRATION_TIME
+            assert LEAD_MIGRATION_TIME < MIGRATION_TIME / 2
+            subset.update([*make_fleet(), larger], subset.chosen, now)
+            assert larger.node in subset.chosen
+
+
+class TestCapacity:
+    def test_capacity_is_learned_from_a_later_copy(self) -> None:
+        """A process of an earlier version passes records on without it."""
+        table = MemberTable(make_member('e0'), Timing(1), 0)
+        complete = make_member('e1', capacity=2)
+        table.merge(complete._replace(capacity=0), 0)
+        digest = table.digest
+        assert table.merge(complete, 0) is None
+        assert table.entries['e1'].capacity == 2
+        assert table.members['e1'].state == State.alive
+        assert table.digest == digest
+        table.merge(complete._replace(capacity=0), 0)
+        assert table.entries['e1'].capacity == 2
--- a/tests/test_platform/test_codecs.py
+++ b/tests/test_platform/test_codecs.py
@@ -55,6 +55,9 @@
 front = "10.1.0.13:8161"
 ready = "10.1.0.13:8167"
 control = "10.1.0.13:8166"
+[limits]
+cpuShare = 0.717
+cores = 3
 [bounds]
 graceS = 6
 holdMaxMs = 1000
@@ -112,6 +115,7 @@
         settings = node.settings
         assert settings.role == 'entry'
         assert settings.text('failure_domain') == 'soweto'
+        assert settings.number('entry_capacity') == pytest.approx(2.151)
         assert settings.texts('entries') == (
             '10.1.0.13:7720',
             '10.2.0.30:7720',
--- a/tests/test_submission/world.py
+++ b/tests/test_submission/world.py
@@ -298,6 +298,8 @@
 
     #: Settings of the sides besides those of `make_settings`.
     side_changes = NO_CHANGES
+    #: The same for the entries.
+    entry_changes = NO_CHANGES
 
     def __init__(self) -> None:
         self.runs = 0
@@ -316,7 +318,10 @@
 
     def make_entry(self, number: int) -> FakeProcess:
         process = FakeProcess(
-            'entry', f'entry-{number}', self.next_incarnation()
+            'entry',
+            f'entry-{number}',
+            self.next_incarnation(),
+            self.entry_changes,
         )
         submission = EntrySubmission.from_application(
             process.application, process.peers
