--- a/tests/test_coordination/test_shared_capacity.py
+++ b/tests/test_coordination/test_shared_capacity.py
@@ -44,7 +44,10 @@
 
 
 def mean_earned_fraction(
-    replay: type[RandomReplay], entries: int, load: float, sides: int
+    replay: type[RandomReplay | JointReplay],
+    entries: int,
+    load: float,
+    sides: int,
 ) -> float:
     """Return the mean fraction of the value earned over the seeds."""
     found = []
