--- a/jackdawridge/coordination/candidates.py
+++ b/jackdawridge/coordination/candidates.py
@@ -36,6 +36,8 @@
         """Start without candidates."""
         self.entries_per_side = entries_per_side
         self.links = links
+        #: Number of candidates that were found last.
+        self.found = 0
         self.present = PresentCandidates(
             min(lead_links, entries_per_side - 1), CANDIDATE_HOLD_TIME
         )
@@ -64,11 +66,13 @@
         """
         entries = self.links.directory.entries()
         linked = self.links.incarnations()
-        return [
+        candidates = [
             Candidate(entry.generation, entry.incarnation)
             for entry in self.reaching_sides(entries, now)
             if entry.incarnation in linked and is_available(entry)
         ]
+        self.found = len(candidates)
+        return candidates
 
     def reaching_sides(self, entries: list[Member], now: float) -> list[Member]:
         """Return the entries that are linked to nearly all sides.
--- a/jackdawridge/coordination/component.py
+++ b/jackdawridge/coordination/component.py
@@ -183,8 +183,14 @@
         """
         self.delegations.end_all('another entry decides')
         name = self.links.name(incarnation)
-        logger.info('entry has a lead', step='delegate', peer=name)
         delegation = self.delegate.start_term(incarnation, self.clock.seconds())
+        logger.info(
+            'entry has a lead',
+            step='delegate',
+            peer=name,
+            candidates=self.candidates.found,
+            sides=len(delegation.sides),
+        )
         self.links.send(incarnation, delegation)
         self.engine.place_soon()
 
--- a/jackdawridge/operations/metrics.py
+++ b/jackdawridge/operations/metrics.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
     from jackdawridge.application import Events
+    from jackdawridge.coordination.component import CoordinationStatus
     from jackdawridge.submission.engine import JobEngine
     from jackdawridge.submission.jobs import JobAnswer
 
@@ -109,6 +110,28 @@
     )
 
 
+def register_coordination_metrics(
+    registry: CollectorRegistry, status: Callable[[], CoordinationStatus]
+) -> None:
+    """Register the metrics that tell which entry decides for which.
+
+    :param registry: registry for the metrics of the process.
+    :param status: returns the present status of the coordination.
+    """
+    add_gauge(
+        registry,
+        'has_lead',
+        'Whether another entry places the tasks of this one',
+        lambda: bool(status().lead),
+    )
+    add_gauge(
+        registry,
+        'delegating_entries',
+        'Entries whose tasks this entry places',
+        lambda: status().delegators,
+    )
+
+
 def add_gauge(
     registry: CollectorRegistry,
     name: str,
--- a/jackdawridge/platform/entry.py
+++ b/jackdawridge/platform/entry.py
@@ -14,7 +14,11 @@
 from jackdawridge.membership import messages as membership
 from jackdawridge.membership.component import Membership
 from jackdawridge.operations.listeners import HttpListener
-from jackdawridge.operations.metrics import CallerMetrics, register_job_metrics
+from jackdawridge.operations.metrics import (
+    CallerMetrics,
+    register_coordination_metrics,
+    register_job_metrics,
+)
 from jackdawridge.platform.callers import CallerResource, ReadinessResource
 from jackdawridge.platform.operators import make_record_follower
 from jackdawridge.submission.attended import AttendedJobs
@@ -99,6 +103,9 @@
         daemon.application, daemon.peers, engine, members
     )
     daemon.resource.sections['coordination'] = coordination_component.status
+    register_coordination_metrics(
+        daemon.registry, coordination_component.status
+    )
     daemon.application.add(coordination_component)
 
 
