Expect a side only at entries that it has in both versions

Cause: a side of an earlier version links to no lead candidates, and one of this version to fewer others; an entry suspects a side that should be linked to it but isn't for 60 s, so that in a fleet of both versions sides would be suspected again and again.

Change: an entry expects a side that hashing assigns to it both with the candidates and without. Each of 30 sides of the test is still expected by two entries or more.

--- a/jackdawridge/membership/side_monitor.py
+++ b/jackdawridge/membership/side_monitor.py
@@ -102,7 +102,10 @@
         self.pending = self.pending[:-SIDES_PER_SCAN]
 
     def is_expected(self, table: MemberTable, node: str) -> bool:
-        """Return whether a side is alive and hashing assigns it to this entry.
+        """Return whether a side is alive and should be linked to this entry.
+
+        A side of an earlier version doesn't link to the lead candidates, so
+        the entry has to be among those of the side both with them and without.
 
         :param table: the member table.
         :param node: node of the side.
@@ -112,6 +115,19 @@
             return False
         entries = usable_entries(table)
         candidates = choose_lead_candidates(entries, self.lead_links)
+        return self.is_chosen(node, entries, ()) and self.is_chosen(
+            node, entries, candidates
+        )
+
+    def is_chosen(
+        self, node: str, entries: list[Member], candidates: Collection[Member]
+    ) -> bool:
+        """Return whether hashing assigns a side to this entry.
+
+        :param node: node of the side.
+        :param entries: the entries that sides may link to.
+        :param candidates: the entries that all sides link to.
+        """
         chosen = choose_entries(
             node, entries, self.entries_per_side, candidates
         )
--- a/tests/test_membership/test_lead_candidates.py
+++ b/tests/test_membership/test_lead_candidates.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from jackdawridge.membership.entry_subset import (
     HOLD_TIME,
     LEAD_MIGRATION_TIME,
@@ -15,6 +17,7 @@
     choose_lead_candidates,
 )
 from jackdawridge.membership.messages import Member, State
+from jackdawridge.membership.side_monitor import SideMonitor
 from jackdawridge.membership.table import MemberTable, Timing
 from tests.test_membership.members import make_entries, make_member
 
@@ -103,6 +106,39 @@
             assert larger.node in subset.chosen
 
 
+class TestMonitoredSides:
+    """An entry suspects sides that should be linked to it but aren't."""
+
+    def expected_sides(self, entry: Member, lead_links: int) -> set[str]:
+        table = MemberTable(entry, Timing(1), 0)
+        sides = [make_member(f's{number}', role='side') for number in range(30)]
+        for member in (*make_fleet(), *sides):
+            table.merge(member, 0)
+        monitor = SideMonitor(entry.node, ENTRIES_PER_SIDE, 1, lead_links)
+        return {
+            side.node for side in sides if monitor.is_expected(table, side.node)
+        }
+
+    def test_sides_of_earlier_and_present_versions_are_expected(self) -> None:
+        """A side links to other entries in an earlier version."""
+        for entry in make_fleet():
+            earlier = self.expected_sides(entry, 0)
+            expected = self.expected_sides(entry, COUNT)
+            assert expected <= earlier
+            for side in expected:
+                subset = EntrySubset(side, ENTRIES_PER_SIDE, COUNT)
+                assert entry.node in subset.update(make_fleet(), (), 0)
+
+    def test_each_side_is_expected_by_several_entries(self) -> None:
+        expected = Counter(
+            side
+            for entry in make_fleet()
+            for side in self.expected_sides(entry, COUNT)
+        )
+        assert len(expected) == 30
+        assert min(expected.values()) > 1
+
+
 class TestCapacity:
     def test_capacity_is_learned_from_a_later_copy(self) -> None:
         """A process of an earlier version passes records on without it."""
