End a delegation whose sides the lead has lost

Cause: a lead looked at its reach only when an entry delegated. When it lost half of its links later, the room of these sides stayed idle until the links of the sender changed.

The new test fails without it: the entry keeps its lead.

--- a/jackdawridge/coordination/component.py
+++ b/jackdawridge/coordination/component.py
@@ -132,6 +132,7 @@
             self.delegate.restart_timeouts(now)
         else:
             self.delegations.forget_silent(now)
+            self.delegations.end_unreached(now)
         if self.delegate.is_overdue(now):
             self.abandon_lead('lead does not answer')
         self.select_lead()
--- a/jackdawridge/coordination/delegation_handler.py
+++ b/jackdawridge/coordination/delegation_handler.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
+    from jackdawridge.coordination.lead import Delegator
     from jackdawridge.coordination.links import EntryLinks
     from jackdawridge.submission.engine import JobEngine
     from jackdawridge.wire.peers import Peer
@@ -78,7 +79,7 @@
             return 'entry is leaving'
         if self.engine.decider.is_delegated():
             return 'another entry decides'
-        if not self.lead.reaches(delegation):
+        if not self.lead.reaches(delegation.sides):
             return SIDES_UNREACHABLE
         return ''
 
@@ -108,12 +109,31 @@
             name = self.links.name(incarnation)
             logger.warning('entry is silent', step='lead', peer=name)
 
+    def end_unreached(self, now: float) -> None:
+        """End the delegations of entries whose sides are out of reach.
+
+        :param now: current time in seconds.
+        """
+        for delegator in self.lead.find_unreached(now):
+            self.end(delegator, SIDES_UNREACHABLE, UNREACHABLE_RETRY_TIME)
+
     def end_all(self, reason: str) -> None:
         """End all delegations to this entry.
 
         :param reason: sent to the delegators.
         """
-        for incarnation, delegator in tuple(self.lead.delegators.items()):
-            self.lead.forget(incarnation)
-            ending = DelegationEnd(delegator.term, reason, RETRY_TIME)
-            self.links.send(incarnation, ending)
+        for delegator in tuple(self.lead.delegators.values()):
+            self.end(delegator, reason, RETRY_TIME)
+
+    def end(
+        self, delegator: Delegator, reason: str, retry_after: float
+    ) -> None:
+        """End a delegation to this entry.
+
+        :param delegator: entry that has delegated.
+        :param reason: sent to the entry.
+        :param retry_after: time before its next attempt, in seconds.
+        """
+        self.lead.forget(delegator.incarnation)
+        ending = DelegationEnd(delegator.term, reason, retry_after)
+        self.links.send(delegator.incarnation, ending)
--- a/jackdawridge/coordination/lead.py
+++ b/jackdawridge/coordination/lead.py
@@ -19,6 +19,8 @@
 from jackdawridge.placement.tracking import NO_ROOM, Assignment
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from jackdawridge.coordination.messages import (
         Delegation,
         DelegationUpdate,
@@ -32,6 +34,9 @@
 #: Time in seconds without a message after which an entry with tasks here is
 #: forgotten. It sends one at least every `UPDATE_INTERVAL` while it has any.
 DELEGATOR_TIMEOUT = 0.35
+#: Time in seconds for which this entry may lack links to the sides of another
+#: that it decides for. A side that relinks does so within it.
+REACH_TIMEOUT = 0.5
 #: Placement reason of a task that was running before this entry became lead.
 TAKEN_OVER_REASON = 'taken over'
 
@@ -64,6 +69,8 @@
         self.is_answer_due = True
         #: Time of the last message from the entry, in seconds.
         self.heard_at = now
+        #: Time at which this entry was last linked to nearly all its sides.
+        self.reached_at = now
 
 
 class Answer(NamedTuple):
@@ -90,15 +97,27 @@
         #: Delegator that owns the job, by ticket.
         self.owners: dict[str, Delegator] = {}
 
-    def reaches(self, delegation: Delegation) -> bool:
+    def reaches(self, sides: Collection[str]) -> bool:
         """Return whether this entry is linked to nearly all sides of another.
 
-        :param delegation: names the sides of the other entry.
+        :param sides: nodes of the sides of the other entry.
         """
-        known = sum(side in self.placer.sides for side in delegation.sides)
-        return bool(known) and known >= MIN_REACHED_FRACTION * len(
-            delegation.sides
-        )
+        known = sum(side in self.placer.sides for side in sides)
+        return bool(known) and known >= MIN_REACHED_FRACTION * len(sides)
+
+    def find_unreached(self, now: float) -> list[Delegator]:
+        """Return the delegators whose sides have been out of reach for long.
+
+        :param now: current time in seconds.
+        """
+        for known in self.delegators.values():
+            if self.reaches(known.reach):
+                known.reached_at = now
+        return [
+            delegator
+            for delegator in self.delegators.values()
+            if now - delegator.reached_at > REACH_TIMEOUT
+        ]
 
     def accept(
         self, incarnation: str, delegation: Delegation, now: float
--- a/tests/test_coordination/group_replay.py
+++ b/tests/test_coordination/group_replay.py
@@ -220,7 +220,7 @@
         delegate = Delegate(placer)
         self.delegates[placer] = delegate
         delegation = delegate.start_term('lead', -1)
-        assert lead.reaches(delegation)
+        assert lead.reaches(delegation.sides)
         lead.accept(str(id(placer)), delegation, -1)
 
     def placer_of(self, number: int) -> Placer:
--- a/tests/test_coordination/test_coordination.py
+++ b/tests/test_coordination/test_coordination.py
@@ -8,7 +8,7 @@
 
 from jackdawridge.coordination.candidates import CANDIDATE_HOLD_TIME
 from jackdawridge.coordination.delegate import LEAD_TIMEOUT
-from jackdawridge.coordination.lead import DELEGATOR_TIMEOUT
+from jackdawridge.coordination.lead import DELEGATOR_TIMEOUT, REACH_TIMEOUT
 from jackdawridge.coordination.selection import (
     EXCLUSION_TIME,
     Candidate,
@@ -259,6 +259,20 @@
         world.settle()
         assert not world.coordination(1).delegate.has_lead()
 
+    def test_lead_that_loses_its_sides_ends_the_delegation(self) -> None:
+        """Their room was idle until the links of the sender changed."""
+        world = make_world()
+        world.engine(0).placer.side_left('side-0')
+        world.settle()
+        assert world.coordination(1).delegate.has_lead()
+        for _ in range(int(2 * REACH_TIMEOUT / 0.05)):
+            world.advance(0.05)
+            world.settle()
+        assert not world.coordination(1).delegate.has_lead()
+        submit(world, 1, 2 * CORES)
+        world.settle()
+        assert len(world.started()) == 2 * CORES
+
 
 class TestSilentLead:
     """An entry places its own tasks soon after its lead stops answering."""
