--- a/jackdawridge/platform/settings.py
+++ b/jackdawridge/platform/settings.py
@@ -21,8 +21,6 @@
 SHARED_KEY = 'shared-by-all-processes'
 DEPLOYMENT = 'jackdawridge'
 
-#: Number of a side's links that are for the lead and its substitutes.
-LEAD_LINKS = 2
 #: Interval of the heartbeats between entries and sides, in seconds. The lease
 #: of an entry's tasks outlasts the loss of two heartbeats.
 HEARTBEAT_INTERVAL = 0.25
@@ -222,7 +220,6 @@
         'entries': [f'{host}:{peer_port}' for host in hosts],
         # Seeds are the addresses that their entries announce.
         'seed_discovery': 0,
-        'lead_links': LEAD_LINKS,
         'heartbeat': HEARTBEAT_INTERVAL,
         'send_window': lease,
         'task_lease': lease,
