--- a/jackdawridge/membership/messages.capnp
+++ b/jackdawridge/membership/messages.capnp
@@ -15,6 +15,7 @@
   version @11 :UInt32;
   leaving @12 :Bool;
   workerKind @13 :Text;
+  capacity @14 :Float64;
 }
 
 struct Member {
@@ -28,6 +29,7 @@
   failureDomain @7 :Text;
   address @8 :Text;
   service @9 :Text;
+  capacity @10 :Float64;
 }
 
 struct Gossip {
--- a/jackdawridge/membership/messages.py
+++ b/jackdawridge/membership/messages.py
@@ -52,6 +52,8 @@
     #: Kind of the worker beside a side, as its target announces it; empty if
     #: unknown, and from processes that do not send it.
     worker_kind: str = ''
+    #: Processor cores of an entry; 0 if unknown, and for a side.
+    capacity: float = 0
 
 
 class Precedence(NamedTuple):
@@ -87,6 +89,8 @@
     address: str
     #: Service of the minion beside a side; empty for an entry.
     service: str
+    #: Processor cores of an entry; 0 if unknown, and for a side.
+    capacity: float = 0
 
     def precedence(self) -> Precedence:
         """Return the key that orders this record among those of its node."""
--- a/jackdawridge/platform/settings.py
+++ b/jackdawridge/platform/settings.py
@@ -63,6 +63,14 @@
     resend_ms: float = 1300
 
 
+class _Limits(msgspec.Struct, rename='camel'):
+    """Resources of the machine."""
+
+    #: Part of each processor core that the process gets.
+    cpu_share: float = 0
+    cores: float = 0
+
+
 class _Store(msgspec.Struct):
     """Address of the metadata store."""
 
@@ -83,6 +91,7 @@
     platform: _Store
     listen: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     #: Address of the minion on a side's machine.
     app: str = ''
     service: str = ''
@@ -168,6 +177,7 @@
             caller_address=boot.listen.front,
             peer_address=f'{boot.ip}:{boot.internal_ports[0]}',
             log_service=boot.platform.address,
+            entry_capacity=boot.limits.cpu_share * boot.limits.cores,
             # Newly started minions run at full speed on this platform.
             ramp_time=0,
             worker_kinds='announced',
--- a/tests/test_membership/test_introduction.py
+++ b/tests/test_membership/test_introduction.py
@@ -21,13 +21,13 @@
     schema = tmp_path_factory.mktemp('schema') / 'earlier.capnp'
     schema.write_text(
         SCHEMA.read_text()
-        .replace('  workerKind @13 :Text;\n', '')
+        .replace('  workerKind @13 :Text;\n  capacity @14 :Float64;\n', '')
         .replace('@0xb3f1c4a2d5e60718', '@0xb3f1c4a2d5e60719')
     )
     fields = [
         one
         for one in get_type_hints(Introduction).items()
-        if one[0] != 'worker_kind'
+        if one[0] not in {'worker_kind', 'capacity'}
     ]
     # The codec finds the structure by the name of the type.
     earlier_type = NamedTuple('Introduction', fields)  # type: ignore[misc]
@@ -44,12 +44,12 @@
     ) -> None:
         present, earlier = codecs
         frame = present.encode(SENT._replace(worker_kind='b'))
-        assert tuple(earlier.decode(frame)) == tuple(SENT)[:-1]
+        assert tuple(earlier.decode(frame)) == tuple(SENT)[:-2]
 
     def test_its_workers_have_no_kind(
         self, codecs: tuple[Codec, Codec]
     ) -> None:
         present, earlier = codecs
         earlier_type = next(iter(earlier.by_type))
-        frame = earlier.encode(earlier_type(*tuple(SENT)[:-1]))
+        frame = earlier.encode(earlier_type(*tuple(SENT)[:-2]))
         assert present.decode(frame) == SENT
