Accept a configuration with a queue that has an advisor

What callers saw: a configuration in which any queue has `advice` was not put in force; the process logged an error and kept the older one. The check gave exit code 2 for it, and its warning about such queues could not be reached.

Cause: in a union with None, msgspec accepts only null in place of Raw: "Expected `null`, got `object` - at `$.routes[0].advice`".

Change: the field is Raw alone, empty if absent; null counts as absent.

Result: two new cases, one of the decoder and one of the check, fail without the change and pass with it; the tests of the codecs, commands, deployment and operations pass (163).

--- a/jackdawridge/platform/operators.py
+++ b/jackdawridge/platform/operators.py
@@ -38,7 +38,7 @@
     target_latency_ms: float = 0
     #: Settings of an advisor. They are not decoded, since queues that have one
     #: are not supported yet.
-    advice: msgspec.Raw | None = None
+    advice: msgspec.Raw = msgspec.Raw()
 
 
 class _Limits(msgspec.Struct, rename='camel'):
@@ -177,5 +177,5 @@
         route.max_attempts,
         route.stretch,
         route.target_latency_ms / _MILLISECONDS,
-        route.advice is not None,
+        bytes(route.advice) not in {b'', b'null'},
     )
--- a/tests/test_cmd/test_config_check.py
+++ b/tests/test_cmd/test_config_check.py
@@ -289,6 +289,7 @@
             ('pathPrefix', '/quotes', "doesn't end with '/'"),
             ('maxAttempts', 0, 'treated as 1'),
             ('stretch', 0.5, 'below 1'),
+            ('advice', {'decideMs': 20}, 'need advice are refused'),
         ],
     )
     def test_queue_with_an_effect_is_no_error(
--- a/tests/test_platform/test_codecs.py
+++ b/tests/test_platform/test_codecs.py
@@ -208,6 +208,17 @@
         )
         assert deployment.limits.max_body_bytes == 1000
 
+    @pytest.mark.parametrize(
+        ('advice', 'needs_advice'), [({'decideMs': 20}, True), (None, False)]
+    )
+    def test_queue_with_advice(
+        self, advice: object, needs_advice: bool
+    ) -> None:
+        document: Any = json.loads(json.dumps(self.document))
+        document['routes'][0]['advice'] = advice
+        (queue,) = read_configuration(json.dumps(document).encode()).queues
+        assert queue.needs_advice == needs_advice
+
     def test_records_are_applied(self) -> None:
         events: list[object] = []
         application: Any = Application.__new__(Application)
