Learn which kinds of tasks slow each other down, and keep them apart

Callers of two kinds that compete for something other than cores on one worker get late answers although other workers have room: the placer chooses by room alone.

With `interference` set to `avoid` (default `off`), an entry fits the logarithm of measured over expected run time of a kind to the fractions of the worker that its neighbours used, and places tasks of a found pair apart if another side fits them. No task waits or is refused for it. Found and forgotten pairs are logged with their inputs; two gauges and a status field show them.

--- a/jackdawridge/config.py
+++ b/jackdawridge/config.py
@@ -378,6 +378,7 @@
         default='room',
         choices=('room', 'random', 'round-robin', 'least-load'),
     ),
+    text_row('interference', _ENTRY, default='off', choices=('off', 'avoid')),
     number_row('ramp_time', _ENTRY, 2.0, (0, 60), _SECONDS),
     number_row('answer_retention', _ENTRY, 600.0, (1, 86400), _SECONDS),
     number_row('answer_limit', _ENTRY, 20000, (1, 10000000), 'answers'),
--- a/jackdawridge/operations/metrics.py
+++ b/jackdawridge/operations/metrics.py
@@ -101,6 +101,18 @@
         'Tasks that wait for room',
         lambda: engine.placer.queues.queued,
     )
+    add_gauge(
+        registry,
+        'interfering_pairs',
+        'Pairs of kinds of which one is found to slow the other down',
+        lambda: len(engine.placer.separation.pairs()),
+    )
+    add_gauge(
+        registry,
+        'separated_tasks',
+        'Tasks placed apart from kinds that they interfere with, so far',
+        lambda: engine.placer.separation.separated,
+    )
     add_gauge(
         registry,
         'linked_sides',
--- a/jackdawridge/placement/placement_pass.py
+++ b/jackdawridge/placement/placement_pass.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.placement.headroom import headroom_fraction
 from jackdawridge.placement.team_cursor import TeamCursor
@@ -40,6 +40,13 @@
 NO_PLACEMENT_LIMIT = float('inf')
 
 
+class Choice(NamedTuple):
+    """The side chosen for a task, and the reason."""
+
+    side: Side
+    reason: str
+
+
 class PlacementPass:
     """One placement pass over the queues of all teams.
 
@@ -158,21 +165,57 @@
             cursor.skip()
             return
         sides = self.sides_for(job, group)
-        side = self.side_of_last_task(
-            cursor, job, wanted, sides
-        ) or self.placer.policy.choose(wanted, sides, self.now)
-        if side is None:
+        choice = self.choose(cursor, wanted, sides)
+        if choice is None:
             if len(sides) == len(self.sides):
                 self.misfits.append(wanted)
             self.tries += 1
             cursor.skip()
             return
         request = self.placer.queues.pop_task(job, group)
-        self.assign(job, request, side, 'most room')
-        cursor.placed(job.ticket, side)
+        self.assign(job, request, choice.side, choice.reason)
+        cursor.placed(job.ticket, choice.side)
         if not group.requests:
             cursor.advance()
 
+    def choose(
+        self,
+        cursor: TeamCursor,
+        wanted: Need,
+        sides: Sequence[Side],
+    ) -> Choice | None:
+        """Return the side for a task, or None if it has to wait.
+
+        Tasks that slow each other down are kept apart, but none waits for
+        that.
+
+        :param cursor: cursor of the team.
+        :param wanted: need of its next task, including headroom.
+        :param sides: sides that the task may go to.
+        """
+        if cursor.current is None:
+            return None
+        job, group, need = cursor.current
+        policy = self.placer.policy
+        side = self.side_of_last_task(
+            cursor, job, wanted, sides
+        ) or policy.choose(wanted, sides, self.now)
+        if side is None:
+            return None
+        kind = group.sample.kind
+        separation = self.placer.separation
+        if separation.disturbs(kind, need.cores, side):
+            calm = [
+                one
+                for one in sides
+                if not separation.disturbs(kind, need.cores, one)
+            ]
+            apart = policy.choose(wanted, calm, self.now)
+            if apart is not None:
+                separation.separated += 1
+                return Choice(apart, 'apart')
+        return Choice(side, 'most room')
+
     def admits(self, job: Job) -> bool:
         """Return whether a job takes part in this pass.
 
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -22,6 +22,7 @@
     UnplaceableTask,
 )
 from jackdawridge.placement.room_requests import RoomRequests
+from jackdawridge.placement.separation import SEPARATIONS
 from jackdawridge.placement.tracking import AssignmentTracker
 
 if TYPE_CHECKING:
@@ -69,6 +70,7 @@
         policy = POLICIES[settings.text('policy')](seed)
         placer = cls(policy, QueueBounds(settings.integer('queue_limit')))
         placer.ramp_time = settings.number('ramp_time')
+        placer.separation = SEPARATIONS[settings.text('interference')]()
         return placer
 
     def set_limits(self, team: str, limits: TeamLimits) -> None:
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -19,6 +19,7 @@
     Placement,
     Request,
 )
+from jackdawridge.placement.separation import NoSeparation, Separation
 from jackdawridge.placement.side_view import Side, reserved_resources
 from jackdawridge.placement.stalls import StallDetector
 from jackdawridge.placement.worker_speed import START_MARGIN
@@ -26,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from jackdawridge.execution.messages import Room
     from jackdawridge.placement.policies import Policy
     from jackdawridge.placement.queued_jobs import Job
 
@@ -109,6 +111,7 @@
         self.bounds = bounds
         self.queues = Queues()
         self.learner = Learner()
+        self.separation: Separation = NoSeparation()
         self.assignments: dict[Key, Assignment] = {}
         #: Sides of the last runs of retried tasks, by ticket and position.
         self.avoided: dict[str, dict[int, str]] = defaultdict(dict)
@@ -196,9 +199,9 @@
         self.typical_run_time = typical + TYPICAL_RUN_TIME_WEIGHT * (
             need.run_time - typical
         )
-        self.assignments[request.key] = assignment._replace(
-            run_time_factor=side.run_time_factor
-        )
+        assignment = assignment._replace(run_time_factor=side.run_time_factor)
+        self.assignments[request.key] = assignment
+        self.separation.assigned(assignment, side)
         team = self.queues.team(request.team)
         team.running_cores += need.cores
         team.outstanding += 1
@@ -223,6 +226,7 @@
         assignment = self.assignments.pop(key, None)
         if assignment is None:
             return None
+        self.separation.released(assignment)
         team = self.queues.team(assignment.request.team)
         team.outstanding -= 1
         team.running_cores -= assignment.need.cores
@@ -297,6 +301,8 @@
         :param usage: measured usage of the task.
         :param now: current time in seconds.
         """
+        if outcome == 'succeeded':
+            self.observe_neighbours(key, side_id, usage, now)
         assignment = self.release(key)
         if assignment is None:
             return None
@@ -330,6 +336,46 @@
         self.apply_health(side_id)
         return assignment
 
+    def observe_neighbours(
+        self, key: Key, side_id: str, usage: Usage, now: float
+    ) -> None:
+        """Compare the run time of a task with what ran beside it.
+
+        Run times at limited sides are not compared.
+
+        :param key: key of a task that has succeeded.
+        :param side_id: identifier of the side that ran the task.
+        :param usage: measured usage of the task.
+        :param now: current time in seconds.
+        """
+        assignment = self.assignments.get(key)
+        if assignment is not None and side_id not in self.health.limited:
+            run_time = usage.run_time or now - assignment.placed_at
+            self.separation.succeeded(assignment, run_time, now)
+
+    def side_left(self, side_id: str) -> None:
+        """Remove a side whose link has closed.
+
+        :param side_id: identifier of the side.
+        """
+        super().side_left(side_id)
+        self.separation.forget(side_id)
+
+    def side_reported(
+        self, side_id: str, room: Room, processed: int, now: float
+    ) -> None:
+        """Update the free room of a side from its report.
+
+        :param side_id: identifier of the side.
+        :param room: free room after the last batch that the side processed.
+        :param processed: number of that batch.
+        :param now: current time in seconds.
+        """
+        super().side_reported(side_id, room, processed, now)
+        side = self.sides.get(side_id)
+        if side is not None:
+            self.separation.reported(side, now)
+
     def record_delegated_start(self, key: Key) -> None:
         """Record that another entry sends the start of a placed task.
 
--- a/jackdawridge/submission/engine.py
+++ b/jackdawridge/submission/engine.py
@@ -15,6 +15,7 @@
 from jackdawridge.submission.answers import AnswerStore
 from jackdawridge.submission.backlog import NoBacklog
 from jackdawridge.submission.decider import LocalDecider
+from jackdawridge.submission.interference_log import log_pair_changes
 from jackdawridge.submission.jobs import Job
 from jackdawridge.submission.orders import SideOrders
 from jackdawridge.submission.payloads import PayloadMemory
@@ -216,6 +217,7 @@
             self.send_cancellations()
             self.place(now)
         self.orders.stop_stalled(self.placer.pop_stalled())
+        log_pair_changes(self.placer.separation.pop_changes())
         self.decider.flush()
 
     def send_cancellations(self) -> None:
--- a/jackdawridge/submission/status.py
+++ b/jackdawridge/submission/status.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from jackdawridge.submission.engine import JobEngine
 
 
+class InterferingPair(NamedTuple):
+    """A kind of task that is slowed down by another kind."""
+
+    kind: str
+    neighbour: str
+    #: Factor on its run time beside a worker full of the other kind.
+    slowdown: float
+
+
 class EngineStatus(NamedTuple):
     """Jobs and sides of an entry, as operators see them."""
 
@@ -21,6 +31,8 @@
     offered: int
     #: Nodes of the sides where tasks may be placed.
     sides: list[str]
+    #: Pairs that are kept apart where there is room.
+    interfering_pairs: list[InterferingPair]
 
 
 def engine_status(engine: JobEngine) -> EngineStatus:
@@ -40,4 +52,8 @@
             for record in engine.orders.sides.values()
             if record.ready
         ),
+        [
+            InterferingPair(*pair, round(math.exp(log_slowdown), 3))
+            for pair, log_slowdown in engine.placer.separation.pairs().items()
+        ],
     )
