--- a/jackdawridge/placement/interference.py
+++ b/jackdawridge/placement/interference.py
@@ -111,28 +111,29 @@
         self.sums.decay(0.5 ** ((now - self.decayed_at) / HALF_LIFE))
         self.decayed_at = now
 
-    def excesses(self) -> list[Contrast]:
+    def excesses(self) -> dict[int, Contrast]:
         """Return how much more each neighbour slows the kind than usual ones.
 
-        :returns: excess of each coefficient over the mean coefficient, which
-            is weighted by the cores that the neighbours used; empty without
-            neighbours.
+        :returns: excess of the coefficient of each neighbour over the mean
+            coefficient, by position. The mean is weighted by the cores that
+            the neighbours used.
         """
         usual = self.sums.feature_sums
+        positions = [place for place, used in enumerate(usual) if used > 0]
+        if not positions:
+            return {}
+        fit = self.sums.fit(positions)
         total = sum(usual)
-        if total <= 0:
-            return []
-        fit = self.sums.fit()
-        shares = [feature_sum / total for feature_sum in usual]
-        return [
-            fit.contrast(
+        shares = [usual[position] / total for position in positions]
+        return {
+            position: fit.contrast(
                 [
                     float(other == position) - share
-                    for other, share in enumerate(shares)
+                    for other, share in zip(positions, shares, strict=True)
                 ]
             )
-            for position in range(len(usual))
-        ]
+            for position in positions
+        }
 
 
 class InterferenceModel:
@@ -221,10 +222,8 @@
         :param fit: its observations.
         """
         excesses = fit.excesses()
-        if not excesses:
-            return
         for neighbour, position in self.positions.items():
-            if neighbour not in {kind, BACKGROUND}:
+            if position in excesses and neighbour not in {kind, BACKGROUND}:
                 self.judge(
                     Pair(kind, neighbour), excesses[position], fit.sums.weight
                 )
--- a/jackdawridge/placement/least_squares.py
+++ b/jackdawridge/placement/least_squares.py
@@ -32,7 +32,7 @@
 
 
 class Fit(NamedTuple):
-    """Coefficients of the features, and their covariance."""
+    """Coefficients of the fitted features, and their covariance."""
 
     coefficients: list[float]
     covariance: Matrix
@@ -40,7 +40,7 @@
     def contrast(self, factors: Sequence[float]) -> Contrast:
         """Return a linear combination of the coefficients.
 
-        :param factors: factor of each coefficient.
+        :param factors: factor of each coefficient, in the order of the fit.
         """
         estimate = dot(factors, self.coefficients)
         variance = dot(factors, [dot(factors, row) for row in self.covariance])
@@ -110,39 +110,46 @@
         square = self.response_square_sum / self.weight
         return max(square - mean * mean, MIN_VARIANCE)
 
-    def fit(self) -> Fit:
+    def fit(self, positions: Sequence[int]) -> Fit:
         """Return the fit to the observations, of which there is at least one.
 
         The responses are fitted as differences from their mean.
+
+        :param positions: positions of the features to fit.
         """
         variance = self.variance()
-        centred, moments = self.centre()
-        for position in range(self.size):
-            centred[position][position] += variance
+        centred = self.centred_products(positions)
+        for number, products in enumerate(centred):
+            products[number] += variance
         inverse = inverted(centred)
+        moments = self.centred_moments(positions)
         coefficients = [dot(row, moments) for row in inverse]
         return Fit(coefficients, [scaled(row, variance) for row in inverse])
 
-    def centre(self) -> tuple[Matrix, list[float]]:
-        """Return products and moments of the differences from the means."""
-        response_mean = self.response_sum / self.weight
-        means = scaled(self.feature_sums, 1 / self.weight)
-        products = [
+    def centred_products(self, positions: Sequence[int]) -> Matrix:
+        """Return the products of the differences from the means.
+
+        :param positions: positions of the features.
+        """
+        sums = [self.feature_sums[position] for position in positions]
+        return [
             [
-                product - mean * feature_sum
-                for product, feature_sum in zip(
-                    row, self.feature_sums, strict=True
-                )
+                self.products[row][column] - row_sum * column_sum / self.weight
+                for column, column_sum in zip(positions, sums, strict=True)
             ]
-            for row, mean in zip(self.products, means, strict=True)
+            for row, row_sum in zip(positions, sums, strict=True)
         ]
-        moments = [
-            moment - feature_sum * response_mean
-            for moment, feature_sum in zip(
-                self.moments, self.feature_sums, strict=True
-            )
+
+    def centred_moments(self, positions: Sequence[int]) -> list[float]:
+        """Return the products of these differences with the responses.
+
+        :param positions: positions of the features.
+        """
+        mean = self.response_sum / self.weight
+        return [
+            self.moments[position] - self.feature_sums[position] * mean
+            for position in positions
         ]
-        return products, moments
 
 
 def zeros(size: int) -> list[float]:
