--- a/jackdawridge/placement/health.py
+++ b/jackdawridge/placement/health.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import math
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.placement.kind_outcomes import KindOutcomes
 from jackdawridge.placement.side_health import SLOW_LOG2_EXCESS, SideHealth
 
+if TYPE_CHECKING:
+    from jackdawridge.placement.request import Key
+
 #: Largest fraction of the open sides that is limited at a time.
 MAX_LIMITED_FRACTION = 0.3
 
@@ -87,6 +90,8 @@
         self.kind_outcomes = KindOutcomes()
         #: Sides that are limited now.
         self.limited: set[str] = set()
+        #: Keys of running tasks that were found late; each counts once.
+        self.late_keys: set[Key] = set()
 
     def side_health(self, side_id: str) -> SideHealth:
         """Return the health of a side, and create it if necessary.
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -20,6 +20,7 @@
     Placement,
     Request,
 )
+from jackdawridge.placement.separation import NoSeparation, Separation
 from jackdawridge.placement.side_view import Side, reserved_resources
 from jackdawridge.placement.stalls import StallDetector
 from jackdawridge.placement.worker_speed import START_MARGIN
@@ -27,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from jackdawridge.execution.messages import Room
     from jackdawridge.placement.policies import Policy
     from jackdawridge.placement.queued_jobs import Job
 
@@ -110,9 +112,8 @@
         self.bounds = bounds
         self.queues = Queues()
         self.learner = Learner()
+        self.separation: Separation = NoSeparation()
         self.assignments: dict[Key, Assignment] = {}
-        #: Keys of running tasks that were found late; each counts once.
-        self.late_keys: set[Key] = set()
         #: Sides of the last runs of retried tasks, by ticket and position.
         self.avoided: dict[str, dict[int, str]] = defaultdict(dict)
         self.stall_detector = StallDetector()
@@ -202,9 +203,9 @@
         self.typical_run_time = typical + TYPICAL_RUN_TIME_WEIGHT * (
             need.run_time - typical
         )
-        self.assignments[request.key] = assignment._replace(
-            run_time_factor=side.run_time_factor
-        )
+        assignment = assignment._replace(run_time_factor=side.run_time_factor)
+        self.assignments[request.key] = assignment
+        self.separation.assigned(assignment, side)
         team = self.queues.team(request.team)
         team.running_cores += need.cores
         team.outstanding += 1
@@ -227,9 +228,10 @@
         :param key: key of the task.
         """
         assignment = self.assignments.pop(key, None)
-        self.late_keys.discard(key)
+        self.health.late_keys.discard(key)
         if assignment is None:
             return None
+        self.separation.released(assignment)
         team = self.queues.team(assignment.request.team)
         team.outstanding -= 1
         team.running_cores -= assignment.need.cores
@@ -304,6 +306,8 @@
         :param usage: measured usage of the task.
         :param now: current time in seconds.
         """
+        if outcome == 'succeeded':
+            self.observe_neighbours(key, side_id, usage, now)
         assignment = self.release(key)
         if assignment is None:
             return None
@@ -341,6 +345,46 @@
         self.apply_health(side_id)
         return assignment
 
+    def observe_neighbours(
+        self, key: Key, side_id: str, usage: Usage, now: float
+    ) -> None:
+        """Compare the run time of a task with what ran beside it.
+
+        Run times at limited sides are not compared.
+
+        :param key: key of a task that has succeeded.
+        :param side_id: identifier of the side that ran the task.
+        :param usage: measured usage of the task.
+        :param now: current time in seconds.
+        """
+        assignment = self.assignments.get(key)
+        if assignment is not None and side_id not in self.health.limited:
+            run_time = usage.run_time or now - assignment.placed_at
+            self.separation.succeeded(assignment, run_time, now)
+
+    def side_left(self, side_id: str) -> None:
+        """Remove a side whose link has closed.
+
+        :param side_id: identifier of the side.
+        """
+        super().side_left(side_id)
+        self.separation.forget(side_id)
+
+    def side_reported(
+        self, side_id: str, room: Room, processed: int, now: float
+    ) -> None:
+        """Update the free room of a side from its report.
+
+        :param side_id: identifier of the side.
+        :param room: free room after the last batch that the side processed.
+        :param processed: number of that batch.
+        :param now: current time in seconds.
+        """
+        super().side_reported(side_id, room, processed, now)
+        side = self.sides.get(side_id)
+        if side is not None:
+            self.separation.reported(side, now)
+
     def record_delegated_start(self, key: Key) -> None:
         """Record that another entry sends the start of a placed task.
 
@@ -386,11 +430,11 @@
             side_id = assignment.side_id
             limit = assignment.latest_end(LATE_FACTOR, MIN_LATE_TIME)
             if (
-                key not in self.late_keys
+                key not in self.health.late_keys
                 and side_id in reported_at_by_side
                 and reported_at_by_side[side_id] > limit
             ):
-                self.late_keys.add(key)
+                self.health.late_keys.add(key)
                 self.health.record_late(
                     side_id, assignment.request.ticket, self.placed
                 )
--- a/tests/test_platform/test_codecs.py
+++ b/tests/test_platform/test_codecs.py
@@ -220,8 +220,9 @@
     ) -> None:
         document: Any = json.loads(json.dumps(self.document))
         document['routes'][0]['advice'] = advice
-        (queue,) = read_configuration(json.dumps(document).encode()).queues
-        assert queue.needs_advice == needs_advice
+        deployment = read_configuration(json.dumps(document).encode())
+        needs = [queue.needs_advice for queue in deployment.queues]
+        assert needs == [needs_advice]
 
     def test_records_are_applied(self) -> None:
         events: list[object] = []
