Count a late task once only where kinds of workers are told apart

Now a late task counts at each check as before, unless the factors of kinds are in effect.

Result: test_worker_kinds and test_slow_sides pass with their bounds.

--- a/jackdawridge/placement/kind_adjustment.py
+++ b/jackdawridge/placement/kind_adjustment.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from jackdawridge.placement.request import Key
     from jackdawridge.placement.tracking import Assignment, AssignmentTracker
 
 
@@ -57,6 +58,18 @@
                 assignment.need.run_time,
             )
 
+    def was_counted_late(self, key: Key) -> bool:
+        """Return whether a running task has counted against its side.
+
+        Where kinds of workers are told apart it counts once: a long task would
+        otherwise limit a sound worker for as long as it runs.
+
+        :param key: key of the task.
+        """
+        tracker = self.tracker
+        has_factors = bool(tracker.worker_kinds.factors)
+        return has_factors and key in tracker.health.late_keys
+
     def update(self) -> None:
         """Update the factors of the kinds of workers, and of all sides."""
         tracker = self.tracker
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -430,9 +430,9 @@
             side_id = assignment.side_id
             limit = assignment.latest_end(LATE_FACTOR, MIN_LATE_TIME)
             if (
-                key not in self.health.late_keys
-                and side_id in reported_at_by_side
+                side_id in reported_at_by_side
                 and reported_at_by_side[side_id] > limit
+                and not self.kind_adjustment.was_counted_late(key)
             ):
                 self.health.late_keys.add(key)
                 self.health.record_late(
