Split the table of settings, placed tasks and resources from their modules

The table of settings is settings_table.py, loading and validation stay in config.py; amounts of resources are placement/resources.py, a placed task is placement/assignment.py.

--- a/jackdawridge/coordination/delegate.py
+++ b/jackdawridge/coordination/delegate.py
@@ -13,8 +13,8 @@
     EndedTask,
     RunningTask,
 )
+from jackdawridge.placement.assignment import Assignment
 from jackdawridge.placement.learning import NO_USAGE
-from jackdawridge.placement.tracking import Assignment
 
 if TYPE_CHECKING:
     from jackdawridge.coordination.messages import (
--- a/jackdawridge/coordination/lead.py
+++ b/jackdawridge/coordination/lead.py
@@ -14,9 +14,10 @@
     ShedDecision,
 )
 from jackdawridge.coordination.selection import MIN_REACHED_FRACTION
+from jackdawridge.placement.assignment import Assignment
 from jackdawridge.placement.fleet import REFUSAL_WAIT
 from jackdawridge.placement.learning import Usage
-from jackdawridge.placement.tracking import NO_ROOM, Assignment
+from jackdawridge.placement.tracking import NO_ROOM
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/jackdawridge/placement/fleet.py
+++ b/jackdawridge/placement/fleet.py
@@ -5,10 +5,9 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.placement.health import FleetHealth
+from jackdawridge.placement.resources import NO_RESOURCES, Resources
 from jackdawridge.placement.side_view import (
-    NO_RESOURCES,
     RAMP_TIME,
-    Resources,
     Side,
     SideInfo,
 )
--- a/jackdawridge/placement/kind_adjustment.py
+++ b/jackdawridge/placement/kind_adjustment.py
@@ -10,8 +10,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from jackdawridge.placement.assignment import Assignment
     from jackdawridge.placement.request import Key
-    from jackdawridge.placement.tracking import Assignment, AssignmentTracker
+    from jackdawridge.placement.tracking import AssignmentTracker
 
 
 class KindAdjustment:
--- a/jackdawridge/placement/placement_pass.py
+++ b/jackdawridge/placement/placement_pass.py
@@ -5,9 +5,9 @@
 import heapq
 from typing import TYPE_CHECKING, NamedTuple
 
+from jackdawridge.placement.assignment import Assignment
 from jackdawridge.placement.headroom import headroom_fraction
 from jackdawridge.placement.team_cursor import TeamCursor
-from jackdawridge.placement.tracking import Assignment
 from jackdawridge.placement.worker_speed import may_start, split_by_speed
 
 if TYPE_CHECKING:
--- a/jackdawridge/placement/separation.py
+++ b/jackdawridge/placement/separation.py
@@ -22,10 +22,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from jackdawridge.placement.assignment import Assignment
     from jackdawridge.placement.interference import Pair, PairChange
     from jackdawridge.placement.request import Key
     from jackdawridge.placement.side_view import Side
-    from jackdawridge.placement.tracking import Assignment
 
 #: Fraction of the expected run time during which the neighbours count.
 OBSERVED_FRACTION = 0.5
--- a/jackdawridge/placement/stalls.py
+++ b/jackdawridge/placement/stalls.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from jackdawridge.placement.tracking import Assignment
+    from jackdawridge.placement.assignment import Assignment
 
 #: Factor on the high estimate of the run time from which a task may have
 #: stalled. One task in 20 exceeds the estimate, and few of them by half.
--- a/jackdawridge/placement/tracking.py
+++ b/jackdawridge/placement/tracking.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from jackdawridge.placement.admission import QueueBounds
+from jackdawridge.placement.assignment import Assignment
 from jackdawridge.placement.fleet import REFUSAL_WAIT, Fleet
 from jackdawridge.placement.headroom import MIN_LARGE_JOB_TASKS
 from jackdawridge.placement.kind_adjustment import KindAdjustment
@@ -20,8 +21,9 @@
     Placement,
     Request,
 )
+from jackdawridge.placement.resources import reserved_resources
 from jackdawridge.placement.separation import NoSeparation, Separation
-from jackdawridge.placement.side_view import Side, reserved_resources
+from jackdawridge.placement.side_view import Side
 from jackdawridge.placement.stalls import StallDetector
 from jackdawridge.placement.worker_speed import START_MARGIN
 
@@ -68,36 +70,6 @@
     total_share: float
 
 
-class Assignment(NamedTuple):
-    """A task that was placed and has not ended."""
-
-    side_id: str
-    request: Request
-    need: Need
-    #: Placement number, ascending in the order of placement.
-    number: int
-    placed_at: float
-    standing: Standing
-    #: Ratio of the run time at the side to that at a fast side; `assign` sets
-    #: it.
-    run_time_factor: float = 1
-
-    def expected_end(self) -> float:
-        """Return the expected time of the end of the task."""
-        return self.placed_at + self.need.run_time * self.run_time_factor
-
-    def latest_end(self, factor: float, min_run_time: float) -> float:
-        """Return the time after which the task has run too long.
-
-        :param factor: factor on the run time that few tasks exceed.
-        :param min_run_time: run time in seconds that is never too long.
-        """
-        return self.placed_at + max(
-            self.need.high_run_time * self.run_time_factor * factor,
-            min_run_time,
-        )
-
-
 class AssignmentTracker(Fleet):
     """Tracks the assignment of placed tasks to sides until they end.
 
--- a/jackdawridge/submission/orders.py
+++ b/jackdawridge/submission/orders.py
@@ -20,9 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from jackdawridge.placement.assignment import Assignment
     from jackdawridge.placement.placer import Placer
     from jackdawridge.placement.request import Placement
-    from jackdawridge.placement.tracking import Assignment
     from jackdawridge.submission.configured_jobs import KnownConfiguration
     from jackdawridge.submission.jobs import Job
     from jackdawridge.submission.sides import SideRecord
--- a/tests/processes/nodes.py
+++ b/tests/processes/nodes.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from jackdawridge.config import SETTINGS
+from jackdawridge.settings_table import SETTINGS
 from tests.processes.http import Reply, request
 from tests.processes.ports import find_free_addresses
 from tests.processes.process import Process
--- a/tests/test_placement/test_stalls.py
+++ b/tests/test_placement/test_stalls.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from jackdawridge.placement.assignment import Assignment
 from jackdawridge.placement.learning import Need
 from jackdawridge.placement.queued_jobs import Standing
 from jackdawridge.placement.request import Request
 from jackdawridge.placement.stalls import StallDetector
-from jackdawridge.placement.tracking import Assignment
 
 HIGH_RUN_TIME = 0.4
 
