Leave a closing connection unread after a pipelined request

When the second of two pipelined requests closes the connection, reading was resumed on it. Twisted's TCP transport ignores that, the one of the tests raises an error, which is how it was found; other transports need not ignore it. The channel looks whether its transport is closing. The test failed before.

--- a/jackdawridge/operations/paced_channel.py
+++ b/jackdawridge/operations/paced_channel.py
@@ -81,8 +81,9 @@
             return
         self.paused = False
         self.dataReceived(b'')
-        if not (self.paused or self._waitingForTransport or self.is_closed):
-            transport: Any = self.transport
+        transport: Any = self.transport
+        is_closing = self.is_closed or transport.disconnecting
+        if not (self.paused or self._waitingForTransport or is_closing):
             transport.resumeProducing()
 
     def writeHeaders(
--- a/tests/test_operations/test_http_channel.py
+++ b/tests/test_operations/test_http_channel.py
@@ -134,6 +134,14 @@
         channel.resumeProducing()
         assert channel.transport.producerState == 'producing'
 
+    def test_second_request_may_close_the_connection(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        channel.dataReceived(b'%b%bConnection: close\r\n\r\n' % (GET, GET[:-2]))
+        listener.clock.advance(0)
+        assert channel.transport.value().count(OK) == 2
+        assert channel.transport.disconnecting
+
 
 class TestEviction:
     def test_largest_connection_gets_a_refusal(self) -> None:
