Answer no request with the 408 of what came behind it

A client that sent anything behind a request while it was being answered, be it a blank line, had 408 with `not-run` after 15 s in place of the answer: for a job that was running. The timer of a request started with those bytes and took no notice of the answer before them. Complete requests whose turn had not come, since an answer before them was unsent, were refused, too, and a closing connection got a second answer. A blank line behind a request closed an idle connection after 15 s.

The time of a request now runs from its first bytes or the end of the answer before it. It doesn't refuse while a request is answered or waits for its turn, nor on a closing connection; a blank line begins no request.

The time since which a request may be under way was wrong, too: a request that came in one read with a job had it counted from the end of that job, and with requests cut by each read it stayed at the first read for as long as the client went on, so that its patience would have seemed spent. It is the time of the read now.

Not run: tests with processes.

--- a/jackdawridge/operations/http_channel.py
+++ b/jackdawridge/operations/http_channel.py
@@ -111,6 +111,8 @@
         self.timer: Any = None
         #: Local time after which the request was sent, in seconds.
         self.received_after = float('-inf')
+        #: Local time after which the last input was sent, in seconds.
+        self.read_after = self.received_after
         #: Memory of the head of the request that is being answered, in bytes.
         self.head_size = 0
 
@@ -120,11 +122,16 @@
         :param data: the received bytes.
         """
         if not self.is_closed:
-            if data and self.timer is None:
-                self.received_after = self.factory.sent_after()
+            if data and not self.paused:
+                self.read_after = self.factory.sent_after()
+            if self.timer is None:
+                self.received_after = self.read_after
             self.start_timer()
             self.factory.input_read()
             super().dataReceived(data)
+            if not (self._buffer or self.requests):
+                # No request has begun: it was a blank line.
+                self.stop_timer()
             self.count_memory()
 
     def allHeadersReceived(self) -> None:
@@ -147,6 +154,9 @@
         :param request: the request whose answer is written.
         """
         self.head_size = 0
+        if self.timer is not None:
+            # What came behind the request had to wait for its answer.
+            self.timer.reset(REQUEST_TIMEOUT)
         super().requestDone(request)
         self.count_memory()
 
@@ -185,9 +195,17 @@
         self.timer = None
 
     def request_timed_out(self) -> None:
-        """Close a connection whose request has not arrived in time."""
+        """Close a connection whose request has not arrived in time.
+
+        What has come behind another request waits for its answer first, and a
+        refusal in its place would say that the other request has not run.
+        """
         self.timer = None
-        self.reject(Refusal.request_time, _TIMED_OUT)
+        transport: Any = self.transport
+        if self._handlingRequest or self.paused:
+            self.start_timer()
+        elif not transport.disconnecting:
+            self.reject(Refusal.request_time, _TIMED_OUT)
 
     def count_memory(self) -> None:
         """Count what the connection holds; it may be evicted for it."""
--- a/tests/test_operations/test_http_channel.py
+++ b/tests/test_operations/test_http_channel.py
@@ -180,3 +180,97 @@
         listener.clock.advance(60)
         listener.clock.advance(15)
         assert channel.transport.is_aborted
+
+
+class TestRequestTime:
+    def test_request_that_is_answered_gets_no_refusal(self) -> None:
+        """Input behind it may be as little as a blank line."""
+        listener = Listener()
+        channel = listener.connect()
+        slow: Deferred[bytes] = Deferred()
+        listener.answers.append(slow)
+        channel.dataReceived(GET)
+        channel.dataReceived(b'\r\n')
+        listener.clock.pump([15, 15])
+        assert not channel.transport.value()
+        slow.callback(b'done')
+        assert channel.transport.value().endswith(b'done')
+
+    def test_time_behind_an_answer_starts_with_its_end(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        slow: Deferred[bytes] = Deferred()
+        listener.answers.append(slow)
+        channel.dataReceived(GET)
+        channel.dataReceived(GET[:10])
+        listener.clock.advance(14)
+        slow.callback(b'')
+        listener.clock.advance(14)
+        assert not channel.transport.disconnecting
+        channel.dataReceived(GET[10:])
+        assert len(listener.bodies) == 2
+
+    def test_incomplete_request_behind_an_answer_is_refused(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        channel.dataReceived(b'%b%b' % (GET, GET[:10]))
+        listener.clock.advance(0)
+        listener.clock.advance(15)
+        assert b'HTTP/1.1 408' in channel.transport.value()
+        assert channel.transport.disconnecting
+
+    def test_complete_request_behind_an_unsent_answer_is_kept(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        slow: Deferred[bytes] = Deferred()
+        listener.answers.append(slow)
+        channel.dataReceived(GET * 2)
+        channel.pauseProducing()
+        slow.callback(b'')
+        listener.clock.advance(15)
+        channel.resumeProducing()
+        listener.clock.advance(0)
+        assert len(listener.bodies) == 2
+        assert b'HTTP/1.1 408' not in channel.transport.value()
+
+    def test_blank_line_begins_no_request(self) -> None:
+        """Some clients send one behind the body of a request."""
+        listener = Listener()
+        channel = listener.connect()
+        channel.dataReceived(b'%b\r\n' % GET)
+        listener.clock.pump([0, 15])
+        assert not channel.transport.disconnecting
+        channel.dataReceived(GET)
+        assert channel.transport.value().count(OK) == 2
+
+    def test_closing_connection_gets_no_second_answer(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        channel.dataReceived(b'POST / HTTP/1.1\r\nContent-Length: 9999999\r\n')
+        channel.dataReceived(b'\r\n')
+        listener.clock.advance(15)
+        assert channel.transport.value().count(b'HTTP/1.1') == 1
+
+
+class TestAge:
+    def test_request_behind_another_is_as_old_as_its_input(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        slow: Deferred[bytes] = Deferred()
+        listener.answers.append(slow)
+        channel.dataReceived(GET * 2)
+        listener.clock.advance(10)
+        slow.callback(b'')
+        listener.clock.advance(0)
+        assert len(listener.bodies) == 2
+        assert channel.received_after == 0
+
+    def test_requests_cut_by_each_read_do_not_grow_old(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        channel.dataReceived(b'%b%b' % (GET, GET[:10]))
+        for _ in range(4):
+            listener.clock.pump([0, 10])
+            channel.dataReceived(b'%b%b' % (GET[10:], GET[:10]))
+        assert len(listener.bodies) == 5
+        assert channel.received_after == 30
