Do no work for lead candidates while there are none, and keep capacities

Entries without lead links, which is the default, spent more time than before on each message and check, and an entry's capacity was lost where processes of an earlier version pass its record on.

Cause: a known record whose capacity is 0, as that of any side, was copied and stored again each time it was received. All entries were hashed and sorted before it was seen that no candidate is wanted, the entries of a side were chosen twice, and the candidates were kept and links searched for no lead. A newer record without a capacity, such as a suspicion by an earlier version, replaced one with it, and the queued copy stayed without the learned one. A capacity of NaN left no candidates.

Change: a capacity is learned only from a record that has one, goes into the queued copy, and stays with the same run. Records with a negative or infinite one, or NaN, are malformed. Without lead links, nothing is sorted, searched or kept for them.

--- a/jackdawridge/coordination/candidates.py
+++ b/jackdawridge/coordination/candidates.py
@@ -65,11 +65,11 @@
 
         :param now: current time in seconds.
         """
-        entries = self.links.directory.entries()
-        linked = self.links.incarnations()
+        reaching = self.reaching_sides(self.links.directory.entries(), now)
+        linked = self.links.incarnations() if reaching else set()
         candidates = [
             Candidate(entry.generation, entry.incarnation)
-            for entry in self.reaching_sides(entries, now)
+            for entry in reaching
             if entry.incarnation in linked and is_available(entry)
         ]
         self.found = len(candidates)
@@ -83,6 +83,8 @@
         """
         if can_reach_sides(len(entries), self.entries_per_side):
             return entries
+        if not self.present.count:
+            return []
         nodes = self.present.update(entries, now)
         return [entry for entry in entries if entry.node in nodes]
 
--- a/jackdawridge/membership/lead_candidates.py
+++ b/jackdawridge/membership/lead_candidates.py
@@ -36,8 +36,10 @@
     :param count: the number of candidates wanted.
     :returns: none if the entries are too many for one lead.
     """
+    if not count:
+        return []
     known = sorted(entries, key=_rank)
-    if not count or not known or len(known) > MAX_ENTRIES_PER_LEAD:
+    if not known or len(known) > MAX_ENTRIES_PER_LEAD:
         return []
     needed = MIN_CAPACITY_FRACTION * max(entry.capacity for entry in known)
     used: Counter[str] = Counter()
--- a/jackdawridge/membership/side_monitor.py
+++ b/jackdawridge/membership/side_monitor.py
@@ -115,9 +115,10 @@
             return False
         entries = usable_entries(table)
         candidates = choose_lead_candidates(entries, self.lead_links)
-        return self.is_chosen(node, entries, ()) and self.is_chosen(
-            node, entries, candidates
-        )
+        is_expected = self.is_chosen(node, entries, ())
+        if not is_expected or not candidates:
+            return is_expected
+        return self.is_chosen(node, entries, candidates)
 
     def is_chosen(
         self, node: str, entries: list[Member], candidates: Collection[Member]
--- a/jackdawridge/membership/table.py
+++ b/jackdawridge/membership/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 import xxhash
@@ -84,7 +85,7 @@
         :returns: the changed record as for `merge`, or None.
         """
         change = self.merge(member, now)
-        if change is member:
+        if change is not None and change is not self.own:
             self.queue.forget(member.node)
         return change
 
@@ -106,10 +107,11 @@
         if known is None and len(self.members) >= MAX_MEMBERS:
             return None
         if known and known.precedence() >= member.precedence():
-            self.learn_capacity(known, member)
+            if member.capacity and not known.capacity:
+                self.learn_capacity(known, member)
             return None
         self.store(member, now)
-        return member
+        return self.members[member.node]
 
     def learn_capacity(self, known: Member, member: Member) -> None:
         """Complete a record that lacks the capacity of its entry.
@@ -119,11 +121,12 @@
         :param known: the known record of a node.
         :param member: a record of the node that isn't newer.
         """
-        if known.incarnation == member.incarnation and not known.capacity:
-            complete = known._replace(capacity=member.capacity)
-            self.members[known.node] = complete
-            if known.role == 'entry':
-                self.entries[known.node] = complete
+        complete = with_capacity(known, member)
+        self.members[known.node] = complete
+        if known.role == 'entry':
+            self.entries[known.node] = complete
+        if self.queue.members.get(known.node) is not None:
+            self.queue.members[known.node] = complete
 
     def merge_own(self, member: Member, now: float) -> Member | None:
         """Merge a record of this node that came from a peer.
@@ -194,9 +197,10 @@
         if known is not None:
             self.digest ^= fingerprint(known)
         self.digest ^= fingerprint(member)
-        self.members[node] = member
+        stored = with_capacity(member, known)
+        self.members[node] = stored
         if member.role == 'entry':
-            self.entries[node] = member
+            self.entries[node] = stored
         self.runs.record(known, member, now)
         self.suspicion_deadlines.pop(node, None)
         self.ended_at.pop(node, None)
@@ -204,7 +208,7 @@
             self.suspicion_deadlines[node] = now + self.timing.suspicion_timeout
         elif member.state != State.alive:
             self.ended_at[node] = now
-        self.queue.put(member)
+        self.queue.put(stored)
 
     def suspect(self, node: str, now: float) -> Member | None:
         """Mark a member that doesn't answer as suspected.
@@ -299,6 +303,24 @@
     )
 
 
+def with_capacity(member: Member, known: Member | None) -> Member:
+    """Return a record with the capacity that is known of the same run.
+
+    A process of an earlier version passes records on without it.
+
+    :param member: a record.
+    :param known: another record of its node, if there is any.
+    """
+    if (
+        member.capacity
+        or known is None
+        or not known.capacity
+        or member.incarnation != known.incarnation
+    ):
+        return member
+    return member._replace(capacity=known.capacity)
+
+
 def fingerprint(member: Member) -> int:
     """Return the contribution of a record to the digest; 0 if not present.
 
@@ -321,6 +343,8 @@
 
     :param member: any record.
     """
+    if not 0 <= member.capacity < math.inf:
+        return False
     texts = (
         member.node,
         member.incarnation,
--- a/tests/test_membership/test_lead_candidates.py
+++ b/tests/test_membership/test_lead_candidates.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
+from typing import Any
+from unittest.mock import Mock
 
+import pytest
+
+from jackdawridge.coordination.candidates import CandidateFinder
 from jackdawridge.membership.entry_subset import (
     HOLD_TIME,
     LEAD_MIGRATION_TIME,
     MIGRATION_TIME,
     SETTLING_TIME,
     EntrySubset,
+    rendezvous_weight,
 )
 from jackdawridge.membership.lead_candidates import (
     MAX_ENTRIES_PER_LEAD,
@@ -150,5 +157,78 @@
         assert table.entries['e1'].capacity == 2
         assert table.members['e1'].state == State.alive
         assert table.digest == digest
+        assert table.queue.members['e1'].capacity == 2
         table.merge(complete._replace(capacity=0), 0)
         assert table.entries['e1'].capacity == 2
+
+    def test_newer_record_without_it_keeps_it(self) -> None:
+        """A process of an earlier version suspects the entry."""
+        table = MemberTable(make_member('e0'), Timing(1), 0)
+        complete = make_member('e1', capacity=2)
+        table.merge(complete, 0)
+        suspected = complete._replace(capacity=0, state=int(State.suspect))
+        merged = table.merge_without_gossip(suspected, 0)
+        assert merged == suspected._replace(capacity=2)
+        assert table.entries['e1'] is merged
+        assert table.members['e1'] is merged
+        assert 'e1' not in table.queue.members
+
+    @pytest.mark.parametrize('capacity', [-1, math.inf, math.nan])
+    def test_record_with_meaningless_one_is_malformed(
+        self, capacity: float
+    ) -> None:
+        """It would leave the fleet without lead candidates."""
+        table = MemberTable(make_member('e0'), Timing(1), 0)
+        assert table.merge(make_member('e1', capacity=capacity), 0) is None
+        assert 'e1' not in table.entries
+
+    def test_next_run_may_have_none(self) -> None:
+        """It can be of an earlier version, on another machine."""
+        table = MemberTable(make_member('e0'), Timing(1), 0)
+        table.merge(make_member('e1', capacity=2), 0)
+        table.merge(make_member('e1', 'b', generation=2), 0)
+        assert not table.entries['e1'].capacity
+
+    def test_known_record_without_it_is_left_alone(self) -> None:
+        """Each entry gets the record of each side many times."""
+        table = MemberTable(make_member('e0'), Timing(1), 0)
+        table.merge(make_member('s1', role='side'), 0)
+        known = table.members['s1']
+        table.merge(make_member('s1', role='side'), 0)
+        assert table.members['s1'] is known
+
+
+class TestNoLeadLinks:
+    """Without lead candidates, no work is done for them."""
+
+    def test_entries_are_not_ranked(self) -> None:
+        entries = iter(make_fleet())
+        assert not choose_lead_candidates(entries, 0)
+        assert len(list(entries)) == len(make_fleet())
+
+    def test_entries_are_weighed_once_for_a_side(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        weighed: list[str] = []
+
+        def weigh(side: str, entry: str) -> int:
+            weighed.append(entry)
+            return rendezvous_weight(side, entry)
+
+        monkeypatch.setattr(
+            'jackdawridge.membership.entry_subset.rendezvous_weight', weigh
+        )
+        fleet = make_fleet()
+        table = MemberTable(fleet[0], Timing(1), 0)
+        for member in (*fleet, make_member('s1', role='side')):
+            table.merge(member, 0)
+        SideMonitor(fleet[0].node, ENTRIES_PER_SIDE, 1).is_expected(table, 's1')
+        assert len(weighed) == len(fleet)
+
+    def test_links_are_not_searched_for_a_lead(self) -> None:
+        links: Any = Mock()
+        links.directory.entries.return_value = make_fleet()
+        finder = CandidateFinder(ENTRIES_PER_SIDE, 0, links)
+        assert not finder.find(0)
+        assert not links.incarnations.called
+        assert not finder.present.known
