Count the cores of interfering kinds only for tasks that were added

With interference = avoid, kinds were kept apart by wrong use of workers after a side had come back, and one run time of NaN or infinity from a side ended the learning about that worker.

Cause: each released task was removed from the present use of its side, also one that was added before the side left or while its kind wasn't told apart. More cores than the kind used were taken off the known cores, which stayed too low for good, and the difference counted as background. A worker kept the size of its first link, and one of size 0, where a lead takes a task over, raised ZeroDivisionError.

Change: a task is removed from the use that it was added to, and no more cores than are there. The size is that of the present link; a side of size 0 and run times that aren't finite are left out.

Nothing changes while the setting is off.

--- a/jackdawridge/placement/neighbours.py
+++ b/jackdawridge/placement/neighbours.py
@@ -93,12 +93,12 @@
         use = self.uses.get(kind)
         if use is None or not use.tasks:
             return
+        before = use.cores
         use.add(-cores, -1, now)
-        self.known_cores -= cores
         if not use.tasks:
             # Discard accumulated rounding errors.
-            self.known_cores -= use.cores
             use.cores = 0
+        self.known_cores += use.cores - before
 
     def set_used(self, cores: float, now: float) -> None:
         """Set the cores that all tasks use, of which some are of known kinds.
--- a/jackdawridge/placement/separation.py
+++ b/jackdawridge/placement/separation.py
@@ -166,6 +166,9 @@
         self.model = InterferenceModel()
         self.sides: dict[str, Neighbours] = {}
         self.samples: dict[Key, Sample] = {}
+        #: Use of the cores in which each running task counts. A side that
+        #: comes back has a new one.
+        self.counted: dict[Key, Neighbours] = {}
         #: Running observations by the time at which they end, and by the
         #: placement number of their tasks.
         self.due: list[tuple[float, int, Sample]] = []
@@ -180,16 +183,19 @@
         """
         request, placed_at = assignment.request, assignment.placed_at
         self.advance(placed_at)
-        if not self.model.admit(request.kind, self.now):
+        worker_cores = side.info.cores
+        if worker_cores <= 0 or not self.model.admit(request.kind, self.now):
             return
         neighbours = self.sides.get(side.side_id)
         if neighbours is None:
-            neighbours = Neighbours(side.info.cores)
+            neighbours = Neighbours(worker_cores)
             self.sides[side.side_id] = neighbours
+        neighbours.worker_cores = worker_cores
         # A lead learns of running tasks of other entries only after a while.
         if not request.task and placed_at == self.now:
             self.observe(assignment, neighbours)
         neighbours.add(request.kind, assignment.need.cores, self.now)
+        self.counted[request.key] = neighbours
         if len(neighbours.uses) > len(self.model.positions):
             neighbours.retain(self.model.positions)
 
@@ -213,7 +219,7 @@
         request = assignment.request
         if not request.task:
             self.samples.pop(request.key, None)
-        neighbours = self.sides.get(assignment.side_id)
+        neighbours = self.counted.pop(request.key, None)
         if neighbours is not None:
             neighbours.remove(request.kind, assignment.need.cores, self.now)
 
@@ -236,9 +242,10 @@
         if not sample.fractions:
             return
         expected = assignment.need.run_time * assignment.run_time_factor
-        log_ratio = sample.neighbours.adjusted(
-            math.log(max(run_time, MIN_RUN_TIME) / max(expected, MIN_RUN_TIME))
-        )
+        ratio = max(run_time, MIN_RUN_TIME) / max(expected, MIN_RUN_TIME)
+        if not math.isfinite(ratio):
+            return
+        log_ratio = sample.neighbours.adjusted(math.log(ratio))
         if log_ratio is None:
             return
         own = assignment.need.cores / sample.neighbours.worker_cores
--- a/tests/test_placement/test_interference.py
+++ b/tests/test_placement/test_interference.py
@@ -25,7 +25,12 @@
 from jackdawridge.placement.separation import LearnedSeparation
 from tests.test_placement.disturbance import Disturbance, DisturbedReplay
 from tests.test_placement.overload import make_jobs
-from tests.test_placement.placers import make_placer, make_request
+from tests.test_placement.placers import (
+    SUCCESS,
+    WORKER,
+    make_placer,
+    make_request,
+)
 
 SIDES = 11
 SECONDS = 40.0
@@ -259,9 +264,94 @@
         neighbours.set_used(6, 0)
         assert neighbours.fraction(BACKGROUND) == pytest.approx(0.4)
 
+    def test_more_cores_than_are_used_are_not_removed(self) -> None:
+        """The use before was discarded with a kind that made way."""
+        neighbours = Neighbours(10)
+        neighbours.add('a', 1, 0)
+        neighbours.remove('a', 8, 1)
+        neighbours.set_used(0, 1)
+        assert neighbours.known_cores == pytest.approx(0)
+        assert neighbours.fraction(BACKGROUND) == pytest.approx(0)
+
     def test_ratios_are_relative_to_the_side(self) -> None:
         """A worker that always takes twice as long is no disturbance."""
         neighbours = Neighbours(10)
         for _ in range(MIN_SIDE_TASKS):
             assert neighbours.adjusted(math.log(2)) is None
         assert neighbours.adjusted(math.log(2)) == pytest.approx(0)
+
+
+class TestReturningSide:
+    """A side leaves, and comes back while a task from before still runs."""
+
+    def make_placer(self) -> Placer:
+        """Return a placer with a task on each link of its side."""
+        placer = make_separating_placer(1)
+        self.place(placer, 'before')
+        placer.side_left('s0')
+        placer.side_joined('s0', WORKER, 10)
+        placer.side_reported('s0', Room(15, 1000, 1, 0), 0, 11)
+        self.place(placer, 'after')
+        return placer
+
+    def place(self, placer: Placer, ticket: str) -> None:
+        """Place a task."""
+        placer.enqueue([make_request(ticket)], 20)
+        assert placer.place(20)
+
+    def find_neighbours(self, placer: Placer) -> Neighbours:
+        """Return the use of the cores of the side."""
+        separation = placer.separation
+        assert isinstance(separation, LearnedSeparation)
+        return separation.sides['s0']
+
+    def test_task_from_before_is_not_taken_for_a_later_one(self) -> None:
+        placer = self.make_placer()
+        neighbours = self.find_neighbours(placer)
+        assert neighbours.fraction('1') == pytest.approx(1 / 16)
+        placer.ended(('before', 0), 's0', 'succeeded', SUCCESS, 21)
+        assert neighbours.fraction('1') == pytest.approx(1 / 16)
+        placer.ended(('after', 0), 's0', 'succeeded', SUCCESS, 21)
+        assert neighbours.known_cores == pytest.approx(0)
+
+    def test_second_end_changes_nothing(self) -> None:
+        placer = self.make_placer()
+        for _ in range(2):
+            placer.ended(('before', 0), 's0', 'succeeded', SUCCESS, 21)
+        neighbours = self.find_neighbours(placer)
+        assert neighbours.fraction('1') == pytest.approx(1 / 16)
+
+    def test_use_refers_to_its_present_size(self) -> None:
+        placer = self.make_placer()
+        placer.side_joined('s0', WORKER._replace(cores=32), 10)
+        placer.side_reported('s0', Room(30, 1000, 1, 0), 0, 11)
+        self.place(placer, 'larger')
+        neighbours = self.find_neighbours(placer)
+        assert neighbours.fraction('1') == pytest.approx(2 / 32)
+
+    def test_worker_of_unknown_size_is_left_out(self) -> None:
+        """A lead takes over a task before the side knows its target."""
+        placer = make_separating_placer(2)
+        self.place(placer, 'known')
+        assignment = placer.assignments['known', 0]
+        other = 's1' if assignment.side_id == 's0' else 's0'
+        placer.side_joined(other, WORKER._replace(cores=0), 20)
+        request = make_request('taken')
+        taken = assignment._replace(
+            side_id=other, request=request, placed_at=21
+        )
+        placer.assign(taken, placer.sides[other], 'taken over')
+        placer.ended(request.key, other, 'succeeded', SUCCESS, 23)
+        assert placer.placed == 2
+        assert not placer.assignments.keys() & {request.key}
+
+    @pytest.mark.parametrize('run_time', [math.nan, math.inf])
+    def test_meaningless_run_time_is_left_out(self, run_time: float) -> None:
+        placer = self.make_placer()
+        separation = placer.separation
+        assert isinstance(separation, LearnedSeparation)
+        for key, assignment in placer.assignments.items():
+            sample = separation.samples[key]
+            separation.succeeded(assignment, 1, 21)
+            separation.succeeded(assignment, run_time, 21)
+            assert math.isfinite(sample.neighbours.mean_log_ratio)
