Import what learns interference only where it is used

Change: the protocol and the way without learning stay in separation.py, the other is learned_separation.py, imported when the setting asks for it.

--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -22,7 +22,7 @@
     UnplaceableTask,
 )
 from jackdawridge.placement.room_requests import RoomRequests
-from jackdawridge.placement.separation import SEPARATIONS
+from jackdawridge.placement.separation import make_separation
 from jackdawridge.placement.tracking import AssignmentTracker
 
 if TYPE_CHECKING:
@@ -73,7 +73,7 @@
         placer.worker_kinds.is_enabled = (
             settings.text('worker_kinds') == 'announced'
         )
-        placer.separation = SEPARATIONS[settings.text('interference')]()
+        placer.separation = make_separation(settings.text('interference'))
         return placer
 
     def set_limits(self, team: str, limits: TeamLimits) -> None:
--- a/tests/test_placement/disturbance.py
+++ b/tests/test_placement/disturbance.py
@@ -6,7 +6,8 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple
 
-from jackdawridge.placement.separation import LearnedSeparation, NoSeparation
+from jackdawridge.placement.learned_separation import LearnedSeparation
+from jackdawridge.placement.separation import NoSeparation
 from tests.test_placement.overload import (
     CORES,
     NO_SLOWER_KINDS,
--- a/tests/test_placement/test_interference.py
+++ b/tests/test_placement/test_interference.py
@@ -20,9 +20,9 @@
     InterferenceModel,
     Pair,
 )
+from jackdawridge.placement.learned_separation import LearnedSeparation
 from jackdawridge.placement.neighbours import MIN_SIDE_TASKS, Neighbours
 from jackdawridge.placement.placer import Placer
-from jackdawridge.placement.separation import LearnedSeparation
 from tests.test_placement.disturbance import Disturbance, DisturbedReplay
 from tests.test_placement.overload import make_jobs
 from tests.test_placement.placers import (
