Say when a late task counts again against its side

Cause: the comment on the keys of late tasks still said that each counts once, which holds only where kinds of workers are told apart. Change: the comment alone. Result: format, lint and types are clean, the tests of worker kinds and slow sides pass.

--- a/jackdawridge/placement/health.py
+++ b/jackdawridge/placement/health.py
@@ -90,7 +90,8 @@
         self.kind_outcomes = KindOutcomes()
         #: Sides that are limited now.
         self.limited: set[str] = set()
-        #: Keys of running tasks that were found late; each counts once.
+        #: Keys of running tasks that have counted against their side as late;
+        #: a task counts again at each check unless kinds are told apart.
         self.late_keys: set[Key] = set()
 
     def side_health(self, side_id: str) -> SideHealth:
