Move what faces clients to a package of its own

Cause: listeners, channels, limits and refusals had outgrown `operations`, whose other modules serve operators, metrics and status.

--- a/jackdawridge/daemon.py
+++ b/jackdawridge/daemon.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 from jackdawridge.application import Application
+from jackdawridge.listening.input_limits import InputLimits
+from jackdawridge.listening.listeners import HttpListener
+from jackdawridge.listening.router import Router
 from jackdawridge.membership import messages as membership_messages
-from jackdawridge.operations.input_limits import InputLimits
-from jackdawridge.operations.listeners import HttpListener
 from jackdawridge.operations.metrics import make_registry
 from jackdawridge.operations.operator_resource import OperatorResource
-from jackdawridge.operations.router import Router
 from jackdawridge.wire.handshake import Credentials
 from jackdawridge.wire.peers import Connector, Peers
 
--- a/jackdawridge/entry.py
+++ b/jackdawridge/entry.py
@@ -12,11 +12,11 @@
 from jackdawridge.forwarding.resource import ServiceResource
 from jackdawridge.forwarding.rules import ConfiguredRules
 from jackdawridge.forwarding.ticketed import TicketedRequests
+from jackdawridge.listening.listeners import HttpListener
+from jackdawridge.listening.router import Router
 from jackdawridge.membership.component import Membership
 from jackdawridge.operations.configuration import ConfigurationResource
-from jackdawridge.operations.listeners import HttpListener
 from jackdawridge.operations.metrics import register_job_metrics
-from jackdawridge.operations.router import Router
 from jackdawridge.slices import SLICES
 from jackdawridge.submission.component import EntrySubmission
 from jackdawridge.submission.configured_jobs import ConfiguredJobs
--- /dev/null
+++ b/jackdawridge/listening/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP listeners: connections, limits on what clients send, and refusals."""
--- a/jackdawridge/operations/http_channel.py
+++ b/jackdawridge/listening/http_channel.py
@@ -6,10 +6,10 @@
 
 from twisted.web.server import Request
 
-from jackdawridge.operations.bodies import BodyReservation
-from jackdawridge.operations.chunked import ChunkedDecoder
-from jackdawridge.operations.paced_channel import PacedChannel
-from jackdawridge.operations.refusals import Refusal
+from jackdawridge.listening.bodies import BodyReservation
+from jackdawridge.listening.chunked import ChunkedDecoder
+from jackdawridge.listening.paced_channel import PacedChannel
+from jackdawridge.listening.refusals import Refusal
 from jackdawridge.wire.link import CONNECTION_DONE
 
 if TYPE_CHECKING:
--- a/jackdawridge/operations/input_limits.py
+++ b/jackdawridge/listening/input_limits.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from jackdawridge.operations.connection_memory import ConnectionMemory
+from jackdawridge.listening.connection_memory import ConnectionMemory
+from jackdawridge.listening.refusals import Refusals
 from jackdawridge.operations.metrics import add_gauge
-from jackdawridge.operations.refusals import Refusals
 
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
--- a/jackdawridge/operations/listeners.py
+++ b/jackdawridge/listening/listeners.py
@@ -6,10 +6,10 @@
 
 from twisted.web.server import Site
 
-from jackdawridge.operations.bodies import BodyMemory
-from jackdawridge.operations.http_channel import BoundedChannel, BoundedRequest
-from jackdawridge.operations.input_limits import InputLimits
-from jackdawridge.operations.refusals import Refusal
+from jackdawridge.listening.bodies import BodyMemory
+from jackdawridge.listening.http_channel import BoundedChannel, BoundedRequest
+from jackdawridge.listening.input_limits import InputLimits
+from jackdawridge.listening.refusals import Refusal
 from jackdawridge.util.clock import pause
 
 if TYPE_CHECKING:
--- a/jackdawridge/operations/operator_resource.py
+++ b/jackdawridge/operations/operator_resource.py
@@ -7,7 +7,7 @@
 import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from jackdawridge.operations.routes import GET, Route, Routes
+from jackdawridge.listening.routes import GET, Route, Routes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/jackdawridge/platform/callers.py
+++ b/jackdawridge/platform/callers.py
@@ -9,9 +9,9 @@
 from result import Err
 from twisted.internet.defer import Deferred
 
+from jackdawridge.listening.listeners import age_of
+from jackdawridge.listening.routes import ANY, GET, Route, Routes
 from jackdawridge.logs import get_logger
-from jackdawridge.operations.listeners import age_of
-from jackdawridge.operations.routes import ANY, GET, Route, Routes
 from jackdawridge.platform.jobs import UnsupportedJob, read_job
 from jackdawridge.submission.attended import RETRY_AFTER, Outcome, Verdict
 from jackdawridge.submission.documents import digest_of
--- a/jackdawridge/platform/entry.py
+++ b/jackdawridge/platform/entry.py
@@ -11,9 +11,9 @@
 from jackdawridge.deployment.entry import EntryDeployment
 from jackdawridge.deployment.state import DeploymentState
 from jackdawridge.execution import messages as execution
+from jackdawridge.listening.listeners import HttpListener
 from jackdawridge.membership import messages as membership
 from jackdawridge.membership.component import Membership
-from jackdawridge.operations.listeners import HttpListener
 from jackdawridge.operations.metrics import (
     CallerMetrics,
     register_coordination_metrics,
@@ -29,7 +29,7 @@
 
 if TYPE_CHECKING:
     from jackdawridge.application import Application
-    from jackdawridge.operations.input_limits import InputLimits
+    from jackdawridge.listening.input_limits import InputLimits
     from jackdawridge.platform.settings import NodeSettings
     from jackdawridge.submission.engine import JobEngine
 
--- a/jackdawridge/platform/heartbeats.py
+++ b/jackdawridge/platform/heartbeats.py
@@ -8,13 +8,13 @@
 
 from jackdawridge.execution.messages import Room
 from jackdawridge.execution.target_record import TargetHeartbeat
-from jackdawridge.logs import get_logger
-from jackdawridge.operations.routes import (
+from jackdawridge.listening.routes import (
     POST,
     Route,
     Routes,
     write_error,
 )
+from jackdawridge.logs import get_logger
 from jackdawridge.util.web import write_json
 
 if TYPE_CHECKING:
--- a/jackdawridge/platform/side.py
+++ b/jackdawridge/platform/side.py
@@ -15,9 +15,9 @@
 from jackdawridge.execution.leased_worker import LeasedWorker
 from jackdawridge.execution.run_deadlines import RunDeadlines
 from jackdawridge.execution.target_monitor import TargetMonitor
+from jackdawridge.listening.listeners import HttpListener
 from jackdawridge.membership import messages as membership
 from jackdawridge.membership.component import Membership
-from jackdawridge.operations.listeners import HttpListener
 from jackdawridge.platform.heartbeats import HeartbeatResource
 from jackdawridge.platform.minion import MinionClient
 from jackdawridge.platform.operators import make_record_follower
--- a/tests/test_operations/stopping_listener.py
+++ b/tests/test_listening/stopping_listener.py
@@ -12,8 +12,8 @@
 
 from twisted.internet import reactor as default_reactor
 
-from jackdawridge.operations.listeners import HttpListener
-from jackdawridge.operations.routes import GET, Route, Routes
+from jackdawridge.listening.listeners import HttpListener
+from jackdawridge.listening.routes import GET, Route, Routes
 
 if TYPE_CHECKING:
     from typing import Any
--- a/tests/test_operations/test_connection_memory.py
+++ b/tests/test_listening/test_connection_memory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from jackdawridge.operations.connection_memory import ConnectionMemory
+from jackdawridge.listening.connection_memory import ConnectionMemory
 
 
 class FakeHolder:
--- a/tests/test_operations/test_http_channel.py
+++ b/tests/test_listening/test_http_channel.py
@@ -9,11 +9,11 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-from jackdawridge.operations.connection_memory import ConnectionMemory
-from jackdawridge.operations.input_limits import InputLimits
-from jackdawridge.operations.listeners import HttpListener
-from jackdawridge.operations.refusals import Refusal, Refusals
-from jackdawridge.operations.routes import ANY, Route, Routes
+from jackdawridge.listening.connection_memory import ConnectionMemory
+from jackdawridge.listening.input_limits import InputLimits
+from jackdawridge.listening.listeners import HttpListener
+from jackdawridge.listening.refusals import Refusal, Refusals
+from jackdawridge.listening.routes import ANY, Route, Routes
 
 CHUNKED = b'POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n'
 GET = b'GET / HTTP/1.1\r\nHost: test\r\n\r\n'
--- a/tests/test_operations/test_listeners.py
+++ b/tests/test_listening/test_listeners.py
@@ -6,7 +6,7 @@
 import sys
 
 from tests.processes.ports import find_free_addresses
-from tests.test_operations.stopping_listener import CALLERS
+from tests.test_listening.stopping_listener import CALLERS
 
 #: Time limit of the process, in seconds.
 TIMEOUT = 30
@@ -20,7 +20,7 @@
             [
                 sys.executable,
                 '-m',
-                'tests.test_operations.stopping_listener',
+                'tests.test_listening.stopping_listener',
                 address,
             ],
             capture_output=True,
--- a/tests/test_operations/test_routes.py
+++ b/tests/test_listening/test_routes.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.web.server import NOT_DONE_YET
 
-from jackdawridge.operations.routes import ANY, GET, POST, Route, Routes
+from jackdawridge.listening.routes import ANY, GET, POST, Route, Routes
 
 
 class FakeRequest:
