Handle costly input of clients in turns

What callers saw: beside 64 clients whose bodies come in chunks of one byte no ordinary job was answered at their entry, and sides lost touch with it. Cause: each turn of the reactor read 16 KB from every connection and decoded all of it, 7.5 ms each at 2.7 microseconds a chunk. Long bodies and the answers for operators cost as much for a request. Change: `InputTurns`. A connection with more than some chunks, or with pipelined requests, and a request with a body of over 4 KB or for operators wait for their turn: 5 ms of them in each iteration, the others are read between. Why it works: a read of a connection costs no more than an ordinary request, and what is left of it delays others by 5 ms and one turn.

--- a/jackdawridge/daemon.py
+++ b/jackdawridge/daemon.py
@@ -101,20 +101,17 @@
             operators,
             registry,
             resource,
-            InputLimits.from_config(settings, registry),
+            InputLimits.from_config(settings, registry, reactor),
         )
 
     def add_operator_listener(self) -> None:
         """Add a listener for operators at `operator_address`."""
         address = self.application.settings.text('operator_address')
-        self.application.add(
-            HttpListener(
-                self.reactor,
-                address,
-                self.operators,
-                limits=self.input_limits,
-            )
+        listener = HttpListener(
+            self.reactor, address, self.operators, limits=self.input_limits
         )
+        listener.serves_in_turns = True
+        self.application.add(listener)
 
 
 def make_introduction(
--- a/jackdawridge/listening/chunked.py
+++ b/jackdawridge/listening/chunked.py
@@ -1,4 +1,4 @@
-"""Decoder of chunked bodies that keeps no trailers."""
+"""Decoder of chunked bodies that limits their cost."""
 
 from __future__ import annotations
 
@@ -9,15 +9,19 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+#: Number of chunks that are decoded at a time.
+CHUNKS_PER_TURN = 64
+
 _LINE_END = b'\r\n'
 _LAST_LINE_END = b'\r\n\r\n'
 
 
 class ChunkedDecoder(_ChunkedTransferDecoder):
-    """Decodes a chunked body; drops trailers up to Twisted's limit.
+    """Decodes some chunks at a time; drops trailers up to Twisted's limit.
 
-    Twisted keeps each trailer as an object of its own, which takes many times
-    the size of a short one.
+    Twisted decodes all that it gets in one turn of the event loop, however
+    small the chunks are. It keeps each trailer as an object of its own, which
+    takes many times the size of a short one.
 
     :param on_data: called with each part of the body.
     :param on_end: called at the end with the bytes behind the body.
@@ -30,12 +34,34 @@
         super().__init__(on_data, on_end)
         # Read by Twisted's parent class, too.
         self._start = 0
+        #: Whether received chunks wait for another call of `dataReceived`.
+        self.is_interrupted = False
 
     @property
     def buffered(self) -> int:
         """Number of received bytes that are not decoded yet."""
         return len(self._buffer)
 
+    def dataReceived(self, data: bytes) -> None:
+        """Decode up to `CHUNKS_PER_TURN` of the chunks received so far.
+
+        :param data: what was received since, which may be empty.
+        """
+        self._buffer += data
+        chunks = 0
+        self.is_interrupted = False
+        while self._buffer and not self.is_interrupted:
+            if self.state == 'CHUNK_LENGTH':
+                chunks += 1
+                self.is_interrupted = chunks > CHUNKS_PER_TURN
+            if not self.is_interrupted and not self.decode_next():
+                return
+
+    def decode_next(self) -> bool:
+        """Decode the next part; return whether another may be there."""
+        go_on: bool = getattr(self, f'_dataReceived_{self.state}')()
+        return go_on
+
     def _dataReceived_TRAILER(self) -> bool:  # noqa: N802
         """Drop complete trailers, then let Twisted look for the end."""
         if not self._buffer.startswith(_LINE_END):
--- a/jackdawridge/listening/http_channel.py
+++ b/jackdawridge/listening/http_channel.py
@@ -6,7 +6,7 @@
 
 from twisted.web.server import Request
 
-from jackdawridge.listening.bodies import BodyReservation
+from jackdawridge.listening.bodies import SMALL_BODY_BYTES, BodyReservation
 from jackdawridge.listening.chunked import ChunkedDecoder
 from jackdawridge.listening.paced_channel import PacedChannel
 from jackdawridge.listening.refusals import Refusal
@@ -69,9 +69,22 @@
             self.refuse(Refusal.body_memory, _NO_MEMORY)
 
     def process(self) -> None:
-        """Serve the request unless it was refused."""
-        if not self.refused:
-            super().process()
+        """Serve the request unless it was refused; a costly one in its turn.
+
+        A long body takes long to decode.
+        """
+        if self.refused:
+            return
+        listener: Any = self.channel.factory
+        is_long = self.reservation.length > SMALL_BODY_BYTES
+        if is_long or listener.serves_in_turns:
+            listener.limits.turns.request(self)
+        else:
+            self.take_turn()
+
+    def take_turn(self) -> None:
+        """Serve the request."""
+        Request.process(self)
 
     def finish(self) -> None:
         """End the answer and release the memory of the body."""
@@ -84,6 +97,7 @@
         :param reason: why the connection was lost.
         """
         self.reservation.release()
+        self.channel.factory.limits.turns.cancel(self)
         super().connectionLost(reason)
 
     def refuse(self, kind: Refusal, status: bytes) -> None:
@@ -202,7 +216,8 @@
         """
         self.timer = None
         transport: Any = self.transport
-        if self._handlingRequest or self.paused:
+        is_waiting = self.paused and not self.is_decoding
+        if self._handlingRequest or is_waiting:
             self.start_timer()
         elif not transport.disconnecting:
             self.reject(Refusal.request_time, _TIMED_OUT)
--- a/jackdawridge/listening/listeners.py
+++ b/jackdawridge/listening/listeners.py
@@ -66,7 +66,10 @@
         #: Open connections, of which `stop` closes all.
         self.channels: set[BoundedChannel] = set()
         self.body_memory = BodyMemory(body_memory)
-        self.limits = limits or InputLimits.default()
+        self.limits = limits or InputLimits.default(reactor)
+        #: Whether each request waits for its turn, since the answers of this
+        #: listener take long to make.
+        self.serves_in_turns = False
         #: Returns a local time after which input was sent that is read now, in
         #: seconds.
         self.sent_after: Callable[[], float] = reactor.seconds
--- a/jackdawridge/listening/paced_channel.py
+++ b/jackdawridge/listening/paced_channel.py
@@ -1,4 +1,4 @@
-"""HTTP connections that serve one pipelined request at a time."""
+"""HTTP connections that handle costly input in turns."""
 
 from __future__ import annotations
 
@@ -6,6 +6,8 @@
 
 from twisted.web.http import HTTPChannel
 
+from jackdawridge.listening.chunked import ChunkedDecoder
+
 if TYPE_CHECKING:
     from twisted.web.http_headers import Headers
 
@@ -15,17 +17,19 @@
 
 
 class PacedChannel(HTTPChannel):
-    """A connection that begins one pipelined request in each turn.
+    """A connection that takes turns with the others of its process.
 
-    The next request begins once the answers before it have been sent, so that
-    no client keeps the others waiting or lets unread answers pile up.
+    In each turn it begins one pipelined request, or decodes some chunks of a
+    body, so that no client keeps the others waiting. The next request begins
+    once the answers before it have been sent, so that unread answers do not
+    pile up.
     """
 
     def __init__(self) -> None:
         """Start without a pipelined request."""
         super().__init__()
-        #: Call that continues with the next pipelined request.
-        self.continuation: Any = None
+        #: Whether received chunks of a body wait for the next turn.
+        self.is_decoding = False
         #: Whether input is ignored, since the connection is lost or evicted.
         self.is_closed = False
 
@@ -44,7 +48,7 @@
         super().requestDone(request)
         self.paused = bool(self._buffer and self.persistent)
         if self.paused:
-            self.schedule_continuation()
+            self.request_turn()
         if self.paused or self._waitingForTransport:
             transport: Any = self.transport
             transport.pauseProducing()
@@ -62,26 +66,46 @@
         """Continue with pipelined requests when the answers have been sent."""
         if self.paused:
             self._waitingForTransport = False
-            self.schedule_continuation()
+            self.request_turn()
         else:
             super().resumeProducing()
 
-    def schedule_continuation(self) -> None:
-        """Continue in the next turn, unless answers wait to be sent."""
-        if self.continuation is None and not self._waitingForTransport:
-            self.continuation = self.callLater(0, self.continue_input)
+    def rawDataReceived(self, data: bytes) -> None:
+        """Decode a part of a body; read no more of it before the next turn.
+
+        :param data: part of a body, or what came behind an open request.
+        """
+        super().rawDataReceived(data)
+        decoder = self._transferDecoder
+        self.is_decoding = (
+            isinstance(decoder, ChunkedDecoder) and decoder.is_interrupted
+        )
+        if self.is_decoding:
+            self.paused = True
+            transport: Any = self.transport
+            transport.pauseProducing()
+            self.request_turn()
 
-    def continue_input(self) -> None:
-        """Begin the next pipelined request, and read on.
+    def request_turn(self) -> None:
+        """Take part in the next turns, unless answers wait to be sent."""
+        if not (self._waitingForTransport or self.is_closed):
+            self.factory.limits.turns.request(self)
 
-        While it is being answered the end of the connection must be noticed.
+    def take_turn(self) -> None:
+        """Begin the next pipelined request or go on with a body; read on.
+
+        While a request is being answered the end of the connection must be
+        noticed.
         """
-        self.continuation = None
-        if self._waitingForTransport:
+        transport: Any = self.transport
+        is_refused = self.is_decoding and transport.disconnecting
+        if self._waitingForTransport or is_refused:
             return
         self.paused = False
-        self.dataReceived(b'')
-        transport: Any = self.transport
+        if self.is_decoding:
+            self.rawDataReceived(b'')
+        else:
+            self.dataReceived(b'')
         is_closing = self.is_closed or transport.disconnecting
         if not (self.paused or self._waitingForTransport or is_closing):
             transport.resumeProducing()
@@ -111,9 +135,7 @@
         this cycle, both and their buffers would stay in memory.
         """
         self.is_closed = True
-        if self.continuation is not None:
-            self.continuation.cancel()
-            self.continuation = None
+        self.factory.limits.turns.cancel(self)
         self._buffer = b''
         self._dataBuffer = []
         self._transferDecoder = None
--- a/tests/test_listening/test_http_channel.py
+++ b/tests/test_listening/test_http_channel.py
@@ -14,6 +14,7 @@
 from jackdawridge.listening.listeners import HttpListener
 from jackdawridge.listening.refusals import Refusal, Refusals
 from jackdawridge.listening.routes import ANY, Route, Routes
+from jackdawridge.listening.turns import InputTurns
 
 CHUNKED = b'POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n'
 GET = b'GET / HTTP/1.1\r\nHost: test\r\n\r\n'
@@ -45,7 +46,9 @@
         self.bodies: list[bytes] = []
         #: Answers to the next requests; they are answered at once without.
         self.answers: list[Deferred[bytes]] = []
-        self.limits = InputLimits(ConnectionMemory(limit), Refusals())
+        self.limits = InputLimits(
+            ConnectionMemory(limit), Refusals(), InputTurns(self.clock)
+        )
         self.site = HttpListener(
             self.clock,
             '127.0.0.1:0',
@@ -274,3 +277,61 @@
             channel.dataReceived(b'%b%b' % (GET[10:], GET[:10]))
         assert len(listener.bodies) == 5
         assert channel.received_after == 30
+
+
+class TestCostlyInput:
+    """Input that takes long to handle is handled in turns."""
+
+    def test_some_chunks_are_decoded_in_a_turn(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        channel.dataReceived(b'%b%b' % (CHUNKED, b'1\r\nx\r\n' * 300))
+        turns = 0
+        while listener.limits.turns.waiting:
+            assert channel.transport.producerState == 'paused'
+            assert channel.requests[0].reservation.length == 64 * (turns + 1)
+            listener.limits.turns.run()
+            turns += 1
+        assert turns == 4
+        assert channel.transport.producerState == 'producing'
+        channel.dataReceived(b'0\r\n\r\n')
+        assert listener.bodies == [b'x' * 300]
+
+    def test_what_follows_a_body_of_many_chunks_is_served(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        body = b'%b0\r\n\r\n' % (b'1\r\nx\r\n' * 100)
+        channel.dataReceived((CHUNKED + body + GET) * 2)
+        listener.clock.advance(0)
+        assert listener.bodies == [b'x' * 100, b'', b'x' * 100, b'']
+        assert channel.transport.producerState == 'producing'
+
+    def test_body_that_never_ends_is_refused_in_time(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        channel.dataReceived(CHUNKED)
+        for _ in range(15):
+            channel.dataReceived(b'1\r\nx\r\n' * 65)
+            assert not channel.transport.disconnecting
+            listener.clock.advance(1)
+        assert channel.transport.value().startswith(b'HTTP/1.1 408')
+        assert channel.transport.disconnecting
+
+    def test_request_with_a_long_body_waits_for_its_turn(self) -> None:
+        listener = Listener()
+        channel = listener.connect()
+        channel.dataReceived(
+            b'POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n%b' % (b'x' * 5000)
+        )
+        assert not listener.bodies
+        listener.clock.advance(0)
+        assert listener.bodies == [b'x' * 5000]
+
+    def test_request_of_a_lost_connection_is_not_served(self) -> None:
+        listener = Listener()
+        listener.site.serves_in_turns = True
+        channel = listener.connect()
+        channel.dataReceived(GET)
+        channel.connectionLost()
+        listener.clock.advance(0)
+        assert not listener.bodies
