Refuse jobs with quantities that calculations can't bear

What callers saw: 500 and a traceback in the log for each job that asks for 10^400 cores; with 10^300 ms of run time deadlines that are no numbers. Cause: quantities had no upper bound. Evidence: two cases of test_invalid_job_is_refused, accepted before. Change: 400 for quantities over 10^15. No job inside the limits comes near it. Result: the cases pass.

--- a/jackdawridge/platform/jobs.py
+++ b/jackdawridge/platform/jobs.py
@@ -18,6 +18,9 @@
 TEAM = 'callers'
 #: Longest payload that a task is started with, in bytes.
 MAX_PAYLOAD_BYTES = 4000
+#: Highest number of cores, memory, accelerators or milliseconds that a task may
+#: declare, so that calculations with it do not overflow.
+MAX_QUANTITY = 1000000000000000
 
 _MILLICORES = 1000
 _MILLISECONDS = 1000
@@ -130,10 +133,24 @@
     if tasks > max_tasks:
         return f'steps: {tasks} tasks; allowed: up to {max_tasks}'
     for number, step in enumerate(document.steps):
-        if step.count < 1:
-            return f'steps[{number}].count: {step.count}; allowed: from 1'
-        if min(step.cpu, step.mem_mb, step.gpu, step.est_duration_ms) < 0:
-            return f'steps[{number}]: a quantity is negative'
+        fault = find_step_fault(step)
+        if fault:
+            return f'steps[{number}]: {fault}'
+    return ''
+
+
+def find_step_fault(step: _Step) -> str:
+    """Return the first fault of a step as a text, empty if it is valid.
+
+    :param step: a step of a job.
+    """
+    if step.count < 1:
+        return f'{step.count} tasks; allowed: from 1'
+    quantities = (step.cpu, step.mem_mb, step.gpu, step.est_duration_ms)
+    if min(quantities) < 0:
+        return 'a quantity is negative'
+    if max(quantities) > MAX_QUANTITY:
+        return f'a quantity is over {MAX_QUANTITY}'
     return ''
 
 
--- a/tests/test_platform/test_codecs.py
+++ b/tests/test_platform/test_codecs.py
@@ -308,6 +308,8 @@
             make_job(steps=[]),
             make_job(steps=[{'count': 0}]),
             make_job(steps=[{'count': 1, 'cpu': -1}]),
+            make_job(steps=[{'count': 1, 'memMb': 10**19}]),
+            make_job(steps=[{'count': 1, 'estDurationMs': 1e300}]),
             make_job(steps=[{'count': 711}]),
             make_job(spec='x' * (MAX_PAYLOAD_BYTES + 1)),
         ],
