Bound the effort of a forecast, and reject impossible jobs at once

Cause: `Forecast.place` followed the job in pieces of what running tasks free, over 10^8 of them, and took its own pieces again. The job was rejected 3 s after its arrival only, by then in no turn any more. Change: the forecast ends at the last deadline of the waiting jobs, from which every job is late; jobs that no worker is large enough for take no part in it.

--- a/jackdawridge/placement/load_shedder.py
+++ b/jackdawridge/placement/load_shedder.py
@@ -18,7 +18,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from jackdawridge.placement.lateness import ShedJob
     from jackdawridge.placement.queued_jobs import Job
@@ -31,11 +31,16 @@
     Jobs without an objective are never shed.
 
     :param placer: placer that holds the queues.
+    :param can_ever_start: returns whether any worker is large enough for the
+        tasks of a job. The others take no room from those that wait.
     """
 
-    def __init__(self, placer: AssignmentTracker) -> None:
+    def __init__(
+        self, placer: AssignmentTracker, can_ever_start: Callable[[Job], bool]
+    ) -> None:
         """Initialise with the current capacity."""
         self.placer = placer
+        self.can_ever_start = can_ever_start
         #: Whether any job so far has had an objective.
         self.has_objectives = False
         #: Capacity by which the standings of the jobs were determined.
@@ -98,7 +103,9 @@
             shed_job
             for service, jobs in self.placer.queues.jobs_by_service().items()
             for shed_job in find_excess(
-                jobs, now, self.expected_releases(service, jobs, now)
+                filter(self.can_ever_start, jobs),
+                now,
+                self.expected_releases(service, jobs, now),
             )
         ]
         found.extend(find_late_jobs(self.placer.queues))
--- a/jackdawridge/placement/placer.py
+++ b/jackdawridge/placement/placer.py
@@ -33,7 +33,8 @@
     from jackdawridge.placement.queued_jobs import Job
     from jackdawridge.placement.request import Placement, Request
 
-#: Time in seconds after which a task that fits no known worker is rejected.
+#: Time in seconds after the last side has joined from which a task that fits no
+#: known worker is rejected: sides join one after the other.
 IMPOSSIBLE_AFTER = 3.0
 
 #: Time between two checks of the running tasks, in seconds.
@@ -58,7 +59,7 @@
         #: for.
         self.offers: list[tuple[str, Key]] = []
         self.room_requests = RoomRequests()
-        self.load_shedder = LoadShedder(self)
+        self.load_shedder = LoadShedder(self, self.can_ever_start)
 
     @classmethod
     def from_config(cls, settings: Settings, seed: str = '') -> Placer:
@@ -213,14 +214,16 @@
     def reject_impossible(self, now: float) -> tuple[UnplaceableTask, ...]:
         """Return tasks that no known worker can run, for the caller to cancel.
 
-        A job is examined once, some time after its arrival, and only if any
-        worker is known.
+        A job is examined once, and only if any worker is known: at once unless
+        sides have just joined, and some time after its arrival at the latest.
 
         :param now: current time in seconds.
         """
         impossible: list[UnplaceableTask] = []
         for ticket, since in tuple(self.unplaceable_since.items()):
-            if now - since < IMPOSSIBLE_AFTER or not self.known_workers:
+            settled_since = min(since, self.last_joined_at)
+            is_settled = now - settled_since >= IMPOSSIBLE_AFTER
+            if not (is_settled and self.known_workers):
                 continue
             self.unplaceable_since.pop(ticket)
             job = self.queues.jobs.get(ticket)
@@ -228,6 +231,16 @@
                 impossible.extend(self.impossible_tasks(job))
         return tuple(impossible)
 
+    def can_ever_start(self, job: Job) -> bool:
+        """Return whether a known worker can run each waiting task of a job.
+
+        :param job: job with waiting tasks.
+        """
+        return (
+            job.ticket not in self.unplaceable_since
+            or not self.impossible_tasks(job)
+        )
+
     def impossible_tasks(self, job: Job) -> list[UnplaceableTask]:
         """Return a task of each group that no known worker can run.
 
--- a/jackdawridge/placement/shedding.py
+++ b/jackdawridge/placement/shedding.py
@@ -49,13 +49,22 @@
 
     :param releases: capacity that running tasks will free.
     :param now: current time in seconds.
+    :param horizon: time in seconds after which no start is in time. A job that
+        starts later is not followed any further, so that the effort does not
+        grow with its size.
     """
 
-    def __init__(self, releases: Iterable[Release], now: float) -> None:
+    def __init__(
+        self,
+        releases: Iterable[Release],
+        now: float,
+        horizon: float,
+    ) -> None:
         """Initialise without free capacity."""
         self.releases = list(releases)
         heapq.heapify(self.releases)
         self.now = now
+        self.horizon = horizon
         self.free: float = 0
         #: Fraction of the capacity that each job uses at that time, by ticket.
         self.reserved: dict[str, float] = {}
@@ -63,6 +72,8 @@
     def place(self, job: Job) -> float:
         """Add a job to the forecast and return when its last task starts.
 
+        Returns a time after the horizon if it starts later than that.
+
         :param job: next job in the order of placement.
         """
         standing = job.standing
@@ -71,7 +82,7 @@
             return self.now
         missing = standing.share * job.queued / job.size
         run_time = standing.total_work / standing.share
-        while missing > ROUNDING_TOLERANCE:
+        while missing > ROUNDING_TOLERANCE and self.now <= self.horizon:
             taken = min(self.free, missing)
             if taken > ROUNDING_TOLERANCE:
                 self.free -= taken
@@ -120,9 +131,10 @@
     """
     excess: list[ShedJob] = []
     candidates: list[tuple[tuple[float, ...], Job]] = []
-    forecast = Forecast(releases, now)
     # Late jobs sort last and take no room from those that can be in time.
-    for job in itertools.takewhile(can_be_in_time, jobs):
+    in_time = list(itertools.takewhile(can_be_in_time, jobs))
+    forecast = Forecast(releases, now, last_deadline(in_time))
+    for job in in_time:
         wait = forecast.place(job) - now
         if math.isinf(job.standing.expires_at):
             continue
@@ -141,6 +153,14 @@
     return excess
 
 
+def last_deadline(jobs: Iterable[Job]) -> float:
+    """Return the last of the deadlines of jobs, in seconds.
+
+    :param jobs: waiting jobs.
+    """
+    return max((job.standing.deadline for job in jobs), default=0)
+
+
 def can_be_in_time(job: Job) -> bool:
     """Return whether a job has not been demoted as late.
 
