Bound the system's buffers of a connection

What callers saw: nothing yet; 1,000 clients that read no answer made a side with 168 MB hold 174 MB, received bytes included. Cause: the system grants a connection 128 KB that the process has not read, up to 32 MB later, and up to 4 MB of answers that its client has not received. Evidence: TestBufferedBytes on, bound 134 MB: `front` 80 MB in the process and 135 MB in buffers; `control` fails, too. Change: listeners set SO_RCVBUF and SO_SNDBUF, which accepted connections take over, to 8 and 16 KB (doubled by the system).

--- a/jackdawridge/listening/listeners.py
+++ b/jackdawridge/listening/listeners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import TYPE_CHECKING, Any
 
 from twisted.web.server import Site
@@ -26,6 +27,11 @@
 CLOSING_TIME = 0.05
 #: Highest number of open connections of a listener.
 MAX_CONNECTIONS = 1024
+#: Buffers of the system for a connection, in bytes, which it doubles: for what
+#: it receives before the process reads it, and for answers that the client has
+#: not received.
+RECEIVE_BUFFER_BYTES = 8192
+SEND_BUFFER_BYTES = 16384
 #: Memory for the bodies of all open requests of a listener whose settings name
 #: none, in bytes.
 DEFAULT_BODY_MEMORY = 8388608
@@ -109,6 +115,13 @@
         self.port = self.listen_reactor.listenTCP(
             int(port), self, interface=host
         )
+        # Connections take over these sizes, which the system otherwise raises
+        # to megabytes.
+        for option, size in (
+            (socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+            (socket.SO_SNDBUF, SEND_BUFFER_BYTES),
+        ):
+            self.port.socket.setsockopt(socket.SOL_SOCKET, option, size)
 
     def stop(self) -> Deferred[None]:
         """Close the port, and each connection once its answers are written.
--- a/tests/test_platform/test_crowd_service.py
+++ b/tests/test_platform/test_crowd_service.py
@@ -5,6 +5,7 @@
 import http.client
 import itertools
 import time
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import pytest
@@ -25,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from tests.processes.process import Process
     from tests.test_platform.test_processes import Site
 
 pytestmark = pytest.mark.processes
@@ -84,6 +86,26 @@
     wait_for_descriptors(process, before + SPARE_DESCRIPTORS)
 
 
+def count_buffered(process: Process, address: str) -> int:
+    """Return the bytes that the system keeps for sockets of an address.
+
+    The process has not read them, or the client has not received them.
+    """
+    host, _, port = address.rpartition(':')
+    parts = reversed(host.split('.'))
+    digits = ''.join(f'{int(part):02X}' for part in parts)
+    local = f'{digits}:{int(port):04X}'
+    table = Path(f'/proc/{process.popen.pid}/net/tcp').read_text()
+    rows = [line.split() for line in table.splitlines()[1:]]
+    # The row of a listening port has the number of waiting connections there.
+    return sum(
+        int(size, 16)
+        for row in rows
+        if row[1] == local and row[3] != '0A'
+        for size in row[4].split(':')
+    )
+
+
 class TestCostlyInput:
     """Input that takes much time for each byte."""
 
@@ -119,3 +141,20 @@
     def test_connections_at_speed(self, site: Site) -> None:
         behaviour = Behaviour(16, b'x', closes=True)
         serve_beside(site, 'front', behaviour)
+
+
+class TestBufferedBytes:
+    """Bytes that are in the buffers of the system."""
+
+    @pytest.mark.parametrize('listener', ['front', 'control'])
+    def test_they_stay_within_the_memory(
+        self, site: Site, listener: str
+    ) -> None:
+        host = host_of(listener)
+        process = site.nodes[host]
+        address = site.platform.address(host, listener)
+        behaviour = Behaviour(1000, b'', PENDING * 400, reads=False)
+        with LastingCrowd(address, behaviour):
+            time.sleep(CROWD_TIME)
+            buffered = count_buffered(process, address)
+            assert buffered + peak_memory(process) <= MACHINE_MEMORY
