Give the places of connections without requests to newcomers

What callers saw: 1,200 clients that send nothing, or never end their request, took the 1,024 places of a listener; the next ordinary caller was the one refused, for as long as they stayed. Cause: a full listener refused newcomers, whatever the others did. Change: a full listener closes the connections that have waited longest without completing a request, 16 at a time, never one whose request is being answered. Why it works: an ordinary caller completes its request while a thousand others connect. Nothing of what is closed has been handed on.

--- a/jackdawridge/listening/http_channel.py
+++ b/jackdawridge/listening/http_channel.py
@@ -127,6 +127,8 @@
         self.received_after = float('-inf')
         #: Local time after which the last input was sent, in seconds.
         self.read_after = self.received_after
+        #: Local time since which no request was completed, in seconds.
+        self.waiting_since = self.received_after
         #: Memory of the head of the request that is being answered, in bytes.
         self.head_size = 0
 
@@ -168,6 +170,7 @@
         :param request: the request whose answer is written.
         """
         self.head_size = 0
+        self.waiting_since = self.factory.listen_reactor.seconds()
         if self.timer is not None:
             # What came behind the request had to wait for its answer.
             self.timer.reset(REQUEST_TIMEOUT)
@@ -175,8 +178,8 @@
         self.count_memory()
 
     def connectionMade(self) -> None:
-        """Add the connection to those of the listener."""
-        self.factory.channels.add(self)
+        """Begin to wait for a request."""
+        self.waiting_since = self.factory.listen_reactor.seconds()
         self.factory.input_read()
         super().connectionMade()
 
@@ -187,7 +190,6 @@
         """
         self.stop_timer()
         self.factory.input_read()
-        self.factory.connections -= 1
         self.factory.channels.discard(self)
         super().connectionLost(reason)
         self.discard_input()
@@ -236,6 +238,22 @@
             size += self._transferDecoder.buffered
         return size + count_unsent(self.transport)
 
+    def is_answering(self) -> bool:
+        """Return whether a request is being answered on the connection."""
+        transport: Any = self.transport
+        return self._handlingRequest and not transport.disconnecting
+
+    def leave(self) -> None:
+        """Give up the place at the listener, for another connection.
+
+        The connection is closed at once, so that it takes no descriptor.
+        """
+        self.count_refusal(Refusal.place)
+        self.factory.channels.discard(self)
+        transport: Any = self.transport
+        transport.abortConnection()
+        self.discard_input()
+
     def evict(self) -> None:
         """Close the connection, which holds most of all."""
         transport: Any = self.transport
--- a/jackdawridge/listening/listeners.py
+++ b/jackdawridge/listening/listeners.py
@@ -10,6 +10,7 @@
 from jackdawridge.listening.bodies import BodyMemory
 from jackdawridge.listening.http_channel import BoundedChannel, BoundedRequest
 from jackdawridge.listening.input_limits import InputLimits
+from jackdawridge.listening.places import choose_leaving
 from jackdawridge.listening.refusals import Refusal
 from jackdawridge.util.clock import pause
 
@@ -68,8 +69,7 @@
         self.displayTracebacks = False
         self.listen_reactor = reactor
         self.address = address
-        self.connections = 0
-        #: Open connections, of which `stop` closes all.
+        #: Connections that have a place here, of which `stop` closes all.
         self.channels: set[BoundedChannel] = set()
         self.body_memory = BodyMemory(body_memory)
         self.limits = limits or InputLimits.default(reactor)
@@ -86,13 +86,19 @@
     def buildProtocol(self, addr: IAddress | None) -> IProtocol | None:
         """Return the protocol of a new connection, None to refuse it.
 
+        At a full listener connections that wait for a request make room.
+
         :param addr: address of the peer.
         """
-        if self.connections >= MAX_CONNECTIONS:
+        if len(self.channels) >= MAX_CONNECTIONS:
+            for leaving in choose_leaving(self.channels):
+                leaving.leave()
+        if len(self.channels) >= MAX_CONNECTIONS:
             self.count_refusal(Refusal.connections, str(addr))
             return None
-        self.connections += 1
-        protocol: IProtocol | None = super().buildProtocol(addr)
+        channel: Any = super().buildProtocol(addr)
+        self.channels.add(channel)
+        protocol: IProtocol | None = channel
         return protocol
 
     def count_refusal(self, kind: Refusal, peer: str) -> None:
@@ -134,8 +140,8 @@
         if there are no connections.
         """
         accepted = -1
-        while accepted < self.connections:
-            accepted = self.connections
+        while accepted < len(self.channels):
+            accepted = len(self.channels)
             self.port.doRead()
         self.port.stopListening()
         answered = pause(
--- a/jackdawridge/listening/refusals.py
+++ b/jackdawridge/listening/refusals.py
@@ -22,6 +22,7 @@
     """Why a connection or a request on it is refused."""
 
     connections = 'too many connections'
+    place = 'no request came, and its place was needed'
     connection_memory = 'no memory for its connection'
     body_memory = 'no memory for its body'
     body_size = 'body too long'
--- a/tests/test_platform/test_crowd_service.py
+++ b/tests/test_platform/test_crowd_service.py
@@ -39,6 +39,8 @@
 SERVICE_TIMEOUT = 30
 #: Pause of an ordinary caller before it sends its request again, in seconds.
 RESEND_PAUSE = 0.5
+#: More connections than a listener has places.
+OVER_ALL_PLACES = 1200
 METRICS = b'GET /metrics HTTP/1.1\r\nHost: a.example\r\n\r\n'
 STATUS = b'GET /v1/status HTTP/1.1\r\nHost: a.example\r\n\r\n'
 HEADERS = b'%b%b' % (PENDING[:-2], b'a:\r\n' * 499)
@@ -143,6 +145,22 @@
         serve_beside(site, 'front', behaviour)
 
 
+class TestPlaces:
+    """More clients than a listener has places for."""
+
+    @pytest.mark.parametrize(
+        'behaviour',
+        [
+            Behaviour(OVER_ALL_PLACES),
+            Behaviour(OVER_ALL_PLACES, PENDING[:-1]),
+            Behaviour(OVER_ALL_PLACES, b'', PENDING * 400, reads=False),
+        ],
+        ids=['silent', 'unfinished', 'unread'],
+    )
+    def test_callers_get_places(self, site: Site, behaviour: Behaviour) -> None:
+        serve_beside(site, 'front', behaviour)
+
+
 class TestBufferedBytes:
     """Bytes that are in the buffers of the system."""
 
