Keep the places of peers for those that complete their handshake

What callers saw: nothing yet; 2,400 connections to an entry's peer address that say nothing keep a side that starts from linking to it. Cause: each may take 5 s for its handshake, and 2,048 links are allowed in all. Each refusal was a log line. Change: of the accepted links whose handshake is not complete the newest 512 are kept. One line a second of each kind is logged (`LineLimit`, from `Refusals`). Why it works: a handshake takes a few round trips, less than 512 newcomers do. No message changes.

--- a/jackdawridge/listening/refusals.py
+++ b/jackdawridge/listening/refusals.py
@@ -8,15 +8,13 @@
 from prometheus_client import Counter
 
 from jackdawridge.logs import get_logger
+from jackdawridge.util.line_limit import LineLimit
 
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
 
 logger = get_logger('listener')
 
-#: Shortest time between two log lines about the same kind, in seconds.
-LOG_INTERVAL = 1.0
-
 
 class Refusal(enum.Enum):
     """Why a connection or a request on it is refused."""
@@ -44,10 +42,7 @@
             ['kind'],
             registry=registry,
         )
-        #: Refusals of each kind since its last log line.
-        self.unlogged: dict[Refusal, int] = {}
-        #: Time of the last log line of each kind, in seconds.
-        self.logged_at: dict[Refusal, float] = {}
+        self.lines = LineLimit()
 
     def count(self, kind: Refusal, peer: str, now: float) -> None:
         """Count a refusal and log it unless its kind was logged just before.
@@ -57,15 +52,11 @@
         :param now: local time in seconds.
         """
         self.counter.labels(kind.name).inc()
-        count = self.unlogged.get(kind, 0) + 1
-        self.unlogged[kind] = count
-        if now - self.logged_at.get(kind, float('-inf')) < LOG_INTERVAL:
-            return
-        self.logged_at[kind] = now
-        self.unlogged[kind] = 0
-        logger.warning(
-            f'request refused: {kind.value}',
-            step='receive',
-            peer=peer,
-            refused=count,
-        )
+        count = self.lines.count(kind, now)
+        if count:
+            logger.warning(
+                f'request refused: {kind.value}',
+                step='receive',
+                peer=peer,
+                refused=count,
+            )
--- a/jackdawridge/wire/link.py
+++ b/jackdawridge/wire/link.py
@@ -16,6 +16,7 @@
 
 from jackdawridge.errors import WireError
 from jackdawridge.logs import get_logger
+from jackdawridge.util.line_limit import LineLimit
 from jackdawridge.wire.handshake import (
     MAX_HANDSHAKE_FRAME_BYTES,
     Acceptor,
@@ -37,6 +38,8 @@
 MAX_MESSAGE_BYTES = 4194304
 #: Time limit for the whole handshake, in seconds.
 HANDSHAKE_TIMEOUT = 5.0
+#: Highest number of accepted connections whose handshake is not complete.
+MAX_HANDSHAKES = 512
 #: Time after which a link whose peer does not read is closed, in seconds.
 STALL_TIMEOUT = 10.0
 #: Time limit for sending buffered bytes in a graceful close, in seconds.
@@ -124,8 +127,8 @@
         try:
             self.handle_frame(string)
         except WireError as wire_error:
-            logger.warning(
-                str(wire_error), step=wire_error.step, peer=self.peer
+            self.context.warn(
+                wire_error.step, str(wire_error), wire_error.step, self.peer
             )
             self.close(wire_error.message)
 
@@ -154,6 +157,7 @@
         self.stop_timer()
         self.MAX_LENGTH = MAX_MESSAGE_BYTES
         self.is_open = True
+        self.context.handshakes.pop(self, None)
         self.opened.callback(None)
         self.context.handler.link_opened(self)
 
@@ -199,6 +203,7 @@
         """
         if not self.close_reason:
             self.close_reason = reason
+            self.context.handshakes.pop(self, None)
             self.transport.abortConnection()
 
     def close_gracefully(self, reason: str) -> None:
@@ -221,10 +226,11 @@
 
         :param length: announced length in bytes.
         """
-        logger.warning(
+        self.context.warn(
+            'frame too long',
             f'frame of {length} bytes exceeds the limit of {self.MAX_LENGTH}',
-            step='receive',
-            peer=self.peer,
+            'receive',
+            self.peer,
         )
         self.close('frame too long')
 
@@ -301,6 +307,9 @@
         self.sent: Counter[str] = Counter()
         #: All links, open or in their handshake.
         self.links: set[Link] = set()
+        #: Accepted links whose handshake is not complete, the oldest first.
+        self.handshakes: dict[Link, None] = {}
+        self.lines = LineLimit()
         #: The message encoded last, with its frame.
         self.last_encoded: tuple[object, bytes] = (None, b'')
 
@@ -322,6 +331,39 @@
         :param link: link to remove.
         """
         self.links.discard(link)
+        self.handshakes.pop(link, None)
+
+    def accept_link(self) -> Link:
+        """Return a new link for an accepted connection.
+
+        Beyond `MAX_HANDSHAKES` it takes the place of the oldest link whose
+        handshake is not complete: a peer needs a few round trips for it, and
+        newcomers may be peers.
+        """
+        if len(self.handshakes) >= MAX_HANDSHAKES:
+            oldest = next(iter(self.handshakes))
+            self.warn(
+                'handshakes',
+                'connection closed: too many handshakes are not complete',
+                'accept',
+                oldest.peer,
+            )
+            oldest.close('handshake not complete, and its place was needed')
+        link = _create_link(self, Acceptor(self.credentials))
+        self.handshakes[link] = None
+        return link
+
+    def warn(self, kind: str, message: str, step: str, peer: str) -> None:
+        """Log what a peer did wrong, once a second for each kind.
+
+        :param kind: what the line is about, one of a few.
+        :param message: text of the line.
+        :param step: what the process was doing.
+        :param peer: address of the peer.
+        """
+        count = self.lines.count(kind, self.clock.seconds())
+        if count:
+            logger.warning(message, step=step, peer=peer, count=count)
 
 
 class AcceptingFactory(Factory):
@@ -342,13 +384,14 @@
         :param addr: address of the peer.
         """
         if len(self.context.links) >= self.context.max_links:
-            logger.warning(
+            self.context.warn(
+                'links',
                 'connection refused: too many links are open',
-                step='accept',
-                peer=str(addr),
+                'accept',
+                str(addr),
             )
             return None
-        return _create_link(self.context, Acceptor(self.context.credentials))
+        return self.context.accept_link()
 
 
 class DialingFactory(Factory):
--- a/tests/test_listening/test_http_channel.py
+++ b/tests/test_listening/test_http_channel.py
@@ -168,7 +168,7 @@
         refusals = Refusals()
         for step in range(1000):
             refusals.count(Refusal.malformed, 'test', step / 1000)
-        assert refusals.unlogged == {Refusal.malformed: 999}
+        assert refusals.lines.unlogged == {Refusal.malformed: 999}
         counter = refusals.counter.labels('malformed')
         assert counter._value.get() == 1000
 
--- a/tests/test_platform/test_crowd_service.py
+++ b/tests/test_platform/test_crowd_service.py
@@ -41,6 +41,9 @@
 RESEND_PAUSE = 0.5
 #: More connections than a listener has places.
 OVER_ALL_PLACES = 1200
+#: Descriptors of an entry's machine less 200 for files and what its three HTTP
+#: listeners may take.
+PEER_DESCRIPTORS = 4100 - 200 - 3 * 1024
 METRICS = b'GET /metrics HTTP/1.1\r\nHost: a.example\r\n\r\n'
 STATUS = b'GET /v1/status HTTP/1.1\r\nHost: a.example\r\n\r\n'
 HEADERS = b'%b%b' % (PENDING[:-2], b'a:\r\n' * 499)
@@ -140,9 +143,10 @@
         behaviour = Behaviour(64, b'', PENDING * 400)
         serve_beside(site, 'front', behaviour)
 
-    def test_connections_at_speed(self, site: Site) -> None:
+    @pytest.mark.parametrize('listener', ['front', 'peer'])
+    def test_connections_at_speed(self, site: Site, listener: str) -> None:
         behaviour = Behaviour(16, b'x', closes=True)
-        serve_beside(site, 'front', behaviour)
+        serve_beside(site, listener, behaviour)
 
 
 class TestPlaces:
@@ -160,6 +164,20 @@
     def test_callers_get_places(self, site: Site, behaviour: Behaviour) -> None:
         serve_beside(site, 'front', behaviour)
 
+    def test_side_links_to_an_entry(self, site: Site) -> None:
+        """Peers that never prove who they are take the places of sides."""
+        behaviour = Behaviour(2 * OVER_ALL_PLACES)
+        address = site.platform.address(ENTRIES[0], 'peer')
+        host = min(SIDES)
+        stop_other_side(site, host)
+        with LastingCrowd(address, behaviour):
+            time.sleep(CROWD_TIME)
+            descriptors = count_descriptors(site.nodes[ENTRIES[0]])
+            assert descriptors <= PEER_DESCRIPTORS
+            site.nodes[host].kill()
+            site.nodes[host] = site.run(host)
+            call_until_served(site, itertools.count(1))
+
 
 class TestBufferedBytes:
     """Bytes that are in the buffers of the system."""
--- a/tests/test_wire/test_link.py
+++ b/tests/test_wire/test_link.py
@@ -15,6 +15,7 @@
 from jackdawridge.wire.handshake import Credentials
 from jackdawridge.wire.link import (
     HANDSHAKE_TIMEOUT,
+    MAX_HANDSHAKES,
     MAX_MESSAGE_BYTES,
     STALL_TIMEOUT,
     AcceptingFactory,
@@ -178,3 +179,55 @@
         assert dialer.link.send(MESSAGE)
         acceptor.link.dataReceived(dialer.pop_written())
         assert acceptor.recorder.messages == [MESSAGE]
+
+
+class AcceptingEnd:
+    """Accepts connections of peers that send nothing."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.recorder = Recorder()
+        self.context = LinkContext(
+            CREDENTIALS, CODEC, self.recorder, self.clock
+        )
+        self.factory = AcceptingFactory(self.context)
+
+    def accept(self) -> Any:
+        """Return the link of a new connection, None if it is refused."""
+        link: Any = self.factory.buildProtocol(None)
+        make_transport: Any = FakeTransport
+        if link is not None:
+            link.makeConnection(make_transport())
+        return link
+
+
+class TestSilentPeers:
+    def test_they_leave_their_places_to_newcomers(self) -> None:
+        """A crowd of 1,500 peers that never say who they are."""
+        end = AcceptingEnd()
+        links = [end.accept() for _ in range(1500)]
+        kept = [link for link in links if not link.close_reason]
+        assert kept == links[-MAX_HANDSHAKES:]
+        left = links[:-MAX_HANDSHAKES]
+        assert all(link.transport.disconnected for link in left)
+
+    def test_linked_peers_keep_their_places(self) -> None:
+        end = AcceptingEnd()
+        linked = end.accept()
+        linked.complete_handshake()
+        for _ in range(MAX_HANDSHAKES + 1):
+            end.accept()
+        assert not linked.close_reason
+        assert len(end.context.handshakes) == MAX_HANDSHAKES
+
+    def test_closed_links_take_no_place(self) -> None:
+        end = AcceptingEnd()
+        link = end.accept()
+        link.dataReceived(struct.pack('>I', MAX_MESSAGE_BYTES))
+        assert not end.context.handshakes
+
+    def test_one_line_a_second_is_logged(self) -> None:
+        end = AcceptingEnd()
+        for _ in range(MAX_HANDSHAKES + 5):
+            end.accept()
+        assert end.context.lines.unlogged == {'handshakes': 4}
