--- a/jackdawridge/listening/http_channel.py
+++ b/jackdawridge/listening/http_channel.py
@@ -1,117 +1,23 @@
-"""HTTP connections that limit the size and duration of requests."""
+"""HTTP connections that limit the memory and the duration of requests."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
 
-from twisted.web.server import Request
-
-from jackdawridge.listening.bodies import SMALL_BODY_BYTES, BodyReservation
 from jackdawridge.listening.chunked import ChunkedDecoder
 from jackdawridge.listening.paced_channel import PacedChannel
 from jackdawridge.listening.refusals import Refusal
+from jackdawridge.listening.refusing_channel import NO_MEMORY, TIMED_OUT
 from jackdawridge.wire.link import CONNECTION_DONE
 
 if TYPE_CHECKING:
     from twisted.python.failure import Failure
 
-#: Longest body of a request, in bytes.
-MAX_BODY_BYTES = 2097152
 #: Time within which a complete request has to arrive, in seconds.
 REQUEST_TIMEOUT = 15.0
 #: Memory that a header takes beside its bytes, in bytes.
 HEADER_OVERHEAD = 256
 
-_TOO_LARGE = b'HTTP/1.1 413 Content Too Large\r\n'
-_TIMED_OUT = b'HTTP/1.1 408 Request Timeout\r\n'
-_NO_MEMORY = b'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n'
-_CLOSING_HEADERS = (
-    b'X-Jackdawridge-Outcome: not-run\r\n'
-    b'Content-Length: 0\r\n'
-    b'Connection: close\r\n'
-    b'\r\n'
-)
-
-
-class BoundedRequest(Request):
-    """A request whose body is limited by `MAX_BODY_BYTES` and `BodyMemory`."""
-
-    def __init__(self, channel: Any, *args: Any, **options: Any) -> None:
-        """Start with an empty body."""
-        super().__init__(channel, *args, **options)
-        self.reservation = BodyReservation(channel.factory.body_memory)
-        self.refused = False
-
-    def gotLength(self, length: int | None) -> None:
-        """Refuse a request whose `Content-Length` is over `MAX_BODY_BYTES`.
-
-        :param length: the announced length in bytes, None for a chunked body.
-        """
-        # Twisted would keep a long body in a file, but there is no disk. With a
-        # length of 0 it keeps any body in memory.
-        super().gotLength(0)
-        if length is not None and length > MAX_BODY_BYTES:
-            self.refuse(Refusal.body_size, _TOO_LARGE)
-
-    def handleContentChunk(self, data: bytes) -> None:
-        """Append a chunk to the body, or refuse the request if it is too long.
-
-        :param data: the received chunk.
-        """
-        if self.refused:
-            return
-        fits = self.reservation.reserve(len(data))
-        if self.reservation.length > MAX_BODY_BYTES:
-            self.refuse(Refusal.body_size, _TOO_LARGE)
-        elif fits:
-            super().handleContentChunk(data)
-        else:
-            self.refuse(Refusal.body_memory, _NO_MEMORY)
-
-    def process(self) -> None:
-        """Serve the request unless it was refused; a costly one in its turn.
-
-        A long body takes long to decode.
-        """
-        if self.refused:
-            return
-        listener: Any = self.channel.factory
-        is_long = self.reservation.length > SMALL_BODY_BYTES
-        if is_long or listener.serves_in_turns:
-            listener.limits.turns.request(self)
-        else:
-            self.take_turn()
-
-    def take_turn(self) -> None:
-        """Serve the request."""
-        Request.process(self)
-
-    def finish(self) -> None:
-        """End the answer and release the memory of the body."""
-        self.reservation.release()
-        super().finish()
-
-    def connectionLost(self, reason: Failure) -> None:
-        """Release the memory of the body.
-
-        :param reason: why the connection was lost.
-        """
-        self.reservation.release()
-        self.channel.factory.limits.turns.cancel(self)
-        super().connectionLost(reason)
-
-    def refuse(self, kind: Refusal, status: bytes) -> None:
-        """Answer with an error and close the connection.
-
-        :param kind: why the request is refused.
-        :param status: the first lines of the answer, from the status line on.
-        """
-        if not self.refused:
-            self.refused = True
-            self.reservation.release()
-            channel: Any = self.channel
-            channel.reject(kind, status)
-
 
 class BoundedChannel(PacedChannel):
     """A connection on which requests have to arrive in `REQUEST_TIMEOUT`.
@@ -222,7 +128,7 @@
         if self._handlingRequest or is_waiting:
             self.start_timer()
         elif not transport.disconnecting:
-            self.reject(Refusal.request_time, _TIMED_OUT)
+            self.reject(Refusal.request_time, TIMED_OUT)
 
     def count_memory(self) -> None:
         """Count what the connection holds; it may be evicted for it."""
@@ -262,41 +168,9 @@
             self.count_refusal(Refusal.connection_memory)
             transport.abortConnection()
         else:
-            self.reject(Refusal.connection_memory, _NO_MEMORY)
+            self.reject(Refusal.connection_memory, NO_MEMORY)
         self.discard_input()
 
-    def reject(self, kind: Refusal, status: bytes) -> None:
-        """Answer with an error and close the connection.
-
-        :param kind: why the connection is closed.
-        :param status: the first lines of the answer, from the status line on.
-        """
-        self.count_refusal(kind)
-        transport: Any = self.transport
-        if transport is not None:
-            transport.write(status + _CLOSING_HEADERS)
-            self.loseConnection()
-
-    def count_refusal(self, kind: Refusal) -> None:
-        """Count a refusal of a request on this connection.
-
-        :param kind: why it is refused.
-        """
-        self.factory.count_refusal(kind, str(self.getPeer()))
-
-    def lineLengthExceeded(self, line: bytes) -> None:
-        """Count a line that is too long, and close the connection.
-
-        :param line: what has been received of it.
-        """
-        self.count_refusal(Refusal.malformed)
-        self.loseConnection()
-
-    def _respondToBadRequestAndDisconnect(self) -> None:
-        """Count a malformed request, which Twisted answers with 400."""
-        self.count_refusal(Refusal.malformed)
-        super()._respondToBadRequestAndDisconnect()
-
 
 def count_unsent(transport: Any) -> int:
     """Return the number of written bytes that the system has not taken.
--- a/jackdawridge/listening/listeners.py
+++ b/jackdawridge/listening/listeners.py
@@ -8,7 +8,8 @@
 from twisted.web.server import Site
 
 from jackdawridge.listening.bodies import BodyMemory
-from jackdawridge.listening.http_channel import BoundedChannel, BoundedRequest
+from jackdawridge.listening.bounded_request import BoundedRequest
+from jackdawridge.listening.http_channel import BoundedChannel
 from jackdawridge.listening.input_limits import InputLimits
 from jackdawridge.listening.places import choose_leaving
 from jackdawridge.listening.refusals import Refusal
--- a/jackdawridge/listening/paced_channel.py
+++ b/jackdawridge/listening/paced_channel.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
-from twisted.web.http import HTTPChannel
-
 from jackdawridge.listening.chunked import ChunkedDecoder
+from jackdawridge.listening.refusing_channel import RefusingChannel
 
 if TYPE_CHECKING:
     from twisted.web.http_headers import Headers
@@ -16,7 +15,7 @@
 BUFFER_BYTES = 16384
 
 
-class PacedChannel(HTTPChannel):
+class PacedChannel(RefusingChannel):
     """A connection that takes turns with the others of its process.
 
     In each turn it begins one pipelined request, or decodes some chunks of a
--- a/tests/test_submission/test_http.py
+++ b/tests/test_submission/test_http.py
@@ -16,7 +16,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from jackdawridge.listening.http_channel import MAX_BODY_BYTES
+from jackdawridge.listening.bounded_request import MAX_BODY_BYTES
 from tests.processes.ports import find_free_addresses
 
 if TYPE_CHECKING:
