Count the steps of a job before they are decoded

What callers saw: nothing yet; a job of 174,000 steps in 2 MB took 0.19 s and 42 MB before it was refused for its number of tasks. Cause: all steps were decoded first. Result: the test passes.

--- a/jackdawridge/platform/jobs.py
+++ b/jackdawridge/platform/jobs.py
@@ -57,6 +57,15 @@
     repeat_count: int = 0
 
 
+class _Outline(msgspec.Struct):
+    """The steps of a job, which are only counted.
+
+    Decoding a body full of steps takes twenty times its length.
+    """
+
+    steps: list[msgspec.Raw]
+
+
 #: Fields of a step for features that are not supported yet; a job that sets one
 #: of them is refused.
 _UNSUPPORTED_FIELDS = (
@@ -86,7 +95,7 @@
     :param max_tasks: highest number of tasks of a job.
     """
     try:
-        document = msgspec.json.decode(content, type=_Job)
+        document = decode_job(content, max_tasks)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return Err(str(error))
     fault = find_fault(document, max_tasks)
@@ -119,6 +128,23 @@
     )
 
 
+def decode_job(content: bytes, max_tasks: int) -> _Job:
+    """Return the job in the body of a request.
+
+    :param content: body of the request, as JSON.
+    :param max_tasks: highest number of tasks of a job, and so of its steps.
+    :raises msgspec.MsgspecError: if the body is no job or has more steps.
+    :raises UnicodeDecodeError: if a text in the body is not valid.
+    :raises RecursionError: if the body is nested too deeply.
+    """
+    steps = msgspec.json.decode(content, type=_Outline).steps
+    if len(steps) > max_tasks:
+        raise msgspec.ValidationError(
+            f'steps: {len(steps)}; allowed: up to {max_tasks} tasks'
+        )
+    return msgspec.json.decode(content, type=_Job)
+
+
 def find_fault(document: _Job, max_tasks: int) -> str:
     """Return the first fault of a job as a text, empty if it is valid.
 
--- a/tests/test_platform/test_codecs.py
+++ b/tests/test_platform/test_codecs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import tracemalloc
 import struct
 from typing import TYPE_CHECKING, Any
 
@@ -319,6 +320,16 @@
         assert isinstance(decoded, Err)
         assert decoded.err_value
 
+    def test_too_many_steps_are_not_decoded(self) -> None:
+        """174,000 steps in 2 MB took 42 MB of memory."""
+        content = make_job(steps=[{'count': 1}] * 174000)
+        tracemalloc.start()
+        decoded = read_job(content, QUEUE, MAX_TASKS)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        assert isinstance(decoded, Err)
+        assert peak < 10 * len(content)
+
     @pytest.mark.parametrize(
         'content',
         [
