Bound the log lines that clients cause

What operators saw: a warning for each invalid heartbeat, whatever their rate, with an id and a state as long as the sender liked, and the state in the answer. Cause: important lines had no limit on their rate, fields none on their length. Change: one line a second for invalid heartbeats, 4,000 important lines a second, 1,000 characters of a field; messages with tracebacks are kept whole.

--- a/jackdawridge/logs.py
+++ b/jackdawridge/logs.py
@@ -22,6 +22,10 @@
 #: below that level is created.
 _logger_group = logbook.LoggerGroup()
 
+#: Number of characters that are written of a field of a line, except its
+#: message. Some fields come from clients.
+MAX_TEXT_LENGTH = 1000
+
 _LEVELS = ('debug', 'info', 'notice', 'warning', 'error')
 
 
@@ -53,7 +57,8 @@
             'logger': record.channel,
             'message': record.message,
         }
-        line.update(record.kwargs)
+        for name, text in record.kwargs.items():
+            line[name] = shorten(text)
         if record.exc_info:
             line['exception'] = record.formatted_exception
         self.writer.write(
@@ -88,6 +93,16 @@
     return b'%s\n' % msgspec.json.encode(line, enc_hook=str)
 
 
+def shorten(text: object) -> object:
+    """Return a text cut to `MAX_TEXT_LENGTH`; any other value as it is.
+
+    :param text: value of a field of a line.
+    """
+    if isinstance(text, str) and len(text) > MAX_TEXT_LENGTH:
+        return f'{text[:MAX_TEXT_LENGTH]}... ({len(text)} characters)'
+    return text
+
+
 class DecisionSampler:
     """Selects every n-th decision line before its record is created.
 
--- a/jackdawridge/platform/heartbeats.py
+++ b/jackdawridge/platform/heartbeats.py
@@ -15,11 +15,13 @@
     write_error,
 )
 from jackdawridge.logs import get_logger
+from jackdawridge.util.line_limit import LineLimit
 from jackdawridge.util.web import write_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from jackdawridge.util.clock import Clock
     from jackdawridge.util.web import WebRequest
 
 logger = get_logger('heartbeats')
@@ -61,23 +63,29 @@
 
     :param heartbeat_received: called with each valid heartbeat.
     :param target_left: called with the id of a minion that has deregistered.
+    :param clock: the reactor.
     """
 
     def __init__(
         self,
         heartbeat_received: Callable[[TargetHeartbeat], None],
         target_left: Callable[[str], None],
+        clock: Clock,
     ) -> None:
         """Register the routes."""
         self.heartbeat_received = heartbeat_received
         self.target_left = target_left
+        self.clock = clock
+        self.lines = LineLimit()
         self.routes = Routes(
             Route('/v1/Instances.Heartbeat/', POST, self.heartbeat),
             Route('/v1/Instances.Deregister/', POST, self.deregister),
         )
 
     def heartbeat(self, request: WebRequest, minion: str) -> bytes:
-        """Handle a heartbeat; an invalid one is logged and refused with 400.
+        """Handle a heartbeat; an invalid one is refused with 400.
+
+        One of these is logged each second.
 
         :param request: the request of the minion.
         :param minion: id of the minion, from the path.
@@ -85,7 +93,11 @@
         try:
             received = read_heartbeat(minion, request.content.read())
         except msgspec.MsgspecError as error:
-            logger.warning(str(error), step='heartbeat', peer=minion)
+            count = self.lines.count('invalid', self.clock.seconds())
+            if count:
+                logger.warning(
+                    str(error), step='heartbeat', peer=minion, count=count
+                )
             return write_error(request, _BAD_REQUEST, str(error))
         self.heartbeat_received(received)
         return write_json(request, {})
@@ -109,7 +121,8 @@
     """
     document = msgspec.json.decode(content, type=_Heartbeat)
     if document.state not in _STATES:
-        raise msgspec.ValidationError(f'state {document.state!r} is not known')
+        names = ', '.join(sorted(_STATES))
+        raise msgspec.ValidationError(f'state: allowed are {names}')
     capacity = document.capacity
     room = Room(capacity.cpu / _MILLICORES, capacity.mem_mb, capacity.gpu, 0)
     return TargetHeartbeat(
--- a/jackdawridge/platform/side.py
+++ b/jackdawridge/platform/side.py
@@ -80,7 +80,7 @@
     members.dial_policy.set_usage(monitor.execution.entry_release)
     daemon.resource.sections['membership'] = members.status
     heartbeats = HeartbeatResource(
-        monitor.heartbeat_received, monitor.target_left
+        monitor.heartbeat_received, monitor.target_left, reactor
     )
     daemon.add_operator_listener()
     application.add(
--- a/jackdawridge/util/line_writer.py
+++ b/jackdawridge/util/line_writer.py
@@ -4,7 +4,7 @@
 
 import os
 import stat
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -22,6 +22,8 @@
 REPORT_FRACTION = 0.25
 #: Maximum number of ordinary lines a second; further ones are dropped.
 MAX_LINES_PER_SECOND = 2000
+#: Maximum number of important lines a second; further ones are dropped.
+MAX_IMPORTANT_LINES_PER_SECOND = 4000
 #: Delay before writing again to a reader that was too slow, in seconds.
 RETRY_DELAY = 0.05
 
@@ -58,9 +60,10 @@
         #: The reactor while it runs; lines are written immediately if None.
         self.clock: Clock | None = None
         self.is_flush_scheduled = False
-        #: Start of the second for which ordinary lines are counted.
+        #: Start of the second for which lines are counted.
         self.window_start: float = 0
-        self.lines_in_window = 0
+        #: Lines in that second, by whether they are important.
+        self.lines_in_window: Counter[bool] = Counter()
         mode = os.fstat(descriptor).st_mode
         if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
             os.set_blocking(descriptor, False)
@@ -81,16 +84,14 @@
         """Write or buffer a line, or drop it if a limit is exceeded.
 
         :param line: line with its line break.
-        :param is_important: whether the line is exempt from the rate limit
-            and may fill the whole buffer.
+        :param is_important: whether the line is subject to the limits of
+            important lines, and may fill the whole buffer.
         """
-        ordinary, important = self.dropped
-        if is_important:
-            if self.size + len(line) > MAX_BUFFER_BYTES:
-                self.dropped = DroppedLines(ordinary, important + 1)
-                return
-        elif not self.accepts_ordinary(len(line)):
-            self.dropped = DroppedLines(ordinary + 1, important)
+        if not self.accepts(len(line), is_important=is_important):
+            ordinary, important = self.dropped
+            self.dropped = DroppedLines(
+                ordinary + (not is_important), important + is_important
+            )
             return
         self.lines.append(line)
         self.size += len(line)
@@ -99,23 +100,30 @@
         elif not self.is_flush_scheduled:
             self.schedule_flush(0)
 
-    def accepts_ordinary(self, size: int) -> bool:
-        """Return whether an ordinary line is within the size and rate limits.
+    def accepts(self, size: int, *, is_important: bool) -> bool:
+        """Return whether a line is within the limits on size and rate.
 
-        The line is counted towards the rate limit.
+        The line is counted towards the limit on the rate.
 
         :param size: size of the line in bytes.
+        :param is_important: whether it is an important line.
         """
-        if self.size + size > ORDINARY_FRACTION * MAX_BUFFER_BYTES:
+        fraction = 1 if is_important else ORDINARY_FRACTION
+        if self.size + size > fraction * MAX_BUFFER_BYTES:
             return False
         if self.clock is None:
             return True
         now = self.clock.seconds()
         if now - self.window_start >= 1:
             self.window_start = now
-            self.lines_in_window = 0
-        self.lines_in_window += 1
-        return self.lines_in_window <= MAX_LINES_PER_SECOND
+            self.lines_in_window.clear()
+        self.lines_in_window[is_important] += 1
+        limit = (
+            MAX_IMPORTANT_LINES_PER_SECOND
+            if is_important
+            else MAX_LINES_PER_SECOND
+        )
+        return self.lines_in_window[is_important] <= limit
 
     def schedule_flush(self, delay: float) -> None:
         """Flush the buffer after a delay, if the reactor runs.
--- a/tests/test_platform/test_codecs.py
+++ b/tests/test_platform/test_codecs.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import json
-import tracemalloc
 import struct
+import tracemalloc
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -322,7 +322,7 @@
 
     def test_too_many_steps_are_not_decoded(self) -> None:
         """174,000 steps in 2 MB took 42 MB of memory."""
-        content = make_job(steps=[{'count': 1}] * 174000)
+        content = make_job(steps=[{'count': 1} for _ in range(174000)])
         tracemalloc.start()
         decoded = read_job(content, QUEUE, MAX_TASKS)
         peak = tracemalloc.get_traced_memory()[1]
--- a/tests/test_util/test_line_writer.py
+++ b/tests/test_util/test_line_writer.py
@@ -10,6 +10,7 @@
 
 from jackdawridge.util.line_writer import (
     MAX_BUFFER_BYTES,
+    MAX_IMPORTANT_LINES_PER_SECOND,
     MAX_LINES_PER_SECOND,
     RETRY_DELAY,
     DroppedLines,
@@ -115,6 +116,16 @@
         assert text.count(b'b\n') == 10
         assert f'dropped {MAX_LINES_PER_SECOND} 0\n'.encode() in text
 
+    def test_rate_of_important_lines_is_limited(self, pipe: Pipe) -> None:
+        for _ in range(2 * MAX_IMPORTANT_LINES_PER_SECOND):
+            pipe.writer.write(b'b\n', is_important=True)
+        pipe.writer.write(b'a\n', is_important=False)
+        pipe.clock.advance(0)
+        text = pipe.read()
+        assert text.count(b'b\n') == MAX_IMPORTANT_LINES_PER_SECOND
+        assert text.count(b'a\n') == 1
+        assert f'dropped 0 {MAX_IMPORTANT_LINES_PER_SECOND}\n'.encode() in text
+
     def test_lines_are_discarded_once_the_reader_has_closed(
         self, pipe: Pipe
     ) -> None:
