Bound the memory of the headers of an answer

What callers saw: nothing yet; an answer may have 8 MB, and a minion that sends them as short headers makes many times that of objects. Cause: only the bytes of an answer were bounded. Evidence: test_headers_of_a_response_are_bounded: 1,000 accepted before. Change: 64 KB with 256 bytes for each header; beyond it the connection is closed and the request fails. Result: the test passes.

--- a/jackdawridge/util/http_connection.py
+++ b/jackdawridge/util/http_connection.py
@@ -17,6 +17,10 @@
 #: Maximum length of a response with its headers, in bytes. The largest
 #: expected one, from the platform's store, has 1 MB of records in base64.
 MAX_RESPONSE_BYTES = 8388608
+#: Maximum memory of the headers of a response, in bytes.
+MAX_HEADER_MEMORY = 65536
+#: Memory that a header takes beside its bytes, in bytes.
+HEADER_OVERHEAD = 256
 
 
 class HttpResponse(NamedTuple):
@@ -71,6 +75,8 @@
         """Discard the state of the last response."""
         self.parser = httptools.HttpResponseParser(self)
         self.headers: dict[str, str] = {}
+        #: Memory of the headers, in bytes.
+        self.header_memory = 0
         self.body_parts: list[bytes] = []
         self.bytes_received = 0
         self.is_complete = False
@@ -105,7 +111,7 @@
         :param data: bytes from the server.
         """
         self.bytes_received += len(data)
-        if self.pending is None or self.bytes_received > MAX_RESPONSE_BYTES:
+        if self.pending is None or self.is_too_long():
             # The response is unsolicited or too long.
             self.transport.abortConnection()
             return
@@ -118,13 +124,21 @@
         if self.is_complete:
             self.complete()
 
+    def is_too_long(self) -> bool:
+        """Return whether the response takes more memory than allowed."""
+        return (
+            self.bytes_received > MAX_RESPONSE_BYTES
+            or self.header_memory > MAX_HEADER_MEMORY
+        )
+
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header; called by the parser.
 
         :param name: name of the header, in any case.
         :param text: value of the header.
         """
-        if not self.is_complete:
+        self.header_memory += len(name) + len(text) + HEADER_OVERHEAD
+        if not (self.is_complete or self.header_memory > MAX_HEADER_MEMORY):
             key = name.decode('latin-1').lower()
             self.headers[key] = text.decode('latin-1')
 
--- a/tests/test_util/test_client.py
+++ b/tests/test_util/test_client.py
@@ -221,6 +221,16 @@
                 break
         error_of(pending)
 
+    def test_headers_of_a_response_are_bounded(self, server: Server) -> None:
+        pending = server.ask()
+        server.receive(0, b'HTTP/1.1 200 OK\r\n')
+        for number in range(1000):
+            server.receive(0, b'x%d: y\r\n' % number)
+            if not server.transports[0].connected:
+                break
+        assert number < 300
+        error_of(pending)
+
     def test_unsolicited_response_closes_the_connection(
         self, server: Server
     ) -> None:
