Count the waiting jobs of a queue four times a second at most

What callers saw: nothing yet; each question examines all open jobs, up to 20,000. Cause: the number was made anew for each question. Evidence: TestWaitingJobs: 1,000 questions examined a job 1,000 times before.

--- a/jackdawridge/submission/attended.py
+++ b/jackdawridge/submission/attended.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 from result import Err
@@ -39,6 +40,8 @@
 #: When all processes start at once, sides learn of their targets by heartbeats
 #: that are sent every 1.5 s.
 SIDE_STARTUP_TIME = 2.0
+#: Age in seconds up to which the numbers of waiting jobs are used again.
+MAX_COUNT_AGE = 0.25
 #: Time in seconds after a stop signal during which jobs are still accepted,
 #: since callers with open connections don't know of it yet.
 DRAIN_ACCEPT_TIME = 3.0
@@ -108,6 +111,10 @@
         self.engine = engine
         self.address = address
         self.open_jobs: dict[str, AttendedJob] = {}
+        #: Numbers of open jobs that have started no task, by kind.
+        self.waiting: Counter[str] = Counter()
+        #: Local time in seconds from which these numbers are too old.
+        self.recount_at = float('-inf')
         #: Local time in seconds until which jobs are accepted.
         self.accepts_until = float('inf')
         #: Whether this entry has had no side for `ISOLATION_TIMEOUT`.
@@ -298,13 +305,20 @@
     def count_waiting(self, kind: str) -> int:
         """Return the number of open jobs of a kind that have started no task.
 
+        It is up to `MAX_COUNT_AGE` old: there may be many jobs to examine, and
+        many callers that ask.
+
         :param kind: kind of the tasks.
         """
-        return sum(
-            attended.spec.tasks[0].kind == kind
-            and not self.has_begun(attended.ticket)
-            for attended in self.open_jobs.values()
-        )
+        now = self.clock.seconds()
+        if now >= self.recount_at:
+            self.recount_at = now + MAX_COUNT_AGE
+            self.waiting = Counter(
+                attended.spec.tasks[0].kind
+                for attended in self.open_jobs.values()
+                if not self.has_begun(attended.ticket)
+            )
+        return self.waiting[kind]
 
     def has_begun(self, ticket: str) -> bool:
         """Return whether a task of an open job has been sent to a side.
--- a/tests/test_submission/test_attended.py
+++ b/tests/test_submission/test_attended.py
@@ -4,10 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
+
 from jackdawridge.submission.attended import (
     DRAIN_ACCEPT_TIME,
     FINAL_ANSWER_TIME,
     ISOLATION_TIMEOUT,
+    MAX_COUNT_AGE,
     SIDE_STARTUP_TIME,
     Outcome,
     Verdict,
@@ -99,6 +102,30 @@
         assert run.name in names
 
 
+class TestWaitingJobs:
+    def test_they_are_counted_once_for_many_questions(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        world, outcomes = make_world()
+        jobs = world.entries[0].jobs
+        examined: list[str] = []
+        monkeypatch.setattr(jobs, 'has_begun', examined.append)
+        submit(world, outcomes)
+        kind = jobs.open_jobs[JOB].spec.tasks[0].kind
+        assert {jobs.count_waiting(kind) for _ in range(1000)} == {1}
+        assert len(examined) == 1
+
+    def test_number_is_renewed(self) -> None:
+        world, outcomes = make_world()
+        jobs = world.entries[0].jobs
+        submit(world, outcomes)
+        kind = jobs.open_jobs[JOB].spec.tasks[0].kind
+        assert jobs.count_waiting(kind) == 1
+        world.run(2 * MAX_COUNT_AGE)
+        assert jobs.count_waiting(kind) == 0
+        assert jobs.count_waiting('another') == 0
+
+
 class TestEndOfJobs:
     def test_disconnect_of_the_caller_ends_the_job(self) -> None:
         world, outcomes = make_world()
