Close only the connection whose turn fails

What callers saw: nothing yet. Cause: an error of the code in one turn ended the turns of all who waited, until another connection asked for one. Evidence: test_failure_of_one_closes_only_that_one. Change: the error is logged and that connection is closed, as the reactor does for a read. Result: the tests of the package pass.

--- a/jackdawridge/listening/bounded_request.py
+++ b/jackdawridge/listening/bounded_request.py
@@ -70,6 +70,12 @@
         """Serve the request."""
         Request.process(self)
 
+    def abort(self) -> None:
+        """Close the connection, as the request could not be served."""
+        channel: Any = self.channel
+        if channel is not None:
+            channel.abort()
+
     def finish(self) -> None:
         """End the answer and release the memory of the body."""
         self.reservation.release()
--- a/jackdawridge/listening/http_channel.py
+++ b/jackdawridge/listening/http_channel.py
@@ -156,8 +156,7 @@
         """
         self.count_refusal(Refusal.place)
         self.factory.channels.discard(self)
-        transport: Any = self.transport
-        transport.abortConnection()
+        self.abort()
         self.discard_input()
 
     def evict(self) -> None:
@@ -166,7 +165,7 @@
         is_unsent = count_unsent(transport) > 0
         if self._handlingRequest or is_unsent:
             self.count_refusal(Refusal.connection_memory)
-            transport.abortConnection()
+            self.abort()
         else:
             self.reject(Refusal.connection_memory, NO_MEMORY)
         self.discard_input()
--- a/jackdawridge/listening/paced_channel.py
+++ b/jackdawridge/listening/paced_channel.py
@@ -109,6 +109,11 @@
         if not (self.paused or self._waitingForTransport or is_closing):
             transport.resumeProducing()
 
+    def abort(self) -> None:
+        """Close the connection without sending what is left."""
+        transport: Any = self.transport
+        transport.abortConnection()
+
     def writeHeaders(
         self, version: bytes, code: bytes, reason: bytes, headers: Headers
     ) -> None:
--- a/jackdawridge/listening/turns.py
+++ b/jackdawridge/listening/turns.py
@@ -8,9 +8,13 @@
 
 from typing import TYPE_CHECKING, Any, Protocol
 
+from jackdawridge.logs import get_logger
+
 if TYPE_CHECKING:
     from jackdawridge.util.clock import Clock
 
+logger = get_logger('listener')
+
 #: Time in each iteration of the event loop after which no further turn
 #: begins, in seconds.
 TURN_TIME = 0.005
@@ -25,6 +29,9 @@
         It is not called again without another request.
         """
 
+    def abort(self) -> None:
+        """Close the connection, whose turn has failed."""
+
 
 class InputTurns:
     """Handles costly input bit by bit, the same for all connections.
@@ -68,8 +75,20 @@
                 # It has ended in the turn of another one.
                 continue
             self.waiting.pop(participant)
-            participant.take_turn()
+            give_turn(participant)
             if self.clock.seconds() >= until:
                 break
         if self.waiting and self.call is None:
             self.call = self.clock.callLater(0, self.run)
+
+
+def give_turn(participant: Participant) -> None:
+    """Give a turn to a participant; close its connection if that fails.
+
+    :param participant: connection or request with more input.
+    """
+    try:
+        participant.take_turn()
+    except Exception:
+        logger.exception('input could not be handled', step='receive')
+        participant.abort()
--- a/tests/test_listening/test_turns.py
+++ b/tests/test_listening/test_turns.py
@@ -20,6 +20,11 @@
         self.left = 3
         self.taken = 0
 
+        self.is_aborted = False
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
     def take_turn(self) -> None:
         self.taken += 1
         self.left -= 1
@@ -79,3 +84,12 @@
         first.take_turn = partial(world.turns.cancel, second)
         world.clock.advance(0)
         assert second.taken == 0
+
+    def test_failure_of_one_closes_only_that_one(self) -> None:
+        world = World(3, 0)
+        failing: Any = world.crowd[0]
+        failing.take_turn = partial(int, 'no number')
+        world.clock.advance(0)
+        assert failing.is_aborted
+        assert [participant.taken for participant in world.crowd[1:]] == [3, 3]
+        assert not any(other.is_aborted for other in world.crowd[1:])
