End the processes of a site that doesn't start

Cause: a test whose site had not started left its processes behind, and a later run was given their ports (`Address already in use`, seen once, traced to a script of ours that had ended early, and then to three processes of that run). Change: the site closes its processes before it reports the failure.

--- a/tests/test_platform/test_processes.py
+++ b/tests/test_platform/test_processes.py
@@ -45,7 +45,11 @@
         self.store = self.platform.store
         self.configure(1)
         self.nodes = {host: self.run(host) for host in ZONES}
-        self.wait_until_ready()
+        try:
+            self.wait_until_ready()
+        except AssertionError:
+            self.close()
+            raise
 
     def run(
         self,
