--- a/jackdawridge/listening/bounded_request.py
+++ b/jackdawridge/listening/bounded_request.py
@@ -62,7 +62,7 @@
         listener: Any = self.channel.factory
         is_long = self.reservation.length > SMALL_BODY_BYTES
         if is_long or listener.serves_in_turns:
-            listener.limits.turns.request(self)
+            listener.limits.turns.add(self)
         else:
             self.take_turn()
 
@@ -87,7 +87,7 @@
         :param reason: why the connection was lost.
         """
         self.reservation.release()
-        self.channel.factory.limits.turns.cancel(self)
+        self.channel.factory.limits.turns.discard(self)
         super().connectionLost(reason)
 
     def refuse(self, kind: Refusal, status: bytes) -> None:
--- a/jackdawridge/listening/paced_channel.py
+++ b/jackdawridge/listening/paced_channel.py
@@ -88,7 +88,7 @@
     def request_turn(self) -> None:
         """Take part in the next turns, unless answers wait to be sent."""
         if not (self._waitingForTransport or self.is_closed):
-            self.factory.limits.turns.request(self)
+            self.factory.limits.turns.add(self)
 
     def take_turn(self) -> None:
         """Begin the next pipelined request or go on with a body; read on.
@@ -139,7 +139,7 @@
         this cycle, both and their buffers would stay in memory.
         """
         self.is_closed = True
-        self.factory.limits.turns.cancel(self)
+        self.factory.limits.turns.discard(self)
         self._buffer = b''
         self._dataBuffer = []
         self._transferDecoder = None
--- a/jackdawridge/listening/turns.py
+++ b/jackdawridge/listening/turns.py
@@ -50,7 +50,7 @@
         #: Call that begins the next turns, None if nobody waits.
         self.call: Any = None
 
-    def request(self, participant: Participant) -> None:
+    def add(self, participant: Participant) -> None:
         """Give a turn to a participant; no effect if it waits for one.
 
         :param participant: connection or request with more input.
@@ -59,7 +59,7 @@
         if self.call is None:
             self.call = self.clock.callLater(0, self.run)
 
-    def cancel(self, participant: Participant) -> None:
+    def discard(self, participant: Participant) -> None:
         """Give no turn to a participant that has asked for one.
 
         :param participant: connection or request that has ended.
--- a/tests/processes/lasting_crowd.py
+++ b/tests/processes/lasting_crowd.py
@@ -32,8 +32,6 @@
     head: bytes = b''
     #: What each connection then sends without end; it falls silent if empty.
     piece: bytes = b''
-    #: Number of connections that a client opens one after the other.
-    connections: int = 1000000
     #: Whether the client reads answers.
     reads: bool = True
     #: Whether the client closes each connection once the head is sent.
@@ -53,7 +51,6 @@
         self.address = address
         self.behaviour = behaviour
         self.selector = selector
-        self.opened = 0
         #: Whether the first connection was made or refused.
         self.is_connected = False
         self.is_closed = False
@@ -61,7 +58,6 @@
 
     def connect(self) -> None:
         """Open a connection without waiting for it."""
-        self.opened += 1
         self.unsent = memoryview(self.behaviour.head or self.behaviour.piece)
         self.socket = socket.socket()
         self.socket.setblocking(False)
@@ -77,11 +73,12 @@
             return
         except OSError:
             self.close()
-        if self.is_closed and self.opened < self.behaviour.connections:
+        if self.is_closed:
             self.is_closed = False
             self.connect()
 
     def transfer(self, events: int) -> None:
+        """Send what the connection takes, and discard what it has."""
         if events & _WRITE:
             self.send()
         if events & _READ and not self.is_closed:
--- a/tests/test_listening/test_turns.py
+++ b/tests/test_listening/test_turns.py
@@ -30,7 +30,7 @@
         self.left -= 1
         self.clock.rightNow += self.duration
         if self.left:
-            self.turns.request(self)
+            self.turns.add(self)
 
 
 class World:
@@ -43,7 +43,7 @@
             Participant(self.turns, self.clock, duration) for _ in range(size)
         ]
         for participant in self.crowd:
-            self.turns.request(participant)
+            self.turns.add(participant)
 
 
 class TestInputTurns:
@@ -72,8 +72,8 @@
 
     def test_cancelled_participant_gets_no_turn(self) -> None:
         world = World(2, 0)
-        world.turns.cancel(world.crowd[0])
-        world.turns.cancel(world.crowd[0])
+        world.turns.discard(world.crowd[0])
+        world.turns.discard(world.crowd[0])
         world.clock.advance(0)
         assert [participant.taken for participant in world.crowd] == [0, 3]
 
@@ -81,7 +81,7 @@
         world = World(2, 0)
         first: Any = world.crowd[0]
         second = world.crowd[1]
-        first.take_turn = partial(world.turns.cancel, second)
+        first.take_turn = partial(world.turns.discard, second)
         world.clock.advance(0)
         assert second.taken == 0
 
