Let the system buffer several segments of an answer

Cause: a buffer of 32 KB holds less than two segments of 64 KB, as loopback has them, so the sender waits for a delayed acknowledgement after each. Change: 128 KB, which the system doubles.

--- a/jackdawridge/listening/listeners.py
+++ b/jackdawridge/listening/listeners.py
@@ -31,9 +31,10 @@
 MAX_CONNECTIONS = 1024
 #: Buffers of the system for a connection, in bytes, which it doubles: for what
 #: it receives before the process reads it, and for answers that the client has
-#: not received.
+#: not received. The latter holds several segments of any network: a smaller one
+#: would wait for a delayed acknowledgement after each.
 RECEIVE_BUFFER_BYTES = 8192
-SEND_BUFFER_BYTES = 16384
+SEND_BUFFER_BYTES = 131072
 #: Memory for the bodies of all open requests of a listener whose settings name
 #: none, in bytes.
 DEFAULT_BODY_MEMORY = 8388608
