review: a minion that starts again within a second runs tasks twice at a time

Cause: a start that waits for a place at the side is ordered after the take-over of a minion that has started again, although the take-over has reported its run as lost and the entry has started the task at another minion.

Tried: two entries, six sides; one minion at a time is silent for 0.7 to 0.95 s and starts again while ten starts wait at its side.

--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -848,19 +848,19 @@
         return int(message[0][1]), message[2]
 
 
-def overlaps(runs, least=0.0):
-    """Return the pairs of runs of one task that overlap in time."""
+def overlaps(runs):
+    """Return the pairs of runs of one task that overlap, with the time."""
     by_name = {}
     for run in runs:
         by_name.setdefault(run.name, []).append(run)
     found = []
     for of_task in by_name.values():
-        of_task.sort(key=lambda r: r.since)
-        for i, one in enumerate(of_task):
-            for other in of_task[i + 1 :]:
-                end = one.until if one.until is not None else now()
-                if other.since + least < end:
-                    found.append((one, other, end - other.since))
+        of_task.sort(key=lambda run: run.since)
+        for number, one in enumerate(of_task):
+            for other in of_task[number + 1 :]:
+                ends = [run.until or now() for run in (one, other)]
+                if other.since < min(ends):
+                    found.append((one, other, min(ends) - other.since))
     return found
 
 
