--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,7 @@
 """A minion falls silent for less than a second and starts again."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -59,6 +60,7 @@
 run_case(
     Path(__file__).parent,
     play,
+    trouble=os.environ.get('TROUBLE', '1') != '0',
     entries=2,
     sides=SIDES,
     cores=64,
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -874,13 +874,12 @@
         raise CannotRun(text)
 
 
-def run_case(folder, play, **options):
+def run_case(folder, play, *, trouble, **options):
     """Play a case and exit with its result.
 
-    `play` is called with a site that is ready and whether to disrupt it, and
+    `play` is called with a site that is ready and with `trouble`, and
     returns what was broken, one text each.
     """
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Path(folder) / 'record.txt'
     with tempfile.TemporaryDirectory() as temporary:
         code = asyncio.run(_run(temporary, record, play, trouble, options))
