Order no start whose run was reported as lost

Cause: a start is decided on at its admission and carried out when it gets one of six places. The take-over between the two reported its run as lost and removed it from the table; the start that waited went on with its own copy and was ordered if it was less than 0.7 s old and the worker answered.

Change: the table of the runs hands out the order to start one, right before it is sent (`RunTable.order`), and only to a run that it holds as waiting. A run that was reported as lost is gone; one that was admitted before a join is left behind for the take-over. The waits for a place, a retry and a lost answer have no conditions of their own any more. Stops of runs that were left behind aren't repeated at the next incarnation, and a refusal of an earlier fencing token doesn't raise the present one.

Why it works: losses are reported by what removes the runs from the table, in the same turn in which the order would have to be taken from it.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -14,11 +14,7 @@
     OtherIncarnationError,
 )
 from jackdawridge.execution.run_stopper import RunStopper
-from jackdawridge.execution.run_table import (
-    LiveRun,
-    ReportChanges,
-    RunTable,
-)
+from jackdawridge.execution.run_table import RunTable
 from jackdawridge.execution.target_binding import TargetBinding
 from jackdawridge.execution.worker import (
     AnswerLostError,
@@ -33,6 +29,8 @@
 
     from jackdawridge.execution.lease_grants import LeaseTiming
     from jackdawridge.execution.leased_target import LeasedTarget, TargetReport
+    from jackdawridge.execution.live_runs import LiveRun
+    from jackdawridge.execution.run_table import ReportChanges
     from jackdawridge.execution.worker import WorkerListener
     from jackdawridge.util.clock import Clock
 
@@ -216,7 +214,7 @@
         try:
             report = await self.target.hold(order)
         except FencedError as error:
-            self.table.raise_token()
+            self.table.raise_token(order.fencing_token)
             raise AnswerLostError(error.message, step=_STEP) from error
         is_earlier = report.incarnation < self.table.incarnation
         if is_earlier or joins != self.binding.joins:
@@ -313,7 +311,7 @@
 
         :param reason: reason to send to the entries.
         """
-        for live in self.table.clear():
+        for live in self.table.runs.clear():
             self.report(live, 'lost', reason)
 
     def report(self, live: LiveRun, outcome: str, reason: str) -> None:
--- a/jackdawridge/execution/leased_worker.py
+++ b/jackdawridge/execution/leased_worker.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from result import Err, Result
 from twisted.internet.defer import (
     DeferredSemaphore,
     ensureDeferred,
@@ -11,7 +12,7 @@
 )
 
 from jackdawridge.errors import JackdawridgeError
-from jackdawridge.execution.leased_target import FencedError, Run, StartOrder
+from jackdawridge.execution.leased_target import FencedError, Run
 from jackdawridge.execution.worker import (
     AnswerLostError,
     NotSentError,
@@ -23,6 +24,7 @@
 
 if TYPE_CHECKING:
     from jackdawridge.execution.lease_keeper import LeaseKeeper
+    from jackdawridge.execution.leased_target import StartOrder
     from jackdawridge.execution.worker import WorkerListener, WorkerTask
 
 logger = get_logger('worker')
@@ -35,16 +37,8 @@
 MAX_CONCURRENT_STARTS = 6
 #: Number of orders for one start before it is refused.
 MAX_ORDERS = 3
-#: Time after its admission in which a start may be ordered, in seconds;
-#: shorter than the time that an entry waits for a silent side before it starts
-#: the task elsewhere.
-START_VALID_TIME = 0.7
-#: Reason to refuse a start that was not ordered in that time.
-OUTDATED = 'start is outdated'
 #: Reason to refuse a start that the target has certainly not carried out.
 UNANSWERED = 'start was not answered'
-#: Reason to refuse a start while the lease is not renewed.
-RUNS_MUST_END = 'other runs must end first'
 
 
 class LeasedWorker:
@@ -85,38 +79,30 @@
         :param task: task to start.
         """
         name = self.target.task_name(task.id)
-        if self.table.is_live(name):
+        if self.table.runs.has_task(name):
             return StartAnswer(
                 task.id, False, 'task already runs at this target'
             )
-        now = self.clock.seconds()
-        run = self.table.add_run(name, task.id, now)
+        run = self.table.add_run(name, task.id, self.clock.seconds())
         await self.start_semaphore.acquire()
-        valid_until = now + START_VALID_TIME
         try:
-            return await self.order_with_retries(run, task, valid_until)
+            return await self.order_with_retries(run, task)
         finally:
             self.start_semaphore.release()
 
     async def order_with_retries(
-        self, run: Run, task: WorkerTask, valid_until: float
+        self, run: Run, task: WorkerTask
     ) -> StartAnswer:
         """Order a start, and again if it was certainly not carried out.
 
         :param run: first attempt to run the task.
         :param task: task to start.
-        :param valid_until: local time after which it is not ordered, in
-            seconds.
         """
         for _ in range(MAX_ORDERS):
-            if self.clock.seconds() > valid_until:
-                # This process was paused; the entry may have started the task
-                # elsewhere.
-                return self.not_started(run, task, OUTDATED)
             answer = await self.order_start(run, task)
-            if answer.reason != UNANSWERED or self.keeper.unavailable_reason:
+            if answer.reason != UNANSWERED:
                 return answer
-            run = self.table.add_run(run.name, task.id, self.clock.seconds())
+            run = self.table.renumber(run, self.clock.seconds())
         return self.not_started(run, task, UNANSWERED)
 
     async def order_start(self, run: Run, task: WorkerTask) -> StartAnswer:
@@ -125,32 +111,40 @@
         :param run: attempt to run the task.
         :param task: task to start.
         """
-        now = self.clock.seconds()
-        reason = self.keeper.unavailable_reason
-        lease = None
-        if not reason and self.table.leases.allows_start(now):
-            lease = self.table.grant_lease(now)
-        if lease is None:
-            return self.not_started(run, task, reason or RUNS_MUST_END)
-        order = StartOrder(run, task.payload, lease, self.table.token)
-        joins = self.keeper.binding.joins
+        decision = self.decide_order(run, task)
+        if isinstance(decision, Err):
+            logger.info(decision.err_value, step='start', run=run.name)
+            return self.not_started(run, task, decision.err_value)
+        order = decision.ok_value
         try:
             verdict = await self.target.start(order)
         except AnswerLostError as error:
             logger.warning(
                 error.message, step='start', run=run.name, number=run.number
             )
-            return await self.resolve_start(run, task, joins)
+            return await self.resolve_start(run, task)
         except FencedError as error:
-            self.table.raise_token()
+            self.table.raise_token(order.fencing_token)
             return self.not_started(run, task, error.message)
         except JackdawridgeError as error:
             return self.not_started(run, task, error.message)
         if not verdict.started:
             return self.not_started(run, task, verdict.reason)
-        self.table.confirm(run, self.clock.seconds())
+        self.table.runs.confirm(run, self.clock.seconds())
         return StartAnswer(task.id, True, '')
 
+    def decide_order(
+        self, run: Run, task: WorkerTask
+    ) -> Result[StartOrder, str]:
+        """Return the order to start a run, or why it must not be ordered.
+
+        :param run: attempt to run the task.
+        :param task: task to start.
+        """
+        if self.keeper.unavailable_reason:
+            return Err(self.keeper.unavailable_reason)
+        return self.table.order(run, task.payload, self.clock.seconds())
+
     def not_started(
         self, run: Run, task: WorkerTask, reason: str
     ) -> StartAnswer:
@@ -160,12 +154,10 @@
         :param task: task that was refused.
         :param reason: reason to send to the entry.
         """
-        self.table.remove_run(run)
+        self.table.runs.remove(run)
         return StartAnswer(task.id, False, reason)
 
-    async def resolve_start(
-        self, run: Run, task: WorkerTask, joins: int
-    ) -> StartAnswer:
+    async def resolve_start(self, run: Run, task: WorkerTask) -> StartAnswer:
         """Find out whether a start without an answer was carried out.
 
         If a report shows the run, it was. Otherwise the run is stopped, which
@@ -175,26 +167,25 @@
 
         :param run: attempt that was ordered.
         :param task: task to start.
-        :param joins: number of targets joined when it was ordered.
         """
         await self.refresh()
         if run in self.table.reported_runs:
-            self.table.confirm(run, self.clock.seconds())
+            self.table.runs.confirm(run, self.clock.seconds())
             return StartAnswer(task.id, True, '')
         await self.keeper.stopper.stop(run)
         stopped_at = self.clock.seconds()
-        while run in self.table.runs and not self.table.is_absent_since(
-            run, stopped_at
-        ):
+        while self.table.runs.is_current(
+            run
+        ) and not self.table.is_absent_since(run, stopped_at):
             # Only a report that was requested after the stop is conclusive.
             await pause(self.clock, STOP_CHECK_INTERVAL)
             await self.refresh()
-        if run not in self.table.runs or joins != self.keeper.binding.joins:
-            # The run had started and its end was reported, or it may have been
-            # at work until the target's end. A refusal would tell the entry
-            # that no part of the task was run.
-            return StartAnswer(task.id, True, '')
-        return self.not_started(run, task, UNANSWERED)
+        if self.table.runs.is_current(run):
+            return StartAnswer(task.id, False, UNANSWERED)
+        # The run had started and its end was reported, or it may have been
+        # at work until the target's end. A refusal would tell the entry that
+        # no part of the task was run.
+        return StartAnswer(task.id, True, '')
 
     async def refresh(self) -> None:
         """Request a report at once; after a failure, wait before returning."""
@@ -209,7 +200,7 @@
 
         :param ids: ids of the tasks.
         """
-        for run in self.table.runs_of(ids):
+        for run in self.table.runs.of_tasks(ids):
             ensureDeferred(self.keeper.stopper.stop(run))
 
     async def list(self) -> TaskList:
--- a/jackdawridge/execution/run_stopper.py
+++ b/jackdawridge/execution/run_stopper.py
@@ -79,7 +79,6 @@
             )
             return False
         except FencedError:
-            self.table.raise_token()
             return False
         except JackdawridgeError as error:
             logger.info(error.message, step='stop', run=run.name)
@@ -90,7 +89,12 @@
 
         :param run: run to stop.
         """
-        await self.target.stop(run, self.table.token)
+        token = self.table.token
+        try:
+            await self.target.stop(run, token)
+        except FencedError:
+            self.table.raise_token(token)
+            raise
 
     def is_urgent(self, run: Run) -> bool:
         """Return whether a second call beside the first is worth its cost.
--- a/jackdawridge/execution/run_table.py
+++ b/jackdawridge/execution/run_table.py
@@ -5,34 +5,28 @@
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
+from result import Err, Ok, Result
+
 from jackdawridge.execution.lease_grants import LeaseGrants
-from jackdawridge.execution.leased_target import Run
+from jackdawridge.execution.leased_target import Run, StartOrder
+from jackdawridge.execution.live_runs import LiveRuns
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
-
     from jackdawridge.execution.lease_grants import LeaseTiming
     from jackdawridge.execution.leased_target import RunEnd, TargetReport
+    from jackdawridge.execution.live_runs import LiveRun
 
 #: Increment of a refused fencing token, repeated until the target accepts it.
 TOKEN_STEP = 1_000_000
 #: Largest number of ends in a report; a report with that many may be
 #: incomplete.
 MAX_ENDS = 500
+#: Reason to refuse a start while the lease is not renewed.
+RUNS_MUST_END = 'other runs must end first'
 
 _MILLISECONDS = 1000
 
 
-class LiveRun(NamedTuple):
-    """A run that was ordered and is not known to have ended."""
-
-    task_id: str
-    #: Local time at which it was ordered, or confirmed if it was, in seconds.
-    started_at: float
-    #: Whether the target has confirmed that it runs.
-    is_confirmed: bool
-
-
 class EndedRun(NamedTuple):
     """A run that has ended."""
 
@@ -58,14 +52,15 @@
     def __init__(self, timing: LeaseTiming) -> None:
         """Initialise the table without a target."""
         self.leases = LeaseGrants(timing)
-        self.runs: dict[Run, LiveRun] = {}
+        self.runs = LiveRuns()
         self.token = 0
         self.reset(0, 0)
 
     def target_joined(self, incarnation: int, clock: float, now: float) -> None:
         """Reset the table for a target that this side begins to use.
 
-        The runs stay live: orders of this side may have reached the target.
+        The runs stay live until the take-over, since orders of this side may
+        have reached the target, but nothing more is ordered for them.
 
         :param incarnation: start time of the target in milliseconds since
             1970.
@@ -74,6 +69,7 @@
         """
         self.reset(incarnation, clock)
         self.leases.target_joined(now)
+        self.runs.leave_behind()
 
     def reset(self, incarnation: int, clock: float) -> None:
         """Reset the table for a new incarnation of the target.
@@ -101,65 +97,76 @@
         #: Local time at which the newest report was requested, in seconds.
         self.report_requested_at = float('-inf')
 
-    def is_live(self, name: str) -> bool:
-        """Return whether a task runs at the target or is being started.
-
-        :param name: name of the task at the target.
-        """
-        return any(run.name == name for run in self.runs)
-
     def add_run(self, name: str, task_id: str, now: float) -> Run:
-        """Add and return a run, numbered above all earlier ones.
+        """Add and return a run whose start is about to be ordered.
 
         :param name: name of the task at the target.
         :param task_id: id of the task at the side.
         :param now: local time in seconds.
         """
-        clock = int((now + self.clock_offset) * _MILLISECONDS)
-        self.last_run_number = max(self.last_run_number + 1, clock)
-        run = Run(name, self.last_run_number)
-        self.runs[run] = LiveRun(task_id, now, is_confirmed=False)
+        run = self.next_attempt(name, now)
+        self.runs.add(run, task_id, now)
         return run
 
-    def confirm(self, run: Run, now: float) -> None:
-        """Record that the target runs an attempt that was ordered.
+    def next_attempt(self, name: str, now: float) -> Run:
+        """Return a run of a task, numbered above all earlier ones.
 
-        :param run: run that was ordered.
+        :param name: name of the task at the target.
         :param now: local time in seconds.
         """
-        live = self.runs.get(run)
-        if live is not None and not live.is_confirmed:
-            self.runs[run] = LiveRun(live.task_id, now, is_confirmed=True)
-
-    def remove_run(self, run: Run) -> None:
-        """Remove a run that never started or has ended.
-
-        :param run: run to remove; an unknown one is ignored.
-        """
-        self.runs.pop(run, None)
+        clock = int((now + self.clock_offset) * _MILLISECONDS)
+        self.last_run_number = max(self.last_run_number + 1, clock)
+        return Run(name, self.last_run_number)
 
-    def clear(self) -> tuple[LiveRun, ...]:
-        """Remove and return all runs."""
-        runs = tuple(self.runs.values())
-        self.runs.clear()
-        return runs
+    def renumber(self, run: Run, now: float) -> Run:
+        """Replace a run that will never start by another attempt; return that.
 
-    def runs_of(self, ids: Collection[str]) -> list[Run]:
-        """Return the live runs of tasks.
+        A run that is not live any more, or was left behind, gets no other
+        attempt: it is returned as it is and can't be ordered.
 
-        :param ids: ids of the tasks at the side.
+        :param run: run that was ordered and certainly never starts.
+        :param now: local time in seconds.
         """
-        id_set = set(ids)
-        return [
-            run for run, live in self.runs.items() if live.task_id in id_set
-        ]
+        if not self.runs.is_current(run):
+            return run
+        attempt = self.next_attempt(run.name, now)
+        self.runs.replace(run, attempt, now)
+        return attempt
+
+    def order(
+        self, run: Run, payload: bytes, now: float
+    ) -> Result[StartOrder, str]:
+        """Return the order to start a run, or why it must not be ordered.
+
+        Every start is ordered by what this returns, right before it is sent. It
+        may have waited since its admission, while its run was reported as lost
+        and the task was started elsewhere.
+
+        :param run: run that was admitted.
+        :param payload: what the target is asked to run.
+        :param now: local time in seconds.
+        """
+        reason = self.runs.refusal(run, now)
+        if reason:
+            return Err(reason)
+        lease = None
+        if self.leases.allows_start(now):
+            lease = self.grant_lease(now)
+        if lease is None:
+            return Err(RUNS_MUST_END)
+        self.runs.record_order(run)
+        return Ok(StartOrder(run, payload, lease, self.token))
 
     def may_be_running(self, run: Run) -> bool:
-        """Return whether a run is not known to have ended.
+        """Return whether a run may be at work until it is stopped.
+
+        The take-over ends the runs that were left behind. To stop these by
+        number at the present incarnation could block its own, whose numbers
+        begin anew.
 
         :param run: run that was ordered or reported.
         """
-        return run in self.runs or run in self.leases.unknown_since
+        return self.runs.is_current(run) or run in self.leases.unknown_since
 
     def grant_lease(self, now: float) -> float | None:
         """Return the end of a lease that starts now, on the target's clock.
@@ -171,9 +178,15 @@
         lease = self.leases.grant(now)
         return None if lease is None else now + self.clock_offset + lease
 
-    def raise_token(self) -> None:
-        """Raise the fencing token after the target refused it."""
-        self.token += TOKEN_STEP
+    def raise_token(self, refused: int) -> None:
+        """Raise the fencing token after the target refused it.
+
+        An order that was sent with an earlier token says nothing of this one.
+
+        :param refused: fencing token of the order that was refused.
+        """
+        if refused == self.token:
+            self.token += TOKEN_STEP
 
     def is_other_incarnation(self, report: TargetReport) -> bool:
         """Return whether a report is of another incarnation of the target.
@@ -201,7 +214,13 @@
             self.report_requested_at = requested_at
         ended = self.apply_ends(report.ends)
         if len(report.ends) < MAX_ENDS:
-            ended.extend(self.remove_missing(requested_at, report.running))
+            reason = 'target does not know the run'
+            ended.extend(
+                EndedRun(live, 'lost', reason)
+                for live in self.runs.remove_missing(
+                    requested_at, report.running
+                )
+            )
         return ReportChanges(tuple(ended), self.update_unknown(received))
 
     def update_unknown(self, now: float) -> tuple[Run, ...]:
@@ -230,35 +249,11 @@
                 continue
             self.last_end_position = end.position
             self.recent_ends.append(end.run)
-            live = self.runs.pop(end.run, None)
+            live = self.runs.remove(end.run)
             if live is not None:
                 ended.append(EndedRun(live, end.outcome, end.reason))
         return ended
 
-    def remove_missing(
-        self, requested_at: float, running: frozenset[Run]
-    ) -> list[EndedRun]:
-        """Remove and return confirmed runs that a report does not list.
-
-        Such a run has ended although its end was not reported.
-
-        :param requested_at: local time at which the report was requested, in
-            seconds.
-        :param running: runs that the report lists.
-        """
-        missing = [
-            run
-            for run, live in self.runs.items()
-            if live.is_confirmed
-            and live.started_at < requested_at
-            and run not in running
-        ]
-        reason = 'target does not know the run'
-        return [
-            EndedRun(self.runs.pop(run_key), 'lost', reason)
-            for run_key in missing
-        ]
-
     def is_absent_since(self, run: Run, since: float) -> bool:
         """Return whether a report requested after a time does not list a run.
 
--- a/tests/test_execution/fake_target.py
+++ b/tests/test_execution/fake_target.py
@@ -75,9 +75,11 @@
         self.sequence = 0
         self.boot()
         #: Faults of the next orders, in order: ok, lost, late, vanished,
-        #: unseen, refused, silent or replaced.
+        #: unseen, refused, delayed, silent or replaced.
         self.faults: deque[str] = deque()
         self.is_up = True
+        #: Whether no order is answered or carried out.
+        self.is_silent = False
         #: Whether stops are neither answered nor carried out.
         self.ignores_stops = False
         self.late_starts: list[LateStart] = []
@@ -200,11 +202,16 @@
         )
 
     async def start(self, order: StartOrder) -> StartVerdict:
+        if self.is_silent:
+            await self.wait_seconds(START_TIMEOUT)
+            raise AnswerLostError('silent')
         fault = self.faults.popleft() if self.faults else 'ok'
         if not self.is_up or fault == 'refused':
             raise NotSentError('refused')
         if fault in {'lost', 'late', 'vanished', 'unseen'}:
             await self.lose_answer(order, fault)
+        if fault == 'delayed':
+            await self.wait_seconds(START_TIMEOUT / 2)
         self.check_id(self.bound_id)
         self.check_token(order.fencing_token)
         return self.carry_out(order)
@@ -253,8 +260,9 @@
         """Refuse the connection or leave the call unanswered if so injected."""
         if not self.is_up:
             raise NotSentError('refused')
-        if self.faults and self.faults[0] == 'silent':
-            self.faults.popleft()
+        if self.is_silent or (self.faults and self.faults[0] == 'silent'):
+            if not self.is_silent:
+                self.faults.popleft()
             await self.wait_seconds(ANSWER_TIMEOUT)
             raise AnswerLostError('silent')
         if self.faults and self.faults[0] == 'replaced':
--- a/tests/test_execution/test_leased_worker.py
+++ b/tests/test_execution/test_leased_worker.py
@@ -3,89 +3,19 @@
 from __future__ import annotations
 
 from itertools import repeat
-from typing import TYPE_CHECKING
 
 import pytest
 from twisted.internet.defer import ensureDeferred
 
 from jackdawridge.execution.lease_keeper import LeaseKeeper
 from jackdawridge.execution.leased_target import Run, TargetReport
-from jackdawridge.execution.leased_worker import LeasedWorker
-from jackdawridge.execution.messages import TaskKey
-from jackdawridge.execution.starter import format_task_id
-from jackdawridge.execution.worker import NotSentError, WorkerTask
-from tests.test_execution.fake_target import TIMING, FakeTarget
-
-if TYPE_CHECKING:
-    from jackdawridge.execution.worker import (
-        StartAnswer,
-        TaskStatus,
-        TaskUsage,
-    )
+from jackdawridge.execution.worker import NotSentError
+from tests.test_execution.fake_target import TIMING
+from tests.test_execution.leased_harness import Harness, Listener
 
 #: Time in seconds within which an end is reported although a report is lost.
 #: A job of short tasks can wait for about 0.13 s.
 MAX_REPORT_DELAY = 0.1
-#: Steps of 0.01 s within which the end of a task is reported, at the latest
-#: after a lease.
-MAX_OUTCOME_STEPS = 300
-
-
-class Listener:
-    """Records the ends of tasks."""
-
-    def __init__(self) -> None:
-        self.ended: list[TaskStatus] = []
-
-    def task_ended(self, status: TaskStatus) -> None:
-        self.ended.append(status)
-
-    def usage_reported(self, usage: tuple[TaskUsage, ...]) -> None:
-        """Ignore usage."""
-
-    def events_interrupted(self) -> None:
-        """Ignore interruptions."""
-
-
-class Harness:
-    """A worker and its fake target on one clock."""
-
-    def __init__(self) -> None:
-        self.target = FakeTarget()
-        self.clock = self.target.clock
-        self.advance(1)
-        self.reasons: list[str] = []
-        self.keeper = LeaseKeeper(self.clock, self.target, TIMING)
-        self.keeper.availability_changed = self.reasons.append
-        self.worker = LeasedWorker(self.keeper)
-        self.listener = Listener()
-        self.answers: list[StartAnswer] = []
-        self.keeper.target_joined(*self.target.incarnation_and_clock())
-        self.worker.follow(0, self.listener)
-        self.advance(0.3)
-
-    def advance(self, seconds: float) -> None:
-        for _ in range(round(seconds / 0.01)):
-            self.clock.advance(0.01)
-
-    def start(self, task: int = 0, lease: int = 1) -> str:
-        """Order a start and return the id of the task."""
-        task_id = format_task_id(TaskKey('a~b~~0123456789abcdef', task, lease))
-        order = WorkerTask(task_id, 'kind', b'spec', 1, 1, 0, 0)
-        started = ensureDeferred(self.worker.start((order,)))
-        started.addCallback(self.answers.extend)
-        return task_id
-
-    def advance_until_outcome(self) -> None:
-        """Advance the time until the end of a task is reported."""
-        for _ in range(MAX_OUTCOME_STEPS):
-            if self.listener.ended:
-                return
-            self.advance(0.01)
-        raise AssertionError('no end was reported')
-
-    def outcomes(self) -> list[tuple[str, str]]:
-        return [(status.id, status.state) for status in self.listener.ended]
 
 
 class TestUnknownRuns:
@@ -251,7 +181,7 @@
         harness = Harness()
         task = harness.start()
         harness.advance(0.1)
-        ensureDeferred(harness.worker.stop((task,)))
+        harness.stop(task)
         harness.advance(0.5)
         assert harness.outcomes() == [(task, 'stopped')]
 
@@ -260,7 +190,7 @@
         task = harness.start()
         harness.advance(0.1)
         harness.target.faults.extend(repeat('silent', 3))
-        ensureDeferred(harness.worker.stop((task,)))
+        harness.stop(task)
         harness.advance(2)
         assert not harness.target.running
 
--- /dev/null
+++ b/tests/test_execution/test_waiting_starts.py
@@ -0,0 +1,58 @@
+"""Tests of starts that wait while what they were decided on changes."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet.defer import ensureDeferred
+
+from jackdawridge.execution.leased_worker import MAX_CONCURRENT_STARTS
+from tests.test_execution.leased_harness import Harness
+
+#: Tasks of a batch, of which some wait until earlier ones are ordered.
+BATCH = range(MAX_CONCURRENT_STARTS + 4)
+
+
+class TestTakeOver:
+    @pytest.mark.parametrize('silent_before', [0, 0.05, 0.1, 0.15, 0.2])
+    @pytest.mark.parametrize('silent_after', [0.2, 0.3, 0.4, 0.5, 0.6, 0.7])
+    def test_start_that_was_reported_lost_is_not_ordered(
+        self, silent_before: float, silent_after: float
+    ) -> None:
+        """It was ordered after the take-over, while it ran elsewhere."""
+        harness = Harness()
+        harness.target.is_silent = True
+        harness.advance(silent_before)
+        tasks = harness.start_batch(BATCH)
+        harness.advance(silent_after)
+        harness.target.restart()
+        harness.target.is_silent = False
+        harness.advance(2)
+        assert not harness.target.history
+        refused = {
+            answer.id for answer in harness.answers if not answer.started
+        }
+        assert refused.union(dict(harness.outcomes())) == set(tasks)
+
+    def test_start_is_ordered_once_the_target_answers_again(self) -> None:
+        """A target that was silent and has not restarted loses no start."""
+        harness = Harness()
+        harness.target.is_silent = True
+        harness.start_batch(BATCH)
+        harness.advance(0.1)
+        harness.target.is_silent = False
+        harness.advance(1)
+        assert len(harness.target.running) == len(BATCH)
+        assert not harness.listener.ended
+
+    def test_fenced_start_does_not_raise_the_token_of_the_take_over(
+        self,
+    ) -> None:
+        """The target refused the token before; it accepts the present one."""
+        harness = Harness()
+        harness.target.faults.append('delayed')
+        harness.start()
+        ensureDeferred(harness.keeper.take_over())
+        token = harness.keeper.table.token
+        harness.advance(1)
+        assert [answer.started for answer in harness.answers] == [False]
+        assert harness.keeper.table.token == token
--- a/tests/test_platform/leased_world.py
+++ b/tests/test_platform/leased_world.py
@@ -9,7 +9,12 @@
 from itertools import product
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.internet.defer import (
+    CancelledError,
+    Deferred,
+    DeferredSemaphore,
+    ensureDeferred,
+)
 
 from jackdawridge.execution.component import SideExecution
 from jackdawridge.execution.lease_keeper import LeaseKeeper
@@ -56,6 +61,8 @@
 #: Time after which runs that have to be stopped have ended, in seconds.
 RUN_END_TIME = 1.2
 STEP_TIME = 0.02
+#: Most starts in flight at a target, which has room for more tasks.
+CONCURRENT_STARTS = 2
 
 
 class Caller:
@@ -218,6 +225,7 @@
         pausable = PausableTarget(target, self)
         self.keeper = LeaseKeeper(self.clock, pausable, TIMING)
         worker: Any = LeasedWorker(self.keeper)
+        worker.start_semaphore = DeferredSemaphore(CONCURRENT_STARTS)
         self.execution = SideExecution.from_application(
             self.application, self.peers, worker
         )
--- a/tests/test_platform/test_ownership.py
+++ b/tests/test_platform/test_ownership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
@@ -83,10 +84,35 @@
     def ignore_stops(self, worker: int, ignores_stops: bool) -> None:
         self.world.targets[worker].ignores_stops = ignores_stops
 
+    @rule(worker=INDICES, is_silent=st.booleans())
+    def silence_target(self, worker: int, is_silent: bool) -> None:
+        self.world.targets[worker].is_silent = is_silent
+
     @rule(worker=INDICES)
     def restart_target(self, worker: int) -> None:
         self.world.targets[worker].restart()
 
+    @rule(
+        worker=INDICES,
+        entry=INDICES,
+        seconds=st.sampled_from([0.1, 0.3, 0.5, 0.8]),
+    )
+    def crash_target(self, worker: int, entry: int, seconds: float) -> None:
+        """Restart a target that was silent while it was sent tasks."""
+        target = self.world.targets[worker]
+        target.is_silent = True
+        self.submit(entry, 8)
+        self.world.run(seconds)
+        target.restart()
+        target.is_silent = False
+        self.send_heartbeat(worker)
+
+    @rule(worker=INDICES)
+    def send_heartbeat(self, worker: int) -> None:
+        heartbeat = self.world.targets[worker].heartbeat()
+        side = self.world.sides[worker]
+        side.when_running(lambda: side.monitor.heartbeat_received(heartbeat))
+
     @rule(
         worker=INDICES,
         outcome=st.sampled_from(['succeeded', 'succeeded', 'failed']),
@@ -102,6 +128,7 @@
         world.silent.clear()
         for target in world.targets:
             target.faults.clear()
+            target.is_silent = False
             target.ignores_stops = False
         for process in world.processes():
             if not process.killed:
@@ -147,6 +174,26 @@
     return world
 
 
+class TestTargets:
+    @pytest.mark.parametrize('silent_before', [0, 0.1, 0.2, 0.3])
+    @pytest.mark.parametrize('silent_after', [0.1, 0.26, 0.42, 0.58, 0.74])
+    def test_start_that_waited_for_a_restart_runs_once(
+        self, silent_before: float, silent_after: float
+    ) -> None:
+        """It was ordered although its task had been started elsewhere."""
+        world = LeasedWorld()
+        target = world.targets[0]
+        target.is_silent = True
+        world.run(silent_before)
+        world.submit(0, 8)
+        world.run(silent_after)
+        target.restart()
+        target.is_silent = False
+        world.sides[0].monitor.heartbeat_received(target.heartbeat())
+        world.run(2)
+        assert world.targets[1].history
+
+
 class TestSides:
     def test_side_stops_tasks_of_a_lost_entry_before_the_caller_resends(
         self,
