Ignore the answer to a check that began before a join

A worker that starts twice in quick succession could lose all that its side had begun there: it was stopped and run again.

Cause: `LeaseKeeper` and `LeasedWorker` compared the number of joins before and after their calls, each by itself; `TargetCheck` didn't. A confirmation by the incarnation before led the side back to that one, and the next report forward again, with a take-over.

Evidence: test_answer_of_an_earlier_incarnation_changes_nothing failed before: a run is stopped 0.25 s after the second restart.

Change: `TargetBinding.ask` makes the calls whose outcome says something about the target in use, and raises `EarlierTargetError` if another was joined meanwhile, whatever the outcome is.

Why it works: a join and the reading of an outcome are turns of one loop, so the number of joins tells their order.

Result: that test passes, with all tests of the slice and of ownership.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -15,7 +15,10 @@
 )
 from jackdawridge.execution.run_stopper import RunStopper
 from jackdawridge.execution.run_table import RunTable
-from jackdawridge.execution.target_binding import TargetBinding
+from jackdawridge.execution.target_binding import (
+    EarlierTargetError,
+    TargetBinding,
+)
 from jackdawridge.execution.worker import (
     AnswerLostError,
     NotSentError,
@@ -135,13 +138,12 @@
 
         :returns: wait before the next renewal, in seconds.
         """
-        joins = self.binding.joins
         try:
             await self.renew_once()
+        except EarlierTargetError as error:
+            logger.info(error.message, step=_STEP)
+            return 0
         except JackdawridgeError as error:
-            if joins != self.binding.joins:
-                logger.info(error.message, step='hold at an earlier target')
-                return 0
             self.call_failed(error)
             # The remaining lease shrinks while there is no answer, so the call
             # is repeated at once.
@@ -202,22 +204,22 @@
         :param wait: longest time that the target delays the report until a run
             ends, in seconds.
         :param renews: whether the lease is renewed.
+        :raises EarlierTargetError: if another target or incarnation was joined
+            meanwhile.
         :raises AnswerLostError: if the fencing token was refused, or the report
-            is of an earlier target or incarnation.
+            is of an earlier incarnation.
         """
         lease = self.table.grant_lease(self.clock.seconds()) if renews else None
         self.log_withheld_lease(is_withheld=renews and lease is None)
         order = HoldOrder(
             self.table.token, self.table.last_end_position, lease, wait
         )
-        joins = self.binding.joins
         try:
-            report = await self.target.hold(order)
+            report = await self.binding.ask(self.target.hold(order))
         except FencedError as error:
             self.table.raise_token(order.fencing_token)
             raise AnswerLostError(error.message, step=_STEP) from error
-        is_earlier = report.incarnation < self.table.incarnation
-        if is_earlier or joins != self.binding.joins:
+        if report.incarnation < self.table.incarnation:
             raise AnswerLostError(
                 'report of an earlier incarnation', step=_STEP
             )
@@ -263,7 +265,7 @@
                     run=run.name,
                     step='adopt',
                 )
-                await self.target.stop(run, self.table.token)
+                await self.binding.ask(self.target.stop(run, self.table.token))
         self.report_all_lost('target was taken over')
         self.is_taken_over = True
         self.report_availability('')
--- a/jackdawridge/execution/target_check.py
+++ b/jackdawridge/execution/target_check.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from jackdawridge.execution.leased_target import LeasedTarget
+    from jackdawridge.execution.target_binding import TargetBinding
     from jackdawridge.execution.target_record import TargetHeartbeat
     from jackdawridge.util.clock import Clock
 
@@ -40,7 +40,7 @@
     is in use runs must not depend on it.
 
     :param clock: reactor that runs the timers.
-    :param target: answers under its own id only.
+    :param binding: target in use, which answers under its own id only.
     :param confirmed: called with each heartbeat that the target confirms, and
         the fencing token that it has accepted.
     """
@@ -48,12 +48,12 @@
     def __init__(
         self,
         clock: Clock,
-        target: LeasedTarget,
+        binding: TargetBinding,
         confirmed: Callable[[TargetHeartbeat, int], None],
     ) -> None:
         """Initialise the check without a heartbeat."""
         self.clock = clock
-        self.target = target
+        self.binding = binding
         self.confirmed = confirmed
         #: Heartbeat that was received last; earlier ones are not checked again.
         self.newest: TargetHeartbeat | None = None
@@ -99,7 +99,9 @@
         :param heartbeat: heartbeat that arrived.
         """
         token = self.token
-        report = await self.target.identify(heartbeat.id, token)
+        report = await self.binding.ask(
+            self.binding.target.identify(heartbeat.id, token)
+        )
         if report.incarnation == heartbeat.incarnation:
             self.confirmed(heartbeat, token)
         else:
--- a/jackdawridge/execution/target_monitor.py
+++ b/jackdawridge/execution/target_monitor.py
@@ -36,7 +36,7 @@
         self.peers = peers
         self.record = TargetRecord()
         self.check = TargetCheck(
-            keeper.clock, keeper.target, self.heartbeat_confirmed
+            keeper.clock, keeper.binding, self.heartbeat_confirmed
         )
         #: Reason why the target cannot be called, or empty.
         self.unavailable_reason = TAKE_OVER_PENDING
--- a/tests/test_execution/fake_target.py
+++ b/tests/test_execution/fake_target.py
@@ -75,7 +75,7 @@
         self.sequence = 0
         self.boot()
         #: Faults of the next orders, in order: ok, lost, late, vanished,
-        #: unseen, refused, delayed, silent or replaced.
+        #: unseen, refused, delayed, silent, replaced or overtaken.
         self.faults: deque[str] = deque()
         self.is_up = True
         #: Whether no order is answered or carried out.
@@ -179,7 +179,11 @@
         await self.apply_fault()
         self.check_id(target_id)
         self.check_token(fencing_token)
-        return self.report()
+        report = self.report()
+        if self.faults and self.faults[0] == 'overtaken':
+            self.faults.popleft()
+            await self.wait_seconds(ANSWER_TIMEOUT)
+        return report
 
     async def hold(self, order: HoldOrder) -> TargetReport:
         await self.apply_fault()
--- a/tests/test_execution/test_target_monitor.py
+++ b/tests/test_execution/test_target_monitor.py
@@ -132,6 +132,25 @@
         assert target.running == running
         assert side.keeper.table.incarnation == target.incarnation
 
+    def test_answer_of_an_earlier_incarnation_changes_nothing(self) -> None:
+        """A check that began before a join made the side stop all tasks."""
+        world = LeasedWorld()
+        target = world.targets[0]
+        side = world.sides[0]
+        target.restart()
+        target.faults.append('overtaken')
+        side.monitor.heartbeat_received(target.heartbeat())
+        target.restart()
+        world.sides[1].monitor.target_left('target')
+        world.run(0.2)
+        world.submit(0, 2)
+        world.run(0.04)
+        running = dict(target.running)
+        assert running
+        world.run(0.3)
+        assert running.items() <= target.running.items()
+        assert side.keeper.table.incarnation == target.incarnation
+
     def test_target_with_a_new_id_is_used_after_a_lost_answer(self) -> None:
         world = LeasedWorld()
         target = world.targets[0]
