Order no start whose stop was requested while it waited

After a caller had left, or its entry was lost, a side went on to order starts of that job, and stops of others waited for the slowest start of their batch.

Cause: the stop of a task that is starting is kept until the start is confirmed, and nobody looked at it before the start was ordered, or ordered again; over HTTP the same holds while a start waits for a connection. Confirmations were sent with the last answer of the batch, and the stops with them.

Change: whoever is about to order a start asks `WorkerMonitor.start_refusal` whether its task is there, no stop was requested and the gate is open. A start is confirmed when its own answer arrives (`WorkerListener.task_started`).

Why it works: stops, losses and lapsed leases are all recorded in the state of the side before anything is sent, and that state is asked in the turn in which the order is sent.

Failed before: test_starts_of_a_gone_caller_end_beside_an_unanswered_one, the three tests of TestWithdrawnStarts, test_only_starts_that_were_stopped_meanwhile_are_refused.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -31,7 +31,11 @@
     from collections.abc import Callable
 
     from jackdawridge.execution.lease_grants import LeaseTiming
-    from jackdawridge.execution.leased_target import LeasedTarget, TargetReport
+    from jackdawridge.execution.leased_target import (
+        LeasedTarget,
+        Run,
+        TargetReport,
+    )
     from jackdawridge.execution.live_runs import LiveRun
     from jackdawridge.execution.run_table import ReportChanges
     from jackdawridge.execution.worker import WorkerListener
@@ -162,17 +166,13 @@
         renewal = HedgedCall(
             self.clock,
             lambda: self.refresh(self.timing.renewal),
-            self.has_runs,
+            lambda: bool(self.table.runs),
         )
         await renewal.start(REPORT_HEDGE_DELAY)
         self.unanswered_calls = 0
         if self.is_taken_over:
             self.report_availability('')
 
-    def has_runs(self) -> bool:
-        """Return whether any run at the target may end."""
-        return bool(self.table.runs)
-
     async def refresh(self, wait: float) -> None:
         """Request a report, report the ended runs and stop unknown ones.
 
@@ -270,6 +270,18 @@
         self.is_taken_over = True
         self.report_availability('')
 
+    def run_started(self, run: Run) -> None:
+        """Confirm a run that the target has started; tell the listener.
+
+        It is told at once, since the answer to the start waits for the others
+        of its batch, and a stop may wait for the confirmation.
+
+        :param run: run that was ordered.
+        """
+        live = self.table.runs.confirm(run, self.clock.seconds())
+        if live is not None and self.listener is not None:
+            self.listener.task_started(live.task_id)
+
     def report_ended(self, changes: ReportChanges) -> None:
         """Report the runs that have ended.
 
--- a/jackdawridge/execution/leased_worker.py
+++ b/jackdawridge/execution/leased_worker.py
@@ -130,7 +130,7 @@
             return self.not_started(run, task, error.message)
         if not verdict.started:
             return self.not_started(run, task, verdict.reason)
-        self.table.runs.confirm(run, self.clock.seconds())
+        self.keeper.run_started(run)
         return StartAnswer(task.id, True, '')
 
     def decide_order(
@@ -141,8 +141,12 @@
         :param run: attempt to run the task.
         :param task: task to start.
         """
-        if self.keeper.unavailable_reason:
-            return Err(self.keeper.unavailable_reason)
+        listener = self.keeper.listener
+        reason = self.keeper.unavailable_reason
+        if not reason and listener is not None:
+            reason = listener.start_refusal(task.id)
+        if reason:
+            return Err(reason)
         return self.table.order(run, task.payload, self.clock.seconds())
 
     def not_started(
@@ -170,7 +174,7 @@
         """
         await self.refresh()
         if run in self.table.reported_runs:
-            self.table.runs.confirm(run, self.clock.seconds())
+            self.keeper.run_started(run)
             return StartAnswer(task.id, True, '')
         await self.keeper.stopper.stop(run)
         stopped_at = self.clock.seconds()
--- a/jackdawridge/execution/live_runs.py
+++ b/jackdawridge/execution/live_runs.py
@@ -134,17 +134,18 @@
         live = self.by_run[run]
         self.by_run[run] = live._replace(stage=RunStage.ordered)
 
-    def confirm(self, run: Run, now: float) -> None:
+    def confirm(self, run: Run, now: float) -> LiveRun | None:
         """Record that the target runs an attempt that was ordered.
 
         :param run: run that was ordered.
         :param now: local time in seconds.
+        :returns: what is known about it, None if it is not live.
         """
         live = self.by_run.get(run)
         if live is not None and live.stage is RunStage.ordered:
-            self.by_run[run] = live._replace(
-                started_at=now, stage=RunStage.confirmed
-            )
+            live = live._replace(started_at=now, stage=RunStage.confirmed)
+            self.by_run[run] = live
+        return live
 
     def remove(self, run: Run) -> LiveRun | None:
         """Remove a run that never started or has ended.
--- a/jackdawridge/execution/starter.py
+++ b/jackdawridge/execution/starter.py
@@ -79,8 +79,8 @@
     :param listener: receives the results of the starts.
     :param lease: time for which the worker may run a task without a renewal,
         in seconds.
-    :param refusal: returns why nothing may start at a time, or an empty
-        string.
+    :param refusal: returns why a task of the worker must not be started any
+        more, or an empty string.
     """
 
     def __init__(
@@ -89,7 +89,7 @@
         clock: Clock,
         listener: StartListener,
         lease: float,
-        refusal: Callable[[float], str],
+        refusal: Callable[[str], str],
     ) -> None:
         """Initialise the starter without calling the worker."""
         self.worker = worker
@@ -116,10 +116,8 @@
         except NotSentError as error:
             self.refuse_unreachable(batch, error)
             return
-        # The gate may have shut while the batch waited for the connection.
-        reason = self.refusal(self.clock.seconds())
-        if reason:
-            self.refuse(batch, reason)
+        batch = self.refuse_obsolete(batch)
+        if not batch:
             return
         tasks = tuple(self.worker_task(start) for start in batch)
         try:
@@ -134,6 +132,22 @@
         else:
             self.report(batch, answers)
 
+    def refuse_obsolete(self, batch: tuple[Start, ...]) -> tuple[Start, ...]:
+        """Refuse the starts that must not be sent any more; return the others.
+
+        A batch may have waited for the connection since its admission.
+
+        :param batch: starts that were admitted.
+        """
+        wanted = []
+        for start in batch:
+            reason = self.refusal(format_task_id(start.key()))
+            if reason:
+                self.listener.not_started(start.key(), reason)
+            else:
+                wanted.append(start)
+        return tuple(wanted)
+
     def refuse_unreachable(
         self, batch: tuple[Start, ...], error: NotSentError
     ) -> None:
--- a/jackdawridge/execution/worker.py
+++ b/jackdawridge/execution/worker.py
@@ -76,6 +76,15 @@
 class WorkerListener(Protocol):
     """Receives the events of a worker."""
 
+    def start_refusal(self, task_id: str) -> str:
+        """Return why a task must not be started any more, or an empty string.
+
+        A worker that lets starts wait asks right before it orders one.
+        """
+
+    def task_started(self, task_id: str) -> None:
+        """Handle a confirmed start before the others of its batch are."""
+
     def task_ended(self, status: TaskStatus) -> None:
         """Handle the end of a task."""
 
--- a/jackdawridge/execution/worker_monitor.py
+++ b/jackdawridge/execution/worker_monitor.py
@@ -61,7 +61,7 @@
             application.settings.number('task_lease') * WORKER_LEASE_FACTOR
         )
         self.starter = Starter(
-            worker, self.clock, self, self.lease, state.gate.refusal
+            worker, self.clock, self, self.lease, self.start_refusal
         )
         self.event_ledger = EventLedger()
         #: Whether a reconciliation after an interruption is pending.
@@ -100,6 +100,29 @@
         """
         ensureDeferred(_log_failure(step, call))
 
+    def start_refusal(self, task_id: str) -> str:
+        """Return why a task must not be started any more, or an empty string.
+
+        A start may wait for the worker after its admission, while its task is
+        reported as lost or stopped, its entry is lost, or the gate shuts.
+
+        :param task_id: id of the task at the worker.
+        """
+        key = parse_task_id(task_id)
+        task = None if key is None else self.state.tasks.get(key)
+        if task is None:
+            return 'task has ended'
+        return task.stop_reason or self.state.gate.refusal(self.clock.seconds())
+
+    def task_started(self, task_id: str) -> None:
+        """Confirm a task before the other starts of its batch are answered.
+
+        :param task_id: id of the task at the worker.
+        """
+        key = parse_task_id(task_id)
+        if key is not None:
+            self.started((key,))
+
     def started(self, keys: tuple[TaskKey, ...]) -> None:
         """Confirm tasks and stop those whose stop was requested meanwhile.
 
--- a/tests/test_execution/leased_harness.py
+++ b/tests/test_execution/leased_harness.py
@@ -32,6 +32,15 @@
 
     def __init__(self) -> None:
         self.ended: list[TaskStatus] = []
+        self.started: list[str] = []
+        #: Reasons why tasks must not be started any more, by id.
+        self.refusals: dict[str, str] = {}
+
+    def start_refusal(self, task_id: str) -> str:
+        return self.refusals.get(task_id, '')
+
+    def task_started(self, task_id: str) -> None:
+        self.started.append(task_id)
 
     def task_ended(self, status: TaskStatus) -> None:
         self.ended.append(status)
--- a/tests/test_execution/test_restarted_worker.py
+++ b/tests/test_execution/test_restarted_worker.py
@@ -36,6 +36,12 @@
         self.events: list[int] = []
         self.interruptions = 0
 
+    def start_refusal(self, task_id: str) -> str:
+        return ''
+
+    def task_started(self, task_id: str) -> None:
+        """Ignore confirmed starts."""
+
     def task_ended(self, status: TaskStatus) -> None:
         self.events.append(status.event)
 
--- a/tests/test_execution/test_start_stream.py
+++ b/tests/test_execution/test_start_stream.py
@@ -20,6 +20,7 @@
     LIST_INTERVAL,
     MAX_LIST_CALLS,
     Starter,
+    format_task_id,
 )
 from jackdawridge.execution.worker import (
     AnswerLostError,
@@ -199,6 +200,22 @@
         assert listener.results == reasons
         assert worker.tasks_received == 0
 
+    def test_only_starts_that_were_stopped_meanwhile_are_refused(self) -> None:
+        """They were sent once the worker was connected, and then stopped."""
+        worker: Any = FakeWorker()
+        listener = RecordingListener()
+        stopped = START._replace(task=1)
+        refusals = {format_task_id(stopped.key()): 'cancelled'}
+        starter = Starter(
+            worker, Clock(), listener, 1, lambda one: refusals.get(one, '')
+        )
+        starter.add((START, stopped))
+        answer = StartAnswer(format_task_id(START.key()), True, '')
+        worker.answer_received = succeed((answer,))
+        worker.connected.callback(None)
+        assert listener.results == ['cancelled', 'started']
+        assert worker.tasks_received == 1
+
     def test_unreachable_worker_refuses_the_start(self) -> None:
         worker: Any = FakeWorker()
         listener = RecordingListener()
--- a/tests/test_execution/test_waiting_starts.py
+++ b/tests/test_execution/test_waiting_starts.py
@@ -56,3 +56,38 @@
         harness.advance(1)
         assert [answer.started for answer in harness.answers] == [False]
         assert harness.keeper.table.token == token
+
+
+class TestWithdrawnStarts:
+    def test_start_that_is_refused_while_it_waits_is_not_ordered(self) -> None:
+        """It was started and then stopped, after its caller had left."""
+        harness = Harness()
+        harness.target.is_silent = True
+        tasks = harness.start_batch(BATCH)
+        harness.advance(0.1)
+        harness.listener.refusals = dict.fromkeys(tasks, 'cancelled')
+        harness.target.is_silent = False
+        harness.advance(1)
+        assert not harness.target.history
+        assert {answer.reason for answer in harness.answers} == {'cancelled'}
+
+    def test_start_that_is_refused_after_a_lost_order_is_not_repeated(
+        self,
+    ) -> None:
+        harness = Harness()
+        harness.target.faults.append('vanished')
+        task = harness.start()
+        harness.advance(0.02)
+        harness.listener.refusals[task] = 'cancelled'
+        harness.advance(1)
+        assert not harness.target.history
+        assert [answer.reason for answer in harness.answers] == ['cancelled']
+
+    def test_start_is_confirmed_before_the_others_of_its_batch(self) -> None:
+        """Its stop waited until the last start of the batch was answered."""
+        harness = Harness()
+        harness.target.faults.append('vanished')
+        _, other = harness.start_batch(range(2))
+        harness.advance(0.02)
+        assert harness.listener.started == [other]
+        assert not harness.answers
--- a/tests/test_platform/test_ownership.py
+++ b/tests/test_platform/test_ownership.py
@@ -133,6 +133,8 @@
         for process in world.processes():
             if not process.killed:
                 process.resume()
+        for side, target in zip(world.sides, world.targets, strict=True):
+            side.monitor.heartbeat_received(target.heartbeat())
         for _ in range(60):
             world.run(0.2)
             for target in world.targets:
@@ -226,6 +228,23 @@
         world.run(RESEND_TIME)
         assert not any(target.running for target in world.targets)
 
+    def test_starts_of_a_gone_caller_end_beside_an_unanswered_one(self) -> None:
+        """One was still ordered, the others ran until that one was settled."""
+        world = LeasedWorld()
+        world.sides[1].monitor.target_left('target')
+        world.run(0.2)
+        target = world.targets[0]
+        target.faults.extend(('vanished', 'silent', 'silent', 'silent'))
+        world.submit(0, 8)
+        world.run(0.06)
+        started = len(target.history)
+        assert target.running
+        world.callers[0].disconnect(world.entries[0])
+        world.run(0.1)
+        assert not target.running
+        world.run(0.5)
+        assert len(target.history) == started
+
     def test_stops_that_are_carried_out_end_no_other_run(self) -> None:
         """The lease is common to all runs of a target."""
         world = LeasedWorld()
