Drop jobs at the lead before those of the same update are queued

A job that was given up and sent again to the same entry at once waited in vain until its caller's patience was over.

Cause: a job keeps its ticket when it is sent again. The drop that waited for the next update to the lead was applied after the jobs of that update, to the attempt that had been queued since.

Evidence: test_job_that_is_sent_again_at_once_is_placed failed before; the lead didn't know of the second attempt.

Change: the lead drops first. An update never names as queued what was dropped after that.

Why it works: within an update the entry's drops of jobs that the lead knows always precede the queuing of the same ticket.

--- a/jackdawridge/coordination/lead.py
+++ b/jackdawridge/coordination/lead.py
@@ -227,10 +227,12 @@
         delegator.is_answer_due = True
         for task in update.ended:
             self.end_task(delegator, task, now)
-        for job in update.jobs:
-            self.queue(delegator, job, now)
+        # A job that was dropped may have been queued again since, under the
+        # same ticket. One that was dropped after that isn't in the update.
         for ticket in update.dropped:
             self.drop(delegator, ticket)
+        for job in update.jobs:
+            self.queue(delegator, job, now)
         return True
 
     def end_task(
--- a/jackdawridge/coordination/messages.py
+++ b/jackdawridge/coordination/messages.py
@@ -111,7 +111,8 @@
     number: int
     ended: tuple[EndedTask, ...]
     jobs: tuple[WaitingJob, ...]
-    #: Tickets of jobs whose queued tasks were dropped.
+    #: Tickets of jobs whose queued tasks were dropped, before those in `jobs`
+    #: were queued.
     dropped: tuple[str, ...]
 
 
--- a/tests/test_coordination/test_coordination.py
+++ b/tests/test_coordination/test_coordination.py
@@ -228,6 +228,22 @@
         finish_all(world)
         assert world.answers[after][0].state == 'complete'
 
+    def test_job_that_is_sent_again_at_once_is_placed(self) -> None:
+        """The lead dropped the second attempt with the first."""
+        world = make_world()
+        submit(world, 0, 3 * CORES)
+        world.settle()
+        ticket = submit(world, 1, 2)
+        world.settle()
+        engine = world.engine(1)
+        job = engine.jobs[ticket]
+        engine.fail(ticket, 'caller has gone')
+        engine.submit(ticket, job.spec, job.digest)
+        world.settle()
+        finish_all(world)
+        states = [answer.state for answer in world.answers[ticket]]
+        assert states == ['failed', 'complete']
+
     def test_draining_lead_ends_its_delegations(self) -> None:
         world = make_world()
         world.entries[0].application.draining = True
