End the time to link again with the new link

A job or request that one entry had asked another one about could fail although the other entry had linked again in time.

Cause: the timer of a lost link went on when the peer linked again, and failed the call if the next link happened to be lost when it fired.

Evidence: test_each_loss_of_the_link_has_its_own_time failed before: the call failed 0.05 s after the second loss instead of 0.5 s.

Change: each loss has a timer of its own, which the new link cancels.

Why it works: a call is sent again and its timer cancelled in one turn.

Result: that test passes, with the tests of wire, submission and forwarding.

--- a/jackdawridge/wire/open_calls.py
+++ b/jackdawridge/wire/open_calls.py
@@ -35,6 +35,8 @@
     on_complete: Callable[[Any], object]
     #: Fails the call at its timeout.
     timer: DelayedCall
+    #: Fails the call unless the peer links again, None while it is linked.
+    relink_timer: DelayedCall | None = None
 
 
 class OpenCalls:
@@ -119,8 +121,11 @@
         :param number: number of the call.
         """
         call = self.calls.pop(number, None)
-        if call is not None and call.timer.active():
-            call.timer.cancel()
+        if call is None:
+            return
+        for timer in (call.timer, call.relink_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
 
     def peer_left(self, peer: Peer) -> None:
         """Fail the calls to a peer unless it links again in time.
@@ -129,17 +134,12 @@
         """
         for number, call in tuple(self.calls.items()):
             if call.peer is peer:
-                self.calls[number] = call._replace(peer=None)
-                self.clock.callLater(RELINK_TIME, self.fail_unlinked, number)
-
-    def fail_unlinked(self, number: int) -> None:
-        """Fail a call if its peer is still unlinked.
-
-        :param number: number of the call.
-        """
-        call = self.calls.get(number)
-        if call is not None and call.peer is None:
-            self.complete(number, None)
+                self.calls[number] = call._replace(
+                    peer=None,
+                    relink_timer=self.clock.callLater(
+                        RELINK_TIME, self.complete, number, None
+                    ),
+                )
 
     def peer_joined(self, peer: Peer) -> None:
         """Send the open calls again to a peer that has linked again.
@@ -148,6 +148,9 @@
         """
         for number, call in tuple(self.calls.items()):
             is_same_run = call.incarnation == peer.introduction.incarnation
-            if call.peer is None and is_same_run and peer.send(call.message):
+            if call.relink_timer is None or not is_same_run:
+                continue
+            if peer.send(call.message):
                 logger.info('asked again', peer=peer.name, number=number)
-                self.calls[number] = call._replace(peer=peer)
+                call.relink_timer.cancel()
+                self.calls[number] = call._replace(peer=peer, relink_timer=None)
