Report no run as lost while the order to start it is being sent

A task could run at a worker that had just started again while its entry ran it elsewhere.

Cause: a refused connection shows that nothing runs at the worker at that moment. All its runs were reported as lost, also those whose orders were still being sent and reached the next incarnation, which has seen no fencing token yet.

Why it works: once no order is open, what the worker's next incarnation runs was ordered after the loss was known, and the take-over ends the rest before it is reported.

Result: test_start_is_not_lost_while_its_order_is_open passes in all phases; test_start_that_was_not_answered_is_lost_with_its_target shows that such a run is still reported within 0.3 s.

--- a/jackdawridge/execution/lease_keeper.py
+++ b/jackdawridge/execution/lease_keeper.py
@@ -28,7 +28,7 @@
 from jackdawridge.util.clock import pause
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from jackdawridge.execution.lease_grants import LeaseTiming
     from jackdawridge.execution.leased_target import (
@@ -266,7 +266,7 @@
                     step='adopt',
                 )
                 await self.binding.ask(self.target.stop(run, self.table.token))
-        self.report_all_lost('target was taken over')
+        self.report_lost(self.table.runs.clear(), 'target was taken over')
         self.is_taken_over = True
         self.report_availability('')
 
@@ -296,19 +296,22 @@
         :param error: reason of the failure.
         """
         self.unanswered_calls += 1
-        if isinstance(error, (NotSentError, OtherIncarnationError)):
-            # Nothing listens at the address, so nothing runs there either.
-            self.binding.is_present = not isinstance(
-                error, OtherIncarnationError
-            )
+        runs = self.table.runs
+        is_replaced = isinstance(error, OtherIncarnationError)
+        if is_replaced or isinstance(error, NotSentError):
+            # The target doesn't listen at the address, so nothing runs there
+            # either. Another one refuses orders that are still open; its next
+            # incarnation would carry them out.
+            self.binding.is_present = not is_replaced
             self.is_taken_over = False
             self.report_availability(f'target is away: {error.message}')
-            self.report_all_lost('target is away')
+            lost = runs.clear() if is_replaced else runs.clear_settled()
+            self.report_lost(lost, 'target is away')
         elif not self.is_answering():
             self.report_availability('target does not answer')
             if self.clock.seconds() > self.table.leases.all_ended_at:
                 self.is_taken_over = False
-                self.report_all_lost('lease has run out')
+                self.report_lost(runs.clear(), 'lease has run out')
 
     def report_availability(self, reason: str) -> None:
         """Log and announce a change of the target's availability.
@@ -320,12 +323,13 @@
             logger.notice(reason or 'target answers', step=_STEP)
             self.availability_changed(reason)
 
-    def report_all_lost(self, reason: str) -> None:
-        """Report that all runs have ended with an unknown outcome.
+    def report_lost(self, lost: Iterable[LiveRun], reason: str) -> None:
+        """Report that runs have ended with an unknown outcome.
 
+        :param lost: runs that are no longer live.
         :param reason: reason to send to the entries.
         """
-        for live in self.table.runs.clear():
+        for live in lost:
             self.report(live, 'lost', reason)
 
     def report(self, live: LiveRun, outcome: str, reason: str) -> None:
--- a/jackdawridge/execution/leased_worker.py
+++ b/jackdawridge/execution/leased_worker.py
@@ -122,6 +122,7 @@
             logger.warning(
                 error.message, step='start', run=run.name, number=run.number
             )
+            self.table.runs.record_lost_answer(run)
             return await self.resolve_start(run, task)
         except FencedError as error:
             self.table.raise_token(order.fencing_token)
--- a/jackdawridge/execution/live_runs.py
+++ b/jackdawridge/execution/live_runs.py
@@ -25,8 +25,10 @@
 
     #: Its start waits to be ordered.
     waiting = 'waiting'
-    #: The target may have received the order.
+    #: The order is being sent, or not answered yet.
     ordered = 'ordered'
+    #: The order will not be answered; the target may have received it.
+    unanswered = 'unanswered'
     #: The target has confirmed that it runs.
     confirmed = 'confirmed'
     #: It was admitted for an earlier target or incarnation, and ends with the
@@ -34,6 +36,9 @@
     left_behind = 'left_behind'
 
 
+_UNCONFIRMED = frozenset((RunStage.ordered, RunStage.unanswered))
+
+
 class LiveRun(NamedTuple):
     """A run that was admitted and is not known to have ended."""
 
@@ -134,6 +139,15 @@
         live = self.by_run[run]
         self.by_run[run] = live._replace(stage=RunStage.ordered)
 
+    def record_lost_answer(self, run: Run) -> None:
+        """Record that the order of a run will not be answered.
+
+        :param run: run that was ordered.
+        """
+        live = self.by_run.get(run)
+        if live is not None and live.stage is RunStage.ordered:
+            self.by_run[run] = live._replace(stage=RunStage.unanswered)
+
     def confirm(self, run: Run, now: float) -> LiveRun | None:
         """Record that the target runs an attempt that was ordered.
 
@@ -142,7 +156,7 @@
         :returns: what is known about it, None if it is not live.
         """
         live = self.by_run.get(run)
-        if live is not None and live.stage is RunStage.ordered:
+        if live is not None and live.stage in _UNCONFIRMED:
             live = live._replace(started_at=now, stage=RunStage.confirmed)
             self.by_run[run] = live
         return live
@@ -161,6 +175,19 @@
         self.by_run.clear()
         return runs
 
+    def clear_settled(self) -> tuple[LiveRun, ...]:
+        """Remove and return all runs but those whose orders are open.
+
+        An order that is being sent may still reach the next incarnation of a
+        target that has just refused another call.
+        """
+        settled = [
+            run
+            for run, live in self.by_run.items()
+            if live.stage is not RunStage.ordered
+        ]
+        return tuple(self.by_run.pop(run_key) for run_key in settled)
+
     def remove_missing(
         self, requested_at: float, running: frozenset[Run]
     ) -> list[LiveRun]:
--- a/tests/test_execution/test_waiting_starts.py
+++ b/tests/test_execution/test_waiting_starts.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from jackdawridge.execution.leased_worker import MAX_CONCURRENT_STARTS
+from jackdawridge.execution.worker import NotSentError
 from tests.test_execution.leased_harness import Harness
 
 #: Tasks of a batch, of which some wait until earlier ones are ordered.
@@ -57,6 +58,32 @@
         assert [answer.started for answer in harness.answers] == [False]
         assert harness.keeper.table.token == token
 
+    @pytest.mark.parametrize('delay', [0, 0.04, 0.08, 0.12])
+    def test_start_is_not_lost_while_its_order_is_open(
+        self, delay: float
+    ) -> None:
+        """The target restarted and carried out what was reported as lost."""
+        harness = Harness()
+        harness.advance(delay)
+        harness.target.faults.append('delayed')
+        task = harness.start()
+        harness.keeper.call_failed(NotSentError('refused', step='hold'))
+        harness.target.restart()
+        harness.advance_until_outcome()
+        assert [ended for ended, _ in harness.outcomes()] == [task]
+        assert not harness.target.running
+        starts = len(harness.target.history)
+        harness.advance(1)
+        assert len(harness.target.history) == starts
+
+    def test_start_that_was_not_answered_is_lost_with_its_target(self) -> None:
+        harness = Harness()
+        harness.target.faults.append('lost')
+        task = harness.start()
+        harness.target.is_up = False
+        harness.advance(0.3)
+        assert harness.outcomes() == [(task, 'lost')]
+
 
 class TestWithdrawnStarts:
     def test_start_that_is_refused_while_it_waits_is_not_ordered(self) -> None:
