Crash silent minions in the soak

The soak crashed minions that had answered until then, so that no start waited for an answer when they started again. A further series silences them for 0.2 to 1.2 s first.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -45,6 +45,7 @@
             self.disturb_all_calls,
             self.fail_runs,
             self.crash_minions,
+            self.silence_minions,
             self.change_configuration,
             self.evacuate_zones,
         )
@@ -143,6 +144,13 @@
         for side in choice.sample(self.deployment.sides, 2):
             self.deployment.order_minion(side, '/crash')
 
+    def silence_minions(self, choice: random.Random) -> None:
+        """Crash minions that have been silent while they were sent tasks."""
+        for side in choice.sample(self.deployment.sides, 2):
+            self.deployment.order_minion(
+                side, '/silence', choice.uniform(0.2, 1.2)
+            )
+
     def send_foreign_heartbeats(self, choice: random.Random) -> None:
         side = choice.choice(self.deployment.sides)
         self.deployment.order_minion(side, '/foreign-heartbeat')
--- a/tests/soak/minions.py
+++ b/tests/soak/minions.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from twisted.internet import reactor
+from twisted.internet.defer import Deferred
 
 from tests.test_execution.fake_target import FakeTarget, ObservedRun
 from tests.test_platform.standin import Minion, serve
@@ -86,7 +87,9 @@
         self.clock.callLater(STOP_TIME, self.end, run, 'stopped', 'stopped')
 
     async def delay(self, share: float) -> None:
-        """Wait for some seconds with a probability."""
+        """Wait for some seconds with a probability, for good while silent."""
+        if self.is_silent:
+            await Deferred()
         if self.random.random() < share:
             await self.wait_seconds(self.random.uniform(*LATE_DELAYS))
 
@@ -145,6 +148,19 @@
         self.send_heartbeat()
         return b'{}'
 
+    @app.route('/silence', methods=['PUT'])
+    def silence(self, request: Any) -> bytes:
+        """Answer nothing for some seconds, then crash and start again."""
+        self.target.is_silent = True
+        seconds = float(json.loads(request.content.read()))
+        untyped_reactor.callLater(seconds, self.end_silence)
+        return b'{}'
+
+    def end_silence(self) -> None:
+        self.target.is_silent = False
+        self.target.restart()
+        self.send_heartbeat()
+
     @app.route('/runs')
     def runs(self, request: Any) -> bytes:
         """Return name, start, end and outcome of each run."""
