--- a/tests/test_execution/fake_target.py
+++ b/tests/test_execution/fake_target.py
@@ -88,6 +88,8 @@
         #: All runs that were ever started, for assertions.
         self.history: list[ObservedRun] = []
         self.ended_at: dict[Run, float] = {}
+        #: Runs of the orders to stop one, whatever became of them.
+        self.stops: list[Run] = []
         self.tick()
 
     def boot(self) -> None:
@@ -248,6 +250,7 @@
         return StartVerdict(started=True, reason='')
 
     async def stop(self, run: Run, fencing_token: int) -> None:
+        self.stops.append(run)
         await self.apply_fault()
         if self.ignores_stops:
             await self.wait_seconds(START_TIMEOUT)
--- a/tests/test_execution/test_state.py
+++ b/tests/test_execution/test_state.py
@@ -101,6 +101,56 @@
         assert refusals(state) == ['failure domain is out of service']
 
 
+class TestWaitForRoom:
+    """A start waits until a task that needs the whole worker has ended."""
+
+    other = TaskKey(TICKET, 1, 2)
+
+    def make_state(self, gate: OpenGate | None = None) -> SideState:
+        state = make_state(gate)
+        admit(state, make_start(cores=4)._replace(run_time=0.05), now=1)
+        assert not admit(state, make_start(self.other, cores=4), now=1)
+        assert self.other in state.room.wait_queue.keys
+        return state
+
+    def free_room(self, state: SideState, now: float) -> tuple[Start, ...]:
+        """End the running task and return what is admitted in its place."""
+        state.end(Ending(KEY, 'succeeded', '', b'', 0, 0, 0), 1, now)
+        return state.admit_waiting(now)
+
+    def test_start_is_admitted_once_it_fits(self) -> None:
+        state = self.make_state()
+        admitted = self.free_room(state, 1.01)
+        assert [start.key() for start in admitted] == [self.other]
+
+    def test_start_whose_gate_shuts_is_not_admitted(self) -> None:
+        state = self.make_state()
+        state.gate = ClosedGate()
+        assert not self.free_room(state, 1.01)
+        assert refusals(state) == ['failure domain is out of service']
+        assert state.room.free.cores == 4
+
+    def test_start_at_a_side_that_closes_is_not_admitted(self) -> None:
+        state = self.make_state()
+        state.closed_reason = 'target is away'
+        assert not self.free_room(state, 1.01)
+        assert refusals(state) == ['target is away']
+
+    def test_start_that_its_entry_was_told_not_to_run_is_not_admitted(
+        self,
+    ) -> None:
+        """The entry has lost the link and asked what became of the start."""
+        state = self.make_state()
+        resolution = state.resolve(ENTRY, (self.other,), knows_all=True, now=1)
+        assert resolution.fenced == (self.other,)
+        assert not self.free_room(state, 1.01)
+
+    def test_cancelled_start_is_not_admitted(self) -> None:
+        state = self.make_state()
+        state.cancel(ENTRY, (TICKET,), 'cancelled', 1)
+        assert not self.free_room(state, 1.01)
+
+
 class TestResolution:
     @pytest.mark.parametrize('knows_all', [True, False])
     def test_only_the_asked_incarnation_fences_unknown_starts(
--- a/tests/test_execution/test_waiting_starts.py
+++ b/tests/test_execution/test_waiting_starts.py
@@ -85,6 +85,26 @@
         assert harness.outcomes() == [(task, 'lost')]
 
 
+class TestStops:
+    def test_stop_is_not_repeated_at_the_next_incarnation(self) -> None:
+        """It names a higher run number than those of the next incarnation.
+
+        The target would refuse to start the task again.
+        """
+        harness = Harness()
+        task = harness.start()
+        harness.advance(0.1)
+        harness.target.is_silent = True
+        harness.stop(task)
+        harness.advance(0.1)
+        assert harness.target.stops
+        harness.target.restart()
+        harness.keeper.target_joined(*harness.target.incarnation_and_clock())
+        harness.target.stops.clear()
+        harness.advance(1)
+        assert not harness.target.stops
+
+
 class TestWithdrawnStarts:
     def test_start_that_is_refused_while_it_waits_is_not_ordered(self) -> None:
         """It was started and then stopped, after its caller had left."""
