--- a/jackdawridge/execution/worker.py
+++ b/jackdawridge/execution/worker.py
@@ -74,7 +74,7 @@
 
 
 class WorkerListener(Protocol):
-    """Receives the events of a worker."""
+    """Receives the events of a worker and decides on starts that waited."""
 
     def start_refusal(self, task_id: str) -> str:
         """Return why a task must not be started any more, or an empty string.
--- a/tests/soak/minions.py
+++ b/tests/soak/minions.py
@@ -144,8 +144,7 @@
 
     @app.route('/crash', methods=['PUT'])
     def crash(self, request: Any) -> bytes:
-        self.target.restart()
-        self.send_heartbeat()
+        self.restart()
         return b'{}'
 
     @app.route('/silence', methods=['PUT'])
@@ -153,10 +152,11 @@
         """Answer nothing for some seconds, then crash and start again."""
         self.target.is_silent = True
         seconds = float(json.loads(request.content.read()))
-        untyped_reactor.callLater(seconds, self.end_silence)
+        untyped_reactor.callLater(seconds, self.restart)
         return b'{}'
 
-    def end_silence(self) -> None:
+    def restart(self) -> None:
+        """Crash and start again, with a heartbeat at once."""
         self.target.is_silent = False
         self.target.restart()
         self.send_heartbeat()
--- a/tests/test_execution/fake_target.py
+++ b/tests/test_execution/fake_target.py
@@ -267,9 +267,11 @@
         """Refuse the connection or leave the call unanswered if so injected."""
         if not self.is_up:
             raise NotSentError('refused')
-        if self.is_silent or (self.faults and self.faults[0] == 'silent'):
-            if not self.is_silent:
-                self.faults.popleft()
+        if self.is_silent:
+            await self.wait_seconds(ANSWER_TIMEOUT)
+            raise AnswerLostError('silent')
+        if self.faults and self.faults[0] == 'silent':
+            self.faults.popleft()
             await self.wait_seconds(ANSWER_TIMEOUT)
             raise AnswerLostError('silent')
         if self.faults and self.faults[0] == 'replaced':
--- a/tests/test_execution/test_state.py
+++ b/tests/test_execution/test_state.py
@@ -106,8 +106,8 @@
 
     other = TaskKey(TICKET, 1, 2)
 
-    def make_state(self, gate: OpenGate | None = None) -> SideState:
-        state = make_state(gate)
+    def make_state(self) -> SideState:
+        state = make_state()
         admit(state, make_start(cores=4)._replace(run_time=0.05), now=1)
         assert not admit(state, make_start(self.other, cores=4), now=1)
         assert self.other in state.room.wait_queue.keys
